--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,248 @@
+//! What the decision module and its host say to each other, free of any wire. Times are spans since the start
+//! of the host's clock.
+
+use std::time::Duration;
+
+macro_rules! ids {
+    ($($name:ident($of:ty)),* $(,)?) => {$(
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $of);
+    )*};
+}
+
+ids!(
+    HitId(u64),
+    PodId(u64),
+    GroupId(u16),
+    CustomerId(u32),
+    KeyId(u64),
+    ZoneId(u16),
+    CellId(u16),
+    BuildId(u16)
+);
+ids!(ForwardNo(u16), StageNo(u8), TimerId(u64));
+
+/// Whether a hit of a path group may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Repeatable,
+    Tagged { drops_repeats: Reach, memory: Duration },
+    Mutating,
+}
+
+/// The pods that share a memory of tagged hits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct PathGroup {
+    pub repeat: Repeat,
+    pub target_latency: Duration,
+    pub client_timeout: Duration,
+    pub benefit: f64,
+    pub late_benefit: f64,
+    pub streamed: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    pub quota_per_s: f64,
+}
+
+/// How votes act on a stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    /// Votes move the build on.
+    Votes,
+    /// A clock does, unless votes hold it.
+    Clock,
+}
+
+#[derive(Clone, Debug)]
+pub struct ReleaseTerms {
+    pub control: Control,
+    pub stage_shares: Vec<f64>,
+    pub caps: Vec<f64>,
+    pub cap_window: Duration,
+    pub cap_free: f64,
+    pub cap_by_group: bool,
+    pub guarded_stages: u8,
+    pub keys_stay: bool,
+    pub step_after: Duration,
+    pub vote_life: Duration,
+    pub vote_answer_within: Duration,
+    pub flagged_share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct RuleTerms {
+    pub answer_slack: Duration,
+    pub drain_grace: Duration,
+    pub cold_from: f64,
+    pub cold_for: Duration,
+    pub fall_multiple: f64,
+    pub fall_within: Duration,
+    pub ask_list_within: Duration,
+}
+
+/// What a sidecar is told when it starts.
+#[derive(Clone, Debug)]
+pub struct StartTerms {
+    pub seed: u64,
+    pub sidecars: u32,
+    pub zone: ZoneId,
+    pub groups: Vec<PathGroup>,
+    pub customers: Vec<Customer>,
+    pub over_quota_worth: f64,
+    pub list_on_request: bool,
+    pub may_probe: bool,
+    pub may_cancel: bool,
+    pub second_copies: bool,
+    pub retry_after: Option<Duration>,
+    pub max_forwards: u16,
+    pub rules: RuleTerms,
+    pub release: ReleaseTerms,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PodState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct PodEntry {
+    pub pod: PodId,
+    pub state: PodState,
+    pub build: BuildId,
+    pub size: f64,
+    pub started: Option<Duration>,
+    pub zone: ZoneId,
+    pub cell: CellId,
+}
+
+#[derive(Clone, Debug)]
+pub enum ListNews {
+    Change(Vec<PodEntry>),
+    Whole(Vec<PodEntry>),
+    /// The list as last held before a restart; it may be old.
+    Remembered(Vec<PodEntry>),
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub struct Hit {
+    pub id: HitId,
+    pub group: GroupId,
+    pub customer: Option<CustomerId>,
+    pub key: Option<KeyId>,
+    pub due: Duration,
+}
+
+/// How a forward ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Delivered,
+    Errored,
+    TimedOut,
+    Broken,
+    Cancelled,
+    /// Turned away unseen.
+    TurnedAway,
+    /// No connection.
+    Unreached,
+    /// Never sent.
+    Void,
+}
+
+impl Fate {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Fate::TurnedAway | Fate::Unreached | Fate::Void)
+    }
+}
+
+/// What a pod tells of its load, as far as the site has it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    pub held: Option<f64>,
+    pub waiting: Option<f64>,
+    pub busy: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub hit: HitId,
+    pub no: ForwardNo,
+    pub pod: PodId,
+    pub fate: Fate,
+    pub took: Duration,
+    /// The hit is over, by this outcome or before it.
+    pub over: bool,
+    pub load: LoadReport,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    OnTrial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StageNews {
+    pub build: BuildId,
+    pub stage: StageNo,
+    pub phase: Phase,
+    pub cap: f64,
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VoteAnswer {
+    Counted,
+    Moot,
+    Full,
+    Failed,
+    Unanswered,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Withhold,
+    On,
+    Hold,
+    Back,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    List(ListNews),
+    Hit(Hit),
+    Outcome(Outcome),
+    StreamStarted { hit: HitId },
+    Left(HitId),
+    Timer(TimerId),
+    Probed { pod: PodId, fate: Fate, load: LoadReport },
+    Stage { news: Option<StageNews>, answer: Option<VoteAnswer> },
+    Tally { build: BuildId, group: GroupId, forwards: u32, failed: u32, mean: Duration },
+    Flagged { pod: PodId, group: GroupId, age: Duration },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Forward { hit: HitId, pod: PodId, within: Duration },
+    Cancel { hit: HitId, no: ForwardNo },
+    Bounce { hit: HitId, retry_after: Duration },
+    Fail { hit: HitId },
+    Vote { verdict: Verdict, build: BuildId, stage: StageNo },
+    Watch,
+    Probe(PodId),
+    Wake { at: Duration, id: TimerId },
+    Log(String),
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,77 @@
+//! Due times and counts over a sliding window: containers without any decision.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// What is due when; equal times keep the order of entry.
+pub struct DueTimes<T> {
+    due: BTreeMap<(Duration, u64), T>,
+    next: u64,
+}
+
+impl<T> Default for DueTimes<T> {
+    fn default() -> Self {
+        Self { due: BTreeMap::new(), next: 0 }
+    }
+}
+
+impl<T> DueTimes<T> {
+    pub fn put(&mut self, at: Duration, what: T) {
+        self.due.insert((at, self.next), what);
+        self.next += 1;
+    }
+
+    pub fn take(&mut self, now: Duration) -> Option<T> {
+        let (&(at, n), _) = self.due.first_key_value()?;
+        if at > now {
+            return None;
+        }
+        self.due.remove(&(at, n))
+    }
+}
+
+/// The times of what happened lately.
+#[derive(Default, Clone)]
+pub struct Window {
+    times: VecDeque<Duration>,
+}
+
+impl Window {
+    pub fn note(&mut self, at: Duration) {
+        self.times.push_back(at);
+    }
+
+    /// Forgets all from before `from`.
+    pub fn forget(&mut self, from: Duration) {
+        while self.times.front().is_some_and(|t| *t < from) {
+            self.times.pop_front();
+        }
+    }
+
+    /// How many happened at `from` or later.
+    pub fn since(&self, from: Duration) -> usize {
+        self.times.len() - self.times.partition_point(|t| *t < from)
+    }
+
+    pub fn clear(&mut self) {
+        self.times.clear();
+    }
+}
+
+/// A rate in events a second, smoothed over about `over`.
+#[derive(Clone, Copy, Default)]
+pub struct Rate {
+    per_s: f64,
+    at: Duration,
+}
+
+impl Rate {
+    pub fn add(&mut self, now: Duration, over: Duration) {
+        self.per_s = self.now(now, over) + 1.0 / over.as_secs_f64();
+        self.at = now;
+    }
+
+    pub fn now(&self, now: Duration, over: Duration) -> f64 {
+        self.per_s * (-(now.saturating_sub(self.at)).as_secs_f64() / over.as_secs_f64()).exp()
+    }
+}
