Judge slowness only beside a present earlier build, beyond chance; no shedding before first answers

Good builds went back for latency alone: 8 answers a pod are noise, and the last in-place stage compared a cold, queueing fleet with times remembered from before. May hurt: a slow build first seen in the last stage is no longer sent back for time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -134,7 +134,7 @@
         Self {
             round,
             pods: BTreeMap::new(),
-            desk: Desk::new(&terms),
+            desk: Desk::new(now, &terms),
             gate: Gate::new(&terms),
             judge: Judge::new(&terms),
             lister: Lister { on_request: terms.list_on_request, held: BTreeMap::new(), watched: false },
@@ -767,10 +767,11 @@
     out: usize,
     finished: Rate,
     target: f64,
+    since: Duration,
 }
 
 impl Desk {
-    fn new(terms: &StartTerms) -> Self {
+    fn new(now: Duration, terms: &StartTerms) -> Self {
         let mean = terms.groups.iter().map(|g| g.benefit).sum::<f64>() / terms.groups.len() as f64;
         let line = |g: &PathGroup| Line {
             target: g.target_latency,
@@ -792,6 +793,7 @@
             spare: SPARE_MOST,
             out: 0,
             finished: Rate::default(),
+            since: now,
             target: terms.groups.iter().map(|g| g.target_latency.as_secs_f64()).fold(f64::MAX, f64::min),
         }
     }
@@ -858,6 +860,10 @@
 
     /// How far the wait ahead of a new hit, by Little's law, is past what the target latency bears: 0 to 1.
     fn overload(&self, now: Duration) -> f64 {
+        // Before the first answers there is no rate to go by.
+        if now < self.since + RATE_OVER {
+            return 0.0;
+        }
         let open: usize = self.cards.values().filter(|c| c.usable).map(|c| c.open).sum();
         let wait = open as f64 / self.finished.now(now, RATE_OVER).max(5.0);
         ((wait / self.target - 0.6) / 0.6).clamp(0.0, 1.0)
@@ -1009,8 +1015,8 @@
         })
     }
 
-    fn median(&self) -> Option<f64> {
-        median(self.pods.values().flatten().copied().collect())
+    fn times(&self) -> Vec<f64> {
+        self.pods.values().flatten().copied().collect()
     }
 }
 
@@ -1167,17 +1173,23 @@
             worse((n.bad, n.seen), (o.bad, o.seen), ERROR_MARGIN)
                 || worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01)
         });
-        wrong || self.is_slow(old)
+        wrong || self.is_slow()
     }
 
-    /// Slow on most of its pods, so that one sick pod does not speak for the build.
-    fn is_slow(&self, old: &Sample) -> bool {
-        let Some(usual) = old.median() else { return false };
-        let told = self.new.pods.values().filter(|times| times.len() >= 8);
-        let slow: Vec<bool> =
-            told.map(|times| median(times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual)).collect();
-        let on = slow.iter().filter(|s| **s).count();
-        on >= 2 && 2 * on > slow.len()
+    /// Slower by more than chance explains, on most of its pods so that one sick pod does not speak for the
+    /// build, and only beside an earlier build that bears the same load now: the last stage starts a whole cold
+    /// fleet, whose queues would look like a slow build against times remembered from before.
+    fn is_slow(&self) -> bool {
+        let (new, old) = (self.new.times(), self.old.times());
+        if new.len().min(old.len()) < LEAST_SAMPLE {
+            return false;
+        }
+        let noise = 2.0 * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
+        let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
+        let told: Vec<f64> =
+            self.new.pods.values().filter(|t| t.len() >= 5).flat_map(|t| median(t.clone())).collect();
+        let slow = told.iter().filter(|m| **m > SLOW_MARGIN * usual).count();
+        now > SLOW_MARGIN * usual * noise.exp() && slow >= 2 && 2 * slow > told.len()
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
