--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,10 +8,10 @@
 //! A hit's way: gate (taken) -> desk (pick) -> gate (the five rules) -> forward -> gate (outcome) -> pod, desk,
 //! judge. `docs/design.md` tells what is the design's and what is ours.
 
-use crate::inbox::Inboxes;
+use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{DueTimes, Rate, Window};
-use nanorand::{Rng, WyRand};
+use crate::ledger::{Rate, Window};
+use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -35,87 +35,6 @@
 const SPARE_PER_HIT: f64 = 0.15;
 const SPARE_MOST: f64 = 20.0;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum To {
-    Pod(PodId),
-    Desk,
-    Gate,
-    Judge,
-    Lister,
-}
-
-/// What the parts tell each other.
-#[derive(Clone)]
-enum Note {
-    List(ListNews),
-    Listed(PodEntry),
-    Taken(Hit),
-    Ask { hit: HitId, pod: PodId },
-    Refused { hit: HitId, pod: PodId, why: Refusal },
-    Sent { hit: HitId, no: ForwardNo },
-    Back(Outcome),
-    Ended(Ended),
-    Streams(HitId),
-    End(HitId),
-    Call(HitId, ForwardNo),
-    Over(HitId),
-    Stage(StageNews),
-    VoteAnswered(VoteAnswer),
-    Tally { build: BuildId, group: GroupId, forwards: u32, failed: u32 },
-    Flagged { pod: PodId, group: GroupId },
-    Card(Card),
-    Doubt(HitId, ForwardNo),
-    Retry(HitId),
-    Beat,
-    Watch,
-}
-
-/// A forward that ended, with what the gate knew of it.
-#[derive(Clone)]
-struct Ended {
-    outcome: Outcome,
-    group: GroupId,
-    build: BuildId,
-    sent: Duration,
-    open: bool,
-}
-
-/// Why the gate turned a forward down.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    Over,
-    MayHaveRun,
-    Drained,
-    Cold,
-    Exposed,
-    KeyStays,
-}
-
-enum Due {
-    Doubt(HitId, ForwardNo),
-    Retry(HitId),
-    Watch,
-}
-
-/// What every part needs in a round: the time, the inboxes, the due times, chance, and what goes out.
-struct Round {
-    now: Duration,
-    mail: Inboxes<To, Note>,
-    due: DueTimes<Due>,
-    chance: WyRand,
-    out: Vec<Action>,
-}
-
-impl Round {
-    fn tell<const N: usize>(&mut self, parts: [To; N], note: &Note) {
-        parts.into_iter().for_each(|to| self.mail.put(to, note.clone()));
-    }
-
-    fn chance(&mut self) -> f64 {
-        (self.chance.generate::<u64>() >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 pub struct Sidecar {
     round: Round,
     pods: BTreeMap<PodId, Pod>,
@@ -128,16 +47,13 @@
 
 impl Sidecar {
     pub fn new(now: Duration, terms: StartTerms) -> Self {
-        let chance = WyRand::new_seed(terms.seed);
-        let round =
-            Round { now, mail: Inboxes::default(), due: DueTimes::default(), chance, out: Vec::new() };
         Self {
-            round,
+            round: Round::new(now, &terms),
             pods: BTreeMap::new(),
-            desk: Desk::new(now, &terms),
-            gate: Gate::new(&terms),
-            judge: Judge::new(&terms),
-            lister: Lister { on_request: terms.list_on_request, held: BTreeMap::new(), watched: false },
+            desk: Desk::default(),
+            gate: Gate::default(),
+            judge: Judge::default(),
+            lister: Lister::default(),
             next_beat: now,
         }
     }
@@ -145,15 +61,11 @@
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         self.round.now = now;
         for event in events {
-            self.sort(event);
+            self.round.deliver(event);
             self.empty();
         }
-        while let Some(due) = self.round.due.take(now) {
-            match due {
-                Due::Doubt(hit, no) => self.round.mail.put(To::Desk, Note::Doubt(hit, no)),
-                Due::Retry(hit) => self.round.mail.put(To::Desk, Note::Retry(hit)),
-                Due::Watch => self.round.mail.put(To::Lister, Note::Watch),
-            }
+        while let Some((to, note)) = self.round.due.take(now) {
+            self.round.mail.put(to, note);
             self.empty();
         }
         if now >= self.next_beat {
@@ -167,30 +79,6 @@
         std::mem::take(&mut self.round.out)
     }
 
-    fn sort(&mut self, event: Event) {
-        let mail = &mut self.round.mail;
-        match event {
-            Event::List(news) => mail.put(To::Lister, Note::List(news)),
-            Event::Hit(hit) => mail.put(To::Gate, Note::Taken(hit)),
-            Event::Outcome(outcome) => mail.put(To::Gate, Note::Back(outcome)),
-            Event::StreamStarted { hit } => mail.put(To::Gate, Note::Streams(hit)),
-            Event::Left(hit) => mail.put(To::Gate, Note::Over(hit)),
-            Event::Timer(_) | Event::Probed { .. } => {}
-            Event::Stage { news, answer } => {
-                if let Some(news) = news {
-                    self.round.tell([To::Gate, To::Desk, To::Judge], &Note::Stage(news));
-                }
-                if let Some(answer) = answer {
-                    self.round.mail.put(To::Judge, Note::VoteAnswered(answer));
-                }
-            }
-            Event::Tally { build, group, forwards, failed, .. } => {
-                mail.put(To::Judge, Note::Tally { build, group, forwards, failed })
-            }
-            Event::Flagged { pod, group, .. } => mail.put(To::Judge, Note::Flagged { pod, group }),
-        }
-    }
-
     /// The one loop: hands each note to its addressee until all inboxes are empty.
     fn empty(&mut self) {
         while let Some((to, note)) = self.round.mail.take() {
@@ -198,9 +86,7 @@
             match to {
                 To::Pod(id) => match (self.pods.get_mut(&id), note) {
                     (None, Note::Listed(entry)) => {
-                        let (zone, aims) =
-                            (self.desk.zone, self.desk.lines.iter().map(|l| l.target).collect());
-                        let pod = self.pods.entry(id).or_insert(Pod::new(entry, zone, aims));
+                        let pod = self.pods.entry(id).or_insert(Pod::new(entry));
                         pod.post_card(round);
                     }
                     (Some(pod), note) => pod.take(note, round),
@@ -216,8 +102,8 @@
 }
 
 /// Watches the list and tells pods, gate and judge what changed.
+#[derive(Default)]
 struct Lister {
-    on_request: bool,
     held: BTreeMap<PodId, PodEntry>,
     watched: bool,
 }
@@ -231,7 +117,7 @@
                 let gone: Vec<PodEntry> =
                     gone.map(|old| PodEntry { state: PodState::Gone, ..old.clone() }).collect();
                 gone.into_iter().chain(rows).for_each(|row| self.tell(row, round));
-                if self.on_request && !self.watched {
+                if round.figures.on_request && !self.watched {
                     self.watched = true;
                     round.out.push(Action::Watch);
                 }
@@ -239,7 +125,7 @@
             // A broken or refused watch is asked for again, spread out so that all sidecars don't ask at once.
             Note::List(ListNews::Failed) => {
                 let wait = 0.3 + 0.7 * round.chance();
-                round.due.put(round.now + Duration::from_secs_f64(wait), Due::Watch);
+                round.later(Duration::from_secs_f64(wait), To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
             _ => {}
@@ -262,8 +148,6 @@
 /// One pod as this sidecar sees it.
 struct Pod {
     entry: PodEntry,
-    near: bool,
-    aims: Vec<Duration>,
     open: BTreeMap<(HitId, ForwardNo), Duration>,
     last_answer: Duration,
     /// Recent time taken, as a share of the target latency.
@@ -273,36 +157,10 @@
     quiet: bool,
 }
 
-/// A pod's own account of itself for the desk.
-#[derive(Clone)]
-struct Card {
-    pod: PodId,
-    build: BuildId,
-    ready: bool,
-    started: Option<Duration>,
-    size: f64,
-    near: bool,
-    open: usize,
-    pace: f64,
-    usable: bool,
-    /// Shut, but due for a hit that shows whether it is back.
-    wants_proof: bool,
-}
-
 impl Pod {
-    fn new(entry: PodEntry, zone: ZoneId, aims: Vec<Duration>) -> Self {
-        let near = entry.zone == zone;
-        Self {
-            entry,
-            near,
-            aims,
-            open: BTreeMap::new(),
-            last_answer: Duration::ZERO,
-            pace: 0.0,
-            strikes: 0,
-            shut_until: Duration::ZERO,
-            quiet: false,
-        }
+    fn new(entry: PodEntry) -> Self {
+        let (open, never) = (BTreeMap::new(), Duration::ZERO);
+        Self { entry, open, last_answer: never, pace: 0.0, strikes: 0, shut_until: never, quiet: false }
     }
 
     fn take(&mut self, note: Note, round: &mut Round) {
@@ -320,13 +178,13 @@
             }
             Note::Ended(ended) => {
                 self.open.remove(&(ended.outcome.hit, ended.outcome.no));
-                self.learn(&ended, now);
+                self.learn(&ended, round);
             }
             Note::Beat => {
                 // Takes hits and answers none: seen by its oldest open forward against its usual time.
                 let oldest = self.open.values().min().copied();
                 let usual =
-                    Duration::from_secs_f64(self.aims[0].as_secs_f64() * (0.15 + 3.0 * self.pace.max(0.05)));
+                    Duration::from_secs_f64(round.figures.tightest * (0.15 + 3.0 * self.pace.max(0.05)));
                 let was = self.quiet;
                 self.quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + usual);
                 if was == self.quiet && self.shut_until.is_zero() {
@@ -338,8 +196,8 @@
         self.post_card(round);
     }
 
-    fn learn(&mut self, ended: &Ended, now: Duration) {
-        let aim = self.aims[usize::from(ended.group.0)].as_secs_f64();
+    fn learn(&mut self, ended: &Ended, round: &Round) {
+        let (now, aim) = (round.now, round.figures.line(ended.group).target.as_secs_f64());
         let took = ended.outcome.took.as_secs_f64() / aim;
         match ended.outcome.fate {
             Fate::Delivered | Fate::Errored => {
@@ -365,12 +223,8 @@
         let (now, ready) = (round.now, self.entry.state == PodState::Ready);
         let shut = !self.shut_until.is_zero();
         let card = Card {
-            pod: self.entry.pod,
-            build: self.entry.build,
+            entry: self.entry.clone(),
             ready,
-            started: self.entry.started,
-            size: self.entry.size.max(0.01),
-            near: self.near,
             open: self.open.len(),
             pace: self.pace,
             usable: ready && !shut && !self.quiet,
@@ -380,112 +234,26 @@
     }
 }
 
-/// How cold pods grow: at least evenly from a share to the whole.
-#[derive(Clone, Copy)]
-struct Warming {
-    from: f64,
-    over: Duration,
-}
-
-impl Warming {
-    fn strength(&self, started: Option<Duration>, now: Duration) -> f64 {
-        let Some(started) = started else { return 1.0 };
-        let age = now.saturating_sub(started).as_secs_f64() / self.over.as_secs_f64().max(1e-6);
-        (self.from + (1.0 - self.from) * age).min(1.0)
-    }
-}
-
-/// The ledger of one hit, as the rules need it.
-struct Account {
-    group: GroupId,
-    key: Option<KeyId>,
-    due: Duration,
-    forwards: Vec<Sent>,
-    over: bool,
-    streams: bool,
-}
-
-struct Sent {
-    pod: PodId,
-    build: BuildId,
-    zone: ZoneId,
-    cell: CellId,
-    at: Duration,
-    fate: Option<Fate>,
-}
-
-impl Sent {
-    fn may_have_run(&self) -> bool {
-        self.fate.is_none_or(|fate| !fate.never_ran())
-    }
-}
-
-/// What the gate knows of a pod.
-struct Place {
-    entry: PodEntry,
-    /// When this sidecar was told that it drains or is gone.
-    ended: Option<Duration>,
-    sends: Window,
-}
-
 /// Keeps the five rules: every forward and every final answer passes here.
+#[derive(Default)]
 struct Gate {
-    repeat: Vec<Repeat>,
-    second_copies: bool,
-    max_forwards: usize,
-    retry_after: Duration,
-    grace: Duration,
-    warming: Warming,
-    fall_within: Duration,
-    caps: Vec<f64>,
-    cap_window: Duration,
-    cap_free: f64,
-    cap_by_group: bool,
-    guarded_stages: u8,
-    keys_stay: bool,
-    may_cancel: bool,
     news: Option<StageNews>,
     places: BTreeMap<PodId, Place>,
     accounts: BTreeMap<HitId, Account>,
-    taken: Vec<Window>,
+    taken: BTreeMap<usize, Window>,
     exposed: BTreeMap<(BuildId, usize), Window>,
     met: BTreeMap<KeyId, BuildId>,
     answered: Rate,
 }
 
 impl Gate {
-    fn new(terms: &StartTerms) -> Self {
-        let (rules, release) = (&terms.rules, &terms.release);
-        Self {
-            repeat: terms.groups.iter().map(|g| g.repeat).collect(),
-            second_copies: terms.second_copies,
-            max_forwards: terms.max_forwards.into(),
-            retry_after: terms.retry_after.unwrap_or_default(),
-            grace: rules.drain_grace,
-            warming: Warming { from: rules.cold_from, over: rules.cold_for },
-            fall_within: rules.fall_within,
-            caps: release.caps.clone(),
-            cap_window: release.cap_window,
-            cap_free: release.cap_free,
-            cap_by_group: release.cap_by_group,
-            guarded_stages: release.guarded_stages,
-            keys_stay: release.keys_stay,
-            may_cancel: terms.may_cancel,
-            news: None,
-            places: BTreeMap::new(),
-            accounts: BTreeMap::new(),
-            taken: vec![Window::default(); terms.groups.len()],
-            exposed: BTreeMap::new(),
-            met: BTreeMap::new(),
-            answered: Rate::default(),
-        }
-    }
-
     fn take(&mut self, note: Note, round: &mut Round) {
         match note {
-            Note::Listed(entry) => self.list(entry, round.now),
+            Note::Listed(entry) => {
+                self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry)).list(entry, round.now)
+            }
             Note::Taken(hit) => self.open(hit, round),
-            Note::Ask { hit, pod } => match self.allow(hit, pod, round.now) {
+            Note::Ask { hit, pod } => match self.allow(hit, pod, round) {
                 Ok(()) => self.send(hit, pod, round),
                 Err(why) => round.mail.put(To::Desk, Note::Refused { hit, pod, why }),
             },
@@ -498,7 +266,7 @@
             Note::End(hit) => self.answer(hit, round),
             Note::Call(hit, no) => {
                 let open = self.accounts.get(&hit).is_some_and(|a| !a.streams);
-                if self.may_cancel && open {
+                if round.figures.may_cancel && open {
                     round.out.push(Action::Cancel { hit, no });
                 }
             }
@@ -511,111 +279,60 @@
             }
             Note::Stage(news) => self.news = Some(news),
             Note::Beat => {
-                let from = round.now.saturating_sub(self.cap_window);
-                self.taken.iter_mut().chain(self.exposed.values_mut()).for_each(|w| w.forget(from));
+                let from = round.ago(round.figures.cap_window);
+                self.taken.values_mut().chain(self.exposed.values_mut()).for_each(|w| w.forget(from));
             }
             _ => {}
         }
     }
 
-    fn list(&mut self, entry: PodEntry, now: Duration) {
-        let fresh = || Place { entry: entry.clone(), ended: None, sends: Window::default() };
-        let place = self.places.entry(entry.pod).or_insert_with(fresh);
-        if entry.started != place.entry.started {
-            place.sends.clear();
-        }
-        place.ended = match entry.state {
-            PodState::Ready => None,
-            _ => place.ended.or(Some(now)),
-        };
-        place.entry = entry;
-    }
-
     fn open(&mut self, hit: Hit, round: &mut Round) {
-        if usize::from(hit.group.0) >= self.repeat.len() || self.accounts.contains_key(&hit.id) {
+        if usize::from(hit.group.0) >= round.figures.lines.len() || self.accounts.contains_key(&hit.id) {
             return;
         }
-        let counter = self.counter(hit.group);
-        self.taken[counter].note(round.now);
-        let account = Account {
-            group: hit.group,
-            key: hit.key,
-            due: hit.due,
-            forwards: Vec::new(),
-            over: false,
-            streams: false,
-        };
-        self.accounts.insert(hit.id, account);
+        let counter = counter(hit.group, &round.figures);
+        self.taken.entry(counter).or_default().note(round.now);
+        self.accounts.insert(hit.id, Account::of(&hit));
         round.mail.put(To::Desk, Note::Taken(hit));
     }
 
-    fn counter(&self, group: GroupId) -> usize {
-        if self.cap_by_group {
-            group.0.into()
-        } else {
-            0
-        }
-    }
-
     /// The five rules for one forward.
-    fn allow(&self, hit: HitId, pod: PodId, now: Duration) -> Result<(), Refusal> {
+    fn allow(&self, hit: HitId, pod: PodId, round: &Round) -> Result<(), Refusal> {
+        let (now, figures) = (round.now, &round.figures);
         let account = self.accounts.get(&hit).ok_or(Refusal::Over)?;
         let place = self.places.get(&pod).ok_or(Refusal::Drained)?;
-        if account.over
-            || account.streams
-            || now >= account.due
-            || account.forwards.len() >= self.max_forwards
-        {
+        let spent = account.forwards.len() >= figures.max_forwards;
+        if account.over || account.streams || now >= account.due || spent {
             return Err(Refusal::Over);
         }
-        self.allow_repeat(account, &place.entry, now)?;
-        if place.ended.is_some_and(|told| now >= told + self.grace) {
+        allow_repeat(account, &place.entry, round)?;
+        if place.ended.is_some_and(|told| now >= told + figures.grace) {
             return Err(Refusal::Drained);
         }
-        self.allow_cold(place, now)?;
-        self.allow_exposure(account, place.entry.build, now)
-    }
-
-    /// Rule 2: a second effect is possible only where an earlier forward may have run.
-    fn allow_repeat(&self, account: &Account, to: &PodEntry, now: Duration) -> Result<(), Refusal> {
-        if !self.second_copies && account.forwards.iter().any(|f| f.fate.is_none()) {
-            return Err(Refusal::MayHaveRun);
-        }
-        let mut ran = account.forwards.iter().filter(|f| f.may_have_run());
-        let fine = match self.repeat[usize::from(account.group.0)] {
-            Repeat::Repeatable => true,
-            Repeat::Mutating => ran.next().is_none(),
-            Repeat::Tagged { drops_repeats, memory } => ran.all(|f| {
-                let reached = match drops_repeats {
-                    Reach::All => true,
-                    Reach::Zone => f.zone == to.zone,
-                    Reach::Cell => f.cell == to.cell,
-                };
-                reached && now < f.at + memory
-            }),
-        };
-        fine.then_some(()).ok_or(Refusal::MayHaveRun)
+        self.allow_cold(place, round)?;
+        self.allow_exposure(account, place.entry.build, round)
     }
 
     /// Rule 4, with no word between sidecars: each keeps a cold pod's load to what it gives warm strength, so
     /// that the sum does too, however unequal their traffic.
-    fn allow_cold(&self, place: &Place, now: Duration) -> Result<(), Refusal> {
-        let strength = self.warming.strength(place.entry.started, now);
+    fn allow_cold(&self, place: &Place, round: &Round) -> Result<(), Refusal> {
+        let (now, figures) = (round.now, &round.figures);
+        let strength = figures.strength(place.entry.started, now);
         if strength >= 1.0 {
             return Ok(());
         }
         let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
-        let whole: f64 =
-            ready.map(|p| p.entry.size.max(0.01) * self.warming.strength(p.entry.started, now)).sum();
+        let whole: f64 = ready.map(|p| p.entry.size.max(0.01) * figures.strength(p.entry.started, now)).sum();
         let fair = self.answered.now(now, RATE_OVER) / whole.max(0.01);
-        let most = fair * place.entry.size.max(0.01) * strength * COLD_LOAD * self.fall_within.as_secs_f64();
-        let sent = place.sends.since(now.saturating_sub(self.fall_within));
+        let most =
+            fair * place.entry.size.max(0.01) * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
+        let sent = place.sends.since(round.ago(figures.fall_within));
         ((sent as f64) < most + 1.0).then_some(()).ok_or(Refusal::Cold)
     }
 
     /// The cap of a build on trial; none for builds that are not.
-    fn cap(&self, build: BuildId) -> Option<(f64, u8)> {
-        let unannounced = Some((self.caps[0], 0));
+    fn cap(&self, build: BuildId, figures: &Figures) -> Option<(f64, u8)> {
+        let unannounced = Some((figures.caps[0], 0));
         let Some(news) = self.news else {
             let lowest = self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min();
             return if lowest.is_some_and(|l| build > l) { unannounced } else { None };
@@ -629,27 +346,28 @@
     }
 
     /// Rule 5. A lower cap is kept from the moment it is told, without the grace.
-    fn allow_exposure(&self, account: &Account, build: BuildId, now: Duration) -> Result<(), Refusal> {
-        if let Some(news) = self.news.filter(|n| self.keys_stay && build < n.build) {
+    fn allow_exposure(&self, account: &Account, build: BuildId, round: &Round) -> Result<(), Refusal> {
+        let figures = &round.figures;
+        if let Some(news) = self.news.filter(|n| figures.keys_stay && build < n.build) {
             let stays = matches!(news.phase, Phase::OnTrial | Phase::Released);
             let met = account.key.and_then(|key| self.met.get(&key));
             if stays && met.is_some_and(|met| *met > build) {
                 return Err(Refusal::KeyStays);
             }
         }
-        let Some((cap, stage)) = self.cap(build) else {
+        let Some((cap, stage)) = self.cap(build, figures) else {
             return Ok(());
         };
-        let repeatable = self.repeat[usize::from(account.group.0)] == Repeat::Repeatable;
-        if cap <= 0.0 || (stage < self.guarded_stages && !repeatable) {
+        let repeatable = figures.line(account.group).repeat == Repeat::Repeatable;
+        if cap <= 0.0 || (stage < figures.guarded_stages && !repeatable) {
             return Err(Refusal::Exposed);
         }
-        let counter = self.counter(account.group);
+        let counter = counter(account.group, figures);
         // Hits near the window's far edge are left out: they fall out of it before the forwards made for them.
-        let sent =
-            self.exposed.get(&(build, counter)).map_or(0, |w| w.since(now.saturating_sub(self.cap_window)));
-        let taken = self.taken[counter].since(now.saturating_sub(self.cap_window.mul_f64(0.9)));
-        let fits = (sent + 1) as f64 <= self.cap_free + cap * taken as f64;
+        let sent = self.exposed.get(&(build, counter)).map_or(0, |w| w.since(round.ago(figures.cap_window)));
+        let taken =
+            self.taken.get(&counter).map_or(0, |w| w.since(round.ago(figures.cap_window.mul_f64(0.9))));
+        let fits = (sent + 1) as f64 <= figures.cap_free + cap * taken as f64;
         fits.then_some(()).ok_or(Refusal::Exposed)
     }
 
@@ -661,8 +379,8 @@
         let (build, zone, cell) = (entry.build, entry.zone, entry.cell);
         account.forwards.push(Sent { pod, build, zone, cell, at: round.now, fate: None });
         place.sends.note(round.now);
-        place.sends.forget(round.now.saturating_sub(self.fall_within));
-        let counter = self.counter(group);
+        place.sends.forget(round.ago(round.figures.fall_within));
+        let counter = counter(group, &round.figures);
         self.exposed.entry((build, counter)).or_default().note(round.now);
         round.out.push(Action::Forward { hit, pod, within: Duration::ZERO });
         round.tell([To::Pod(pod), To::Desk], &Note::Sent { hit, no });
@@ -684,7 +402,7 @@
         account.over |= outcome.over;
         if outcome.fate == Fate::Delivered {
             self.answered.add(round.now, RATE_OVER);
-            if let Some(key) = account.key.filter(|_| self.keys_stay) {
+            if let Some(key) = account.key.filter(|_| round.figures.keys_stay) {
                 let met = self.met.entry(key).or_insert(build);
                 *met = build.max(*met);
             }
@@ -702,13 +420,13 @@
         };
         account.over = true;
         let ran = account.forwards.iter().any(Sent::may_have_run);
-        let harmless = match self.repeat[usize::from(account.group.0)] {
+        let harmless = match round.figures.line(account.group).repeat {
             Repeat::Repeatable => true,
             Repeat::Tagged { drops_repeats, .. } => !ran || drops_repeats == Reach::All,
             Repeat::Mutating => !ran,
         };
         round.out.push(match harmless {
-            true => Action::Bounce { hit, retry_after: self.retry_after },
+            true => Action::Bounce { hit, retry_after: round.figures.retry_after },
             false => Action::Fail { hit },
         });
         self.tidy(hit, round);
@@ -724,107 +442,75 @@
             (0u16..).zip(&account.forwards).filter(|(_, f)| f.fate.is_none()).map(|(n, _)| n).collect();
         if out.is_empty() {
             self.accounts.remove(&hit);
-        } else if self.may_cancel && !account.streams {
+        } else if round.figures.may_cancel && !account.streams {
             out.into_iter().for_each(|n| round.out.push(Action::Cancel { hit, no: ForwardNo(n) }));
         }
     }
 }
 
-/// What the desk needs of a path group.
-struct Line {
-    target: Duration,
-    /// Until when an answer is worth anything to speak of.
-    useful: Duration,
-    /// Mean benefit of all groups over this one's: over 1 for the cheap.
-    cheapness: f64,
-    repeats: bool,
-    /// Mean time of delivered forwards, in seconds.
-    usual: f64,
+/// Which count of the exposure rule a path group belongs to.
+fn counter(group: GroupId, figures: &Figures) -> usize {
+    usize::from(if figures.cap_by_group { group.0 } else { 0 })
 }
 
-struct OpenHit {
-    group: GroupId,
-    arrived: Duration,
-    due: Duration,
-    out: u32,
-    tried: Vec<PodId>,
-    refused: Vec<PodId>,
-    no_trial: bool,
+/// Rule 2: a second effect is possible only where an earlier forward may have run.
+fn allow_repeat(account: &Account, to: &PodEntry, round: &Round) -> Result<(), Refusal> {
+    if !round.figures.second_copies && account.forwards.iter().any(|f| f.fate.is_none()) {
+        return Err(Refusal::MayHaveRun);
+    }
+    let mut ran = account.forwards.iter().filter(|f| f.may_have_run());
+    let fine = match round.figures.line(account.group).repeat {
+        Repeat::Repeatable => true,
+        Repeat::Mutating => ran.next().is_none(),
+        Repeat::Tagged { drops_repeats, memory } => ran.all(|f| {
+            let reached = match drops_repeats {
+                Reach::All => true,
+                Reach::Zone => f.zone == to.zone,
+                Reach::Cell => f.cell == to.cell,
+            };
+            reached && round.now < f.at + memory
+        }),
+    };
+    fine.then_some(()).ok_or(Refusal::MayHaveRun)
 }
 
 /// Holds the open hits and picks pods for them.
+#[derive(Default)]
 struct Desk {
-    zone: ZoneId,
-    second_copies: bool,
-    stage_shares: Vec<f64>,
-    caps: Vec<f64>,
-    warming: Warming,
-    lines: Vec<Line>,
     cards: BTreeMap<PodId, Card>,
     hits: BTreeMap<HitId, OpenHit>,
     news: Option<StageNews>,
     spare: f64,
-    out: usize,
     finished: Rate,
-    target: f64,
-    since: Duration,
+    /// Mean time of delivered forwards by path group, in seconds.
+    usual: BTreeMap<GroupId, f64>,
 }
 
 impl Desk {
-    fn new(now: Duration, terms: &StartTerms) -> Self {
-        let mean = terms.groups.iter().map(|g| g.benefit).sum::<f64>() / terms.groups.len() as f64;
-        let line = |g: &PathGroup| Line {
-            target: g.target_latency,
-            useful: if g.late_benefit > 0.0 { g.client_timeout } else { g.target_latency },
-            cheapness: mean / g.benefit.max(1e-6),
-            repeats: g.repeat != Repeat::Mutating,
-            usual: g.target_latency.as_secs_f64() * 0.2,
-        };
-        Self {
-            zone: terms.zone,
-            second_copies: terms.second_copies,
-            stage_shares: terms.release.stage_shares.clone(),
-            caps: terms.release.caps.clone(),
-            warming: Warming { from: terms.rules.cold_from, over: terms.rules.cold_for },
-            lines: terms.groups.iter().map(line).collect(),
-            cards: BTreeMap::new(),
-            hits: BTreeMap::new(),
-            news: None,
-            spare: SPARE_MOST,
-            out: 0,
-            finished: Rate::default(),
-            since: now,
-            target: terms.groups.iter().map(|g| g.target_latency.as_secs_f64()).fold(f64::MAX, f64::min),
-        }
-    }
-
     fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Taken(hit) => self.arrive(hit, round),
             Note::Card(card) => {
-                self.cards.insert(card.pod, card);
+                self.cards.insert(card.entry.pod, card);
             }
             Note::Refused { hit, pod, why } => {
-                if let Some(open) = self.hits.get_mut(&hit) {
-                    open.refused.push(pod);
-                    open.no_trial |= why == Refusal::Exposed;
-                    match why {
-                        Refusal::Over if open.out == 0 => round.mail.put(To::Gate, Note::End(hit)),
-                        Refusal::Over => {}
-                        _ => self.place(hit, round),
-                    }
+                let Some(open) = self.hits.get_mut(&hit) else { return };
+                open.refused.push(pod);
+                open.no_trial |= why == Refusal::Exposed;
+                match why {
+                    Refusal::Over if open.out == 0 => round.mail.put(To::Gate, Note::End(hit)),
+                    Refusal::Over => {}
+                    _ => self.place(hit, round),
                 }
             }
             Note::Sent { hit, no } => {
-                self.out += 1;
-                if let Some(open) = self.hits.get_mut(&hit) {
-                    open.out += 1;
-                    let line = &self.lines[usize::from(open.group.0)];
-                    if line.repeats {
-                        let patience = (3.0 * line.usual).max(0.4 * line.target.as_secs_f64());
-                        round.due.put(round.now + Duration::from_secs_f64(patience), Due::Doubt(hit, no));
-                    }
+                let Some(group) = self.hits.get(&hit).map(|open| open.group) else { return };
+                let (line, usual) = (round.figures.line(group), self.usual(group, round));
+                if line.repeat != Repeat::Mutating {
+                    let patience = (3.0 * usual).max(0.4 * line.target.as_secs_f64());
+                    round.later(Duration::from_secs_f64(patience), To::Desk, Note::Doubt(hit, no));
                 }
+                self.hits.entry(hit).and_modify(|open| open.out += 1);
             }
             Note::Ended(ended) => self.end_forward(ended, round),
             Note::Doubt(hit, no) => self.doubt(hit, no, round),
@@ -837,20 +523,15 @@
         }
     }
 
+    fn usual(&self, group: GroupId, round: &Round) -> f64 {
+        let unknown = 0.2 * round.figures.line(group).target.as_secs_f64();
+        self.usual.get(&group).copied().unwrap_or(unknown)
+    }
+
     fn arrive(&mut self, hit: Hit, round: &mut Round) {
         self.spare = (self.spare + SPARE_PER_HIT).min(SPARE_MOST);
-        let line = &self.lines[usize::from(hit.group.0)];
-        let shed = (self.overload(round.now) * 2.0 * line.cheapness).min(1.0);
-        let open = OpenHit {
-            group: hit.group,
-            arrived: round.now,
-            due: hit.due,
-            out: 0,
-            tried: Vec::new(),
-            refused: Vec::new(),
-            no_trial: false,
-        };
-        self.hits.insert(hit.id, open);
+        let shed = self.overload(round) * 2.0 * round.figures.line(hit.group).cheapness;
+        self.hits.insert(hit.id, OpenHit::of(&hit, round.now));
         if shed > 0.0 && round.chance() < shed {
             round.mail.put(To::Gate, Note::End(hit.id));
         } else {
@@ -859,59 +540,53 @@
     }
 
     /// How far the wait ahead of a new hit, by Little's law, is past what the target latency bears: 0 to 1.
-    fn overload(&self, now: Duration) -> f64 {
+    fn overload(&self, round: &Round) -> f64 {
         // Before the first answers there is no rate to go by.
-        if now < self.since + RATE_OVER {
+        if round.now < round.figures.since + RATE_OVER {
             return 0.0;
         }
         let open: usize = self.cards.values().filter(|c| c.usable).map(|c| c.open).sum();
-        let wait = open as f64 / self.finished.now(now, RATE_OVER).max(5.0);
-        ((wait / self.target - 0.6) / 0.6).clamp(0.0, 1.0)
+        let wait = open as f64 / self.finished.now(round.now, RATE_OVER).max(5.0);
+        ((wait / round.figures.tightest - 0.6) / 0.6).clamp(0.0, 1.0)
     }
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
-    fn trial_share(&self, now: Duration) -> (Option<BuildId>, f64) {
-        let newest = self.cards.values().filter(|c| c.ready).map(|c| c.build).max();
-        let trial = match (self.news, newest) {
-            (Some(n), Some(b)) if b > n.build => Some((b, 0, self.caps[0])),
-            (Some(n), Some(b)) if b == n.build && n.phase != Phase::Released => Some((b, n.stage.0, n.cap)),
-            (None, Some(b)) if self.cards.values().any(|c| c.ready && c.build < b) => {
-                Some((b, 0, self.caps[0]))
-            }
-            _ => None,
-        };
-        let Some((build, stage, cap)) = trial else {
-            return (None, 0.0);
+    fn trial_share(&self, round: &Round) -> (Option<BuildId>, f64) {
+        let first_cap = round.figures.caps[0];
+        let ready = || self.cards.values().filter(|c| c.ready);
+        let Some(build) = ready().map(|c| c.entry.build).max() else { return (None, 0.0) };
+        let (stage, cap) = match self.news {
+            Some(n) if build > n.build => (0, first_cap),
+            Some(n) if build == n.build && n.phase != Phase::Released => (usize::from(n.stage.0), n.cap),
+            None if ready().any(|c| c.entry.build < build) => (0, first_cap),
+            _ => return (None, 0.0),
         };
-        let strength = |c: &Card| c.size * self.warming.strength(c.started, now);
+        let strength = |c: &Card| c.entry.size.max(0.01) * round.figures.strength(c.entry.started, round.now);
         let usable = || self.cards.values().filter(|c| c.usable);
         let whole: f64 = usable().map(strength).sum();
-        let new: f64 = usable().filter(|c| c.build == build).map(strength).sum();
-        let told = self.stage_shares.get(usize::from(stage)).copied().unwrap_or(1.0);
+        let new: f64 = usable().filter(|c| c.entry.build == build).map(strength).sum();
+        let told = round.figures.stage_shares.get(stage).copied().unwrap_or(1.0);
         (Some(build), (new / whole.max(1e-9)).min(told).min(cap))
     }
 
     fn place(&mut self, hit: HitId, round: &mut Round) {
-        let (trial, share) = self.trial_share(round.now);
+        let (trial, share) = self.trial_share(round);
         let draw = round.chance();
         let Some(open) = self.hits.get(&hit) else { return };
-        let on_trial = |c: &Card| trial == Some(c.build);
-        let want_trial = !open.no_trial && draw < share;
-        let fits = |c: &&Card| !open.refused.contains(&c.pod) && !open.tried.contains(&c.pod);
-        let line = &self.lines[usize::from(open.group.0)];
-        let proof = |c: &&Card| c.wants_proof && line.repeats && open.tried.is_empty() && !on_trial(c);
-        let best = |side: bool| {
-            let cards = self.cards.values().filter(|c| c.usable && on_trial(c) == side).filter(fits);
-            cards.min_by(|a, b| self.cost(a, round.now).total_cmp(&self.cost(b, round.now))).map(|c| c.pod)
-        };
-        let pick = self.cards.values().filter(proof).find(fits).map(|c| c.pod);
-        let pick = pick.or_else(|| best(want_trial)).or_else(|| best(!want_trial && !open.no_trial));
-        // Nothing healthy: a pod that is only quiet or shut is better than none.
-        let last = || {
-            let cards = self.cards.values().filter(|c| c.ready && !on_trial(c)).filter(fits);
-            cards.min_by(|a, b| self.cost(a, round.now).total_cmp(&self.cost(b, round.now))).map(|c| c.pod)
+        let on_trial = |c: &Card| trial == Some(c.entry.build);
+        let fits = |c: &&Card| !open.refused.contains(&c.entry.pod) && !open.tried.contains(&c.entry.pod);
+        let cheapest = |wanted: &dyn Fn(&Card) -> bool| {
+            let cards = self.cards.values().filter(|c| wanted(c)).filter(fits);
+            cards.min_by(|a, b| cost(a, round).total_cmp(&cost(b, round))).map(|c| c.entry.pod)
         };
-        let pick = pick.or_else(|| if open.out == 0 { last() } else { None });
+        let repeats = round.figures.line(open.group).repeat != Repeat::Mutating;
+        let first = repeats && open.tried.is_empty();
+        let want_trial = !open.no_trial && draw < share;
+        let pick = cheapest(&|c| first && c.wants_proof && !on_trial(c))
+            .or_else(|| cheapest(&|c| c.usable && on_trial(c) == want_trial))
+            .or_else(|| cheapest(&|c| c.usable && on_trial(c) != want_trial && !open.no_trial))
+            // Nothing healthy: a pod that is only quiet or shut is better than none.
+            .or_else(|| cheapest(&|c| c.ready && !on_trial(c) && open.out == 0));
         match pick {
             Some(pod) => round.mail.put(To::Gate, Note::Ask { hit, pod }),
             None if open.out > 0 => {}
@@ -921,48 +596,37 @@
 
     /// No pod may have it now: it waits while an answer could still be worth something.
     fn wait(&mut self, hit: HitId, round: &mut Round) {
-        let Some(open) = self.hits.get_mut(&hit) else {
-            return;
-        };
-        (open.no_trial, open.refused) = (false, Vec::new());
-        open.tried.clear();
-        let line = &self.lines[usize::from(open.group.0)];
-        let last = (open.arrived + line.target.mul_f64(0.7)).min(open.due.saturating_sub(BEAT * 3));
+        let Some(open) = self.hits.get_mut(&hit) else { return };
+        (open.no_trial, open.refused, open.tried) = (false, Vec::new(), Vec::new());
+        let target = round.figures.line(open.group).target;
+        let last = (open.arrived + target.mul_f64(0.7)).min(open.due.saturating_sub(BEAT * 3));
         if round.now < last {
-            round.due.put(round.now + BEAT, Due::Retry(hit));
+            round.later(BEAT, To::Desk, Note::Retry(hit));
         } else {
             round.mail.put(To::Gate, Note::End(hit));
         }
     }
 
-    fn cost(&self, card: &Card, now: Duration) -> f64 {
-        let strength = card.size * self.warming.strength(card.started, now);
-        let far = if card.near { 1.0 } else { 1.1 };
-        (card.open as f64 + 1.0) * card.pace.max(0.02) * far / strength
-    }
-
     fn end_forward(&mut self, ended: Ended, round: &mut Round) {
-        self.out = self.out.saturating_sub(1);
-        let line = &mut self.lines[usize::from(ended.group.0)];
+        let usual = self.usual(ended.group, round);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
-            line.usual = line.usual * 0.95 + ended.outcome.took.as_secs_f64() * 0.05;
+            self.usual.insert(ended.group, usual * 0.95 + ended.outcome.took.as_secs_f64() * 0.05);
         }
         let hit = ended.outcome.hit;
         if !ended.open {
             self.hits.remove(&hit);
             return;
         }
-        let Some(open) = self.hits.get_mut(&hit) else {
-            return;
-        };
+        let Some(open) = self.hits.get_mut(&hit) else { return };
         open.out = open.out.saturating_sub(1);
         open.tried.push(ended.outcome.pod);
         if open.out > 0 {
             return;
         }
-        let worth = round.now + Duration::from_secs_f64(line.usual * 0.5) < open.arrived + line.useful;
-        let again = ended.outcome.fate.never_ran() || line.repeats;
+        let line = round.figures.line(open.group);
+        let worth = round.now + Duration::from_secs_f64(usual * 0.5) < open.arrived + line.useful;
+        let again = ended.outcome.fate.never_ran() || line.repeat != Repeat::Mutating;
         if again && worth && round.now + BEAT < open.due && self.spare >= 1.0 {
             self.spare -= 1.0;
             (open.no_trial, open.refused) = (true, Vec::new());
@@ -974,50 +638,28 @@
 
     /// A forward takes unusually long: a copy where that is allowed, else it is called off and sent anew.
     fn doubt(&mut self, hit: HitId, no: ForwardNo, round: &mut Round) {
-        let Some(open) = self.hits.get_mut(&hit).filter(|o| o.out == 1) else {
+        let Some(open) = self.hits.get(&hit).filter(|o| o.out == 1) else { return };
+        let usual = Duration::from_secs_f64(self.usual(open.group, round));
+        if round.now + usual >= open.arrived + round.figures.line(open.group).useful || self.spare < 1.0 {
             return;
-        };
-        let line = &self.lines[usize::from(open.group.0)];
-        let worth = round.now + Duration::from_secs_f64(line.usual) < open.arrived + line.useful;
-        if !worth || self.spare < 1.0 {
+        }
+        if !round.figures.second_copies {
+            round.mail.put(To::Gate, Note::Call(hit, no));
             return;
         }
-        if self.second_copies {
-            self.spare -= 1.0;
+        self.spare -= 1.0;
+        if let Some(open) = self.hits.get_mut(&hit) {
             (open.no_trial, open.refused) = (true, Vec::new());
-            self.place(hit, round);
-        } else {
-            round.mail.put(To::Gate, Note::Call(hit, no));
         }
+        self.place(hit, round);
     }
 }
 
-/// What was seen of one build in one stage.
-#[derive(Default, Clone)]
-struct Sample {
-    groups: BTreeMap<GroupId, Count>,
-    pods: BTreeMap<PodId, Vec<f64>>,
-}
-
-#[derive(Default, Clone, Copy)]
-struct Count {
-    seen: usize,
-    bad: usize,
-    flagged: usize,
-}
-
-impl Sample {
-    fn all(&self) -> Count {
-        self.groups.values().fold(Count::default(), |a, c| Count {
-            seen: a.seen + c.seen,
-            bad: a.bad + c.bad,
-            flagged: a.flagged + c.flagged,
-        })
-    }
-
-    fn times(&self) -> Vec<f64> {
-        self.pods.values().flatten().copied().collect()
-    }
+/// What one more hit would bear at a pod: those ahead of it, at the pod's pace and present strength.
+fn cost(card: &Card, round: &Round) -> f64 {
+    let strength = card.entry.size.max(0.01) * round.figures.strength(card.entry.started, round.now);
+    let far = if card.entry.zone == round.figures.zone { 1.0 } else { 1.1 };
+    (card.open as f64 + 1.0) * card.pace.max(0.02) * far / strength
 }
 
 fn median(mut values: Vec<f64>) -> Option<f64> {
@@ -1025,24 +667,18 @@
     values.get(values.len() / 2).copied()
 }
 
-/// Whether `new` is worse than `old` by more than `margin` and more than chance explains.
+/// Whether `new` is worse than `old` by more than `margin` and more than chance explains; both (bad, seen).
 fn worse(new: (usize, usize), old: (usize, usize), margin: f64) -> bool {
-    let rate = |(bad, seen): (usize, usize)| bad as f64 / (seen as f64).max(1.0);
-    let spread = |(bad, seen): (usize, usize)| {
-        let p = (bad as f64 + 0.5) / (seen as f64 + 1.0);
-        p * (1.0 - p) / (seen as f64).max(1.0)
-    };
+    let share =
+        |(bad, seen): (usize, usize), more: f64| (bad as f64 + more) / (seen as f64 + 2.0 * more).max(1.0);
+    let spread = |c: (usize, usize)| share(c, 0.5) * (1.0 - share(c, 0.5)) / (c.1 as f64).max(1.0);
     let noise = (spread(new) + spread(old)).sqrt();
-    new.0 >= 3 && rate(new) - rate(old) > margin + 1.5 * noise
+    new.0 >= 3 && share(new, 0.0) - share(old, 0.0) > margin + 1.5 * noise
 }
 
 /// Gathers evidence on the build on trial and votes.
+#[derive(Default)]
 struct Judge {
-    control: Control,
-    vote_life: Duration,
-    answer_within: Duration,
-    aims: Vec<f64>,
-    warm_after: Duration,
     news: Option<StageNews>,
     since: Duration,
     pods: BTreeMap<PodId, PodEntry>,
@@ -1050,43 +686,22 @@
     old: Sample,
     /// Figures of the earlier build from before this stage.
     before: Sample,
-    standing: Option<(Verdict, BuildId, StageNo, Duration)>,
-    asked: Option<(Verdict, BuildId, StageNo, Duration)>,
+    standing: Option<Vote>,
+    asked: Option<Vote>,
     not_before: Duration,
 }
 
 impl Judge {
-    fn new(terms: &StartTerms) -> Self {
-        Self {
-            control: terms.release.control,
-            vote_life: terms.release.vote_life,
-            answer_within: terms.release.vote_answer_within,
-            aims: terms.groups.iter().map(|g| g.target_latency.as_secs_f64()).collect(),
-            warm_after: terms.rules.cold_for,
-            news: None,
-            since: Duration::ZERO,
-            pods: BTreeMap::new(),
-            new: Sample::default(),
-            old: Sample::default(),
-            before: Sample::default(),
-            standing: None,
-            asked: None,
-            not_before: Duration::ZERO,
-        }
-    }
-
     fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Listed(entry) => {
                 self.pods.insert(entry.pod, entry);
             }
             Note::Stage(news) => self.enter(news, round.now),
-            Note::Ended(ended) => self.count(&ended),
+            Note::Ended(ended) => self.count(&ended, &round.figures),
             Note::Flagged { pod, group } => {
-                let Some(build) = self.pods.get(&pod).map(|p| p.build) else {
-                    return;
-                };
-                if let Some(sample) = self.sample(build) {
+                let build = self.pods.get(&pod).map(|p| p.build);
+                if let Some(sample) = build.and_then(|build| self.sample(build)) {
                     sample.groups.entry(group).or_default().flagged += 1;
                 }
             }
@@ -1124,15 +739,15 @@
         }
     }
 
-    fn count(&mut self, ended: &Ended) {
+    fn count(&mut self, ended: &Ended, figures: &Figures) {
         let fate = ended.outcome.fate;
         let told = fate.never_ran() || fate == Fate::Cancelled;
         if told || ended.sent < self.since {
             return;
         }
         let cold = self.pods.get(&ended.outcome.pod).and_then(|p| p.started);
-        let cold = cold.is_some_and(|started| ended.sent < started + self.warm_after);
-        let took = ended.outcome.took.as_secs_f64() / self.aims[usize::from(ended.group.0)];
+        let cold = cold.is_some_and(|started| ended.sent < started + figures.cold_for);
+        let took = ended.outcome.took.as_secs_f64() / figures.line(ended.group).target.as_secs_f64();
         let Some(sample) = self.sample(ended.build) else {
             return;
         };
@@ -1145,7 +760,7 @@
         }
     }
 
-    fn verdict(&self, now: Duration) -> Verdict {
+    fn verdict(&self, now: Duration, clock: bool) -> Verdict {
         let Some(news) = self.news else {
             return Verdict::Withhold;
         };
@@ -1158,9 +773,9 @@
         if self.new.all().seen >= LEAST_SAMPLE && self.is_bad() {
             return Verdict::Back;
         }
-        match (news.phase, self.control) {
-            (Phase::OnTrial, Control::Votes) if !short => Verdict::On,
-            (Phase::OnTrial, Control::Clock) if short && now < self.since + LONGEST_HOLD => Verdict::Hold,
+        match (news.phase, clock) {
+            (Phase::OnTrial, false) if !short => Verdict::On,
+            (Phase::OnTrial, true) if short && now < self.since + LONGEST_HOLD => Verdict::Hold,
             _ => Verdict::Withhold,
         }
     }
@@ -1195,31 +810,29 @@
     /// Calls only on a changed verdict or a lapsing vote.
     fn vote(&mut self, round: &mut Round) {
         let Some(news) = self.news else { return };
-        let now = round.now;
-        if self.asked.is_some_and(|(.., at)| now > at + self.answer_within + BEAT * 25) {
-            self.asked = None;
-        }
-        let want = self.verdict(now);
-        let standing = self.standing.filter(|(_, build, stage, at)| {
-            (*build, *stage) == (news.build, news.stage) && now < *at + self.vote_life
-        });
-        let same = match standing {
-            None => want == Verdict::Withhold,
-            Some((verdict, _, _, at)) => {
-                verdict == want && (want == Verdict::Withhold || now < at + self.vote_life.mul_f64(0.6))
+        let (now, life) = (round.now, round.figures.vote_life);
+        let patience = round.figures.vote_answer_within + BEAT * 25;
+        self.asked = self.asked.filter(|asked| now < asked.at + patience);
+        let verdict = self.verdict(now, round.figures.clock);
+        let here = |v: &Vote| v.build == news.build && v.stage == news.stage && now < v.at + life;
+        let same = match self.standing.filter(here) {
+            None => verdict == Verdict::Withhold,
+            Some(v) => {
+                v.verdict == verdict && (verdict == Verdict::Withhold || now < v.at + life.mul_f64(0.6))
             }
         };
         if same || self.asked.is_some() || now < self.not_before {
             return;
         }
         let (n, o) = (self.new.all(), self.old.all());
-        if want == Verdict::Back {
+        if verdict == Verdict::Back {
             round.out.push(Action::Log(format!(
                 "back: build {} stage {}: {}/{}/{} against {}/{}/{} (bad, flagged, seen)",
                 news.build.0, news.stage.0, n.bad, n.flagged, n.seen, o.bad, o.flagged, o.seen
             )));
         }
-        self.asked = Some((want, news.build, news.stage, now));
-        round.out.push(Action::Vote { verdict: want, build: news.build, stage: news.stage });
+        let (build, stage) = (news.build, news.stage);
+        self.asked = Some(Vote { verdict, build, stage, at: now });
+        round.out.push(Action::Vote { verdict, build, stage });
     }
 }
--- /dev/null
+++ b/src/figures.rs
@@ -0,0 +1,107 @@
+//! The start terms turned into the few figures that decisions use. Renaming and arithmetic only: no value is
+//! chosen here.
+
+use crate::interface::*;
+use std::time::Duration;
+
+/// What the decisions need of a path group.
+pub struct Line {
+    pub repeat: Repeat,
+    pub target: Duration,
+    /// Until when an answer earns anything.
+    pub useful: Duration,
+    /// Mean benefit of all groups over this one's: over 1 for the cheap.
+    pub cheapness: f64,
+}
+
+pub struct Figures {
+    pub since: Duration,
+    pub zone: ZoneId,
+    pub sidecars: f64,
+    pub lines: Vec<Line>,
+    /// The shortest target latency, in seconds.
+    pub tightest: f64,
+    pub on_request: bool,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub second_copies: bool,
+    pub max_forwards: usize,
+    pub retry_after: Duration,
+    pub grace: Duration,
+    pub cold_from: f64,
+    pub cold_for: Duration,
+    pub fall_within: Duration,
+    pub clock: bool,
+    pub step_after: Duration,
+    pub stage_shares: Vec<f64>,
+    pub caps: Vec<f64>,
+    pub cap_window: Duration,
+    pub cap_free: f64,
+    pub cap_by_group: bool,
+    pub guarded_stages: u8,
+    pub keys_stay: bool,
+    pub vote_life: Duration,
+    pub vote_answer_within: Duration,
+    /// Hits a second of each customer that this sidecar's even part of the quota allows, and what one beyond earns.
+    pub quotas: Vec<f64>,
+    pub over_quota_worth: f64,
+}
+
+impl Figures {
+    pub fn of(now: Duration, terms: &StartTerms) -> Self {
+        let (rules, release) = (&terms.rules, &terms.release);
+        let mean = terms.groups.iter().map(|g| g.benefit).sum::<f64>() / terms.groups.len().max(1) as f64;
+        let line = |g: &PathGroup| Line {
+            repeat: g.repeat,
+            target: g.target_latency,
+            useful: if g.late_benefit > 0.0 { g.client_timeout } else { g.target_latency },
+            cheapness: mean / g.benefit.max(1e-6),
+        };
+        let targets = terms.groups.iter().map(|g| g.target_latency.as_secs_f64());
+        Self {
+            since: now,
+            zone: terms.zone,
+            sidecars: f64::from(terms.sidecars.max(1)),
+            lines: terms.groups.iter().map(line).collect(),
+            tightest: targets.fold(f64::MAX, f64::min),
+            on_request: terms.list_on_request,
+            may_cancel: terms.may_cancel,
+            may_probe: terms.may_probe,
+            second_copies: terms.second_copies,
+            max_forwards: terms.max_forwards.into(),
+            retry_after: terms.retry_after.unwrap_or_default(),
+            grace: rules.drain_grace,
+            cold_from: rules.cold_from,
+            cold_for: rules.cold_for,
+            fall_within: rules.fall_within,
+            clock: release.control == Control::Clock,
+            step_after: release.step_after,
+            stage_shares: release.stage_shares.clone(),
+            caps: release.caps.clone(),
+            cap_window: release.cap_window,
+            cap_free: release.cap_free,
+            cap_by_group: release.cap_by_group,
+            guarded_stages: release.guarded_stages,
+            keys_stay: release.keys_stay,
+            vote_life: release.vote_life,
+            vote_answer_within: release.vote_answer_within,
+            quotas: terms
+                .customers
+                .iter()
+                .map(|c| c.quota_per_s / f64::from(terms.sidecars.max(1)))
+                .collect(),
+            over_quota_worth: terms.over_quota_worth,
+        }
+    }
+
+    pub fn line(&self, group: GroupId) -> &Line {
+        &self.lines[usize::from(group.0)]
+    }
+
+    /// How strong a pod surely is by now: cold ones grow at least evenly from a share to the whole.
+    pub fn strength(&self, started: Option<Duration>, now: Duration) -> f64 {
+        let Some(started) = started else { return 1.0 };
+        let age = now.saturating_sub(started).as_secs_f64() / self.cold_for.as_secs_f64().max(1e-6);
+        (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! plain containers.
 
 pub mod choice;
+pub mod figures;
 pub mod inbox;
 pub mod interface;
 pub mod ledger;
+pub mod notes;
--- /dev/null
+++ b/src/notes.rs
@@ -0,0 +1,282 @@
+//! What the parts of the decision module tell each other, and what each keeps on record. No decision is here.
+
+use crate::figures::Figures;
+use crate::inbox::Inboxes;
+use crate::interface::*;
+use crate::ledger::{DueTimes, Window};
+use nanorand::{Rng, WyRand};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The parts that have an inbox.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum To {
+    Pod(PodId),
+    Desk,
+    Gate,
+    Judge,
+    Lister,
+}
+
+#[derive(Clone)]
+pub enum Note {
+    List(ListNews),
+    Listed(PodEntry),
+    Taken(Hit),
+    /// Desk to gate: may this forward go?
+    Ask {
+        hit: HitId,
+        pod: PodId,
+    },
+    Refused {
+        hit: HitId,
+        pod: PodId,
+        why: Refusal,
+    },
+    Sent {
+        hit: HitId,
+        no: ForwardNo,
+    },
+    Back(Outcome),
+    Ended(Ended),
+    Streams(HitId),
+    /// Desk to gate: the hit is given up.
+    End(HitId),
+    /// Desk to gate: call a forward off.
+    Call(HitId, ForwardNo),
+    Over(HitId),
+    Stage(StageNews),
+    VoteAnswered(VoteAnswer),
+    Tally {
+        build: BuildId,
+        group: GroupId,
+        forwards: u32,
+        failed: u32,
+    },
+    Flagged {
+        pod: PodId,
+        group: GroupId,
+    },
+    Probed {
+        fate: Fate,
+    },
+    Card(Card),
+    Doubt(HitId, ForwardNo),
+    Retry(HitId),
+    Beat,
+    Watch,
+}
+
+/// A forward that ended, with what the gate knew of it.
+#[derive(Clone)]
+pub struct Ended {
+    pub outcome: Outcome,
+    pub group: GroupId,
+    pub build: BuildId,
+    pub sent: Duration,
+    /// The hit still waits for its final answer.
+    pub open: bool,
+}
+
+/// Why the gate turned a forward down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    Over,
+    MayHaveRun,
+    Drained,
+    Cold,
+    Exposed,
+    KeyStays,
+}
+
+/// What every part needs in a round: the time, the derived start terms, the inboxes, the due times, chance, and
+/// what goes out.
+pub struct Round {
+    pub now: Duration,
+    pub figures: Figures,
+    pub mail: Inboxes<To, Note>,
+    pub due: DueTimes<(To, Note)>,
+    pub chance: WyRand,
+    pub out: Vec<Action>,
+}
+
+impl Round {
+    pub fn new(now: Duration, terms: &StartTerms) -> Self {
+        Self {
+            now,
+            figures: Figures::of(now, terms),
+            mail: Inboxes::default(),
+            due: DueTimes::default(),
+            chance: WyRand::new_seed(terms.seed),
+            out: Vec::new(),
+        }
+    }
+
+    pub fn tell<const N: usize>(&mut self, parts: [To; N], note: &Note) {
+        parts.into_iter().for_each(|to| self.mail.put(to, note.clone()));
+    }
+
+    /// A number from 0 to 1, evenly.
+    pub fn chance(&mut self) -> f64 {
+        (self.chance.generate::<u64>() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Puts a note into an inbox later.
+    pub fn later(&mut self, wait: Duration, to: To, note: Note) {
+        self.due.put(self.now + wait, (to, note));
+    }
+
+    /// Brings an event to the parts that it concerns.
+    pub fn deliver(&mut self, event: Event) {
+        match event {
+            Event::List(news) => self.mail.put(To::Lister, Note::List(news)),
+            Event::Hit(hit) => self.mail.put(To::Gate, Note::Taken(hit)),
+            Event::Outcome(outcome) => self.mail.put(To::Gate, Note::Back(outcome)),
+            Event::StreamStarted { hit } => self.mail.put(To::Gate, Note::Streams(hit)),
+            Event::Left(hit) => self.mail.put(To::Gate, Note::Over(hit)),
+            Event::Timer(_) => {}
+            Event::Probed { pod, fate, .. } => self.mail.put(To::Pod(pod), Note::Probed { fate }),
+            Event::Stage { news, answer } => {
+                if let Some(news) = news {
+                    self.tell([To::Gate, To::Desk, To::Judge], &Note::Stage(news));
+                }
+                if let Some(answer) = answer {
+                    self.mail.put(To::Judge, Note::VoteAnswered(answer));
+                }
+            }
+            Event::Tally { build, group, forwards, failed, .. } => {
+                self.mail.put(To::Judge, Note::Tally { build, group, forwards, failed })
+            }
+            Event::Flagged { pod, group, .. } => self.mail.put(To::Judge, Note::Flagged { pod, group }),
+        }
+    }
+
+    pub fn ago(&self, span: Duration) -> Duration {
+        self.now.saturating_sub(span)
+    }
+}
+
+/// A pod's own account of itself for the desk.
+#[derive(Clone)]
+pub struct Card {
+    pub entry: PodEntry,
+    pub ready: bool,
+    pub open: usize,
+    pub pace: f64,
+    pub usable: bool,
+    /// Shut, but due for a hit that shows whether it is back.
+    pub wants_proof: bool,
+}
+
+/// The gate's account of one hit.
+pub struct Account {
+    pub group: GroupId,
+    pub key: Option<KeyId>,
+    pub due: Duration,
+    pub forwards: Vec<Sent>,
+    pub over: bool,
+    pub streams: bool,
+}
+
+impl Account {
+    pub fn of(hit: &Hit) -> Self {
+        let (group, key, due) = (hit.group, hit.key, hit.due);
+        Self { group, key, due, forwards: Vec::new(), over: false, streams: false }
+    }
+}
+
+pub struct Sent {
+    pub build: BuildId,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub pod: PodId,
+    pub at: Duration,
+    pub fate: Option<Fate>,
+}
+
+impl Sent {
+    pub fn may_have_run(&self) -> bool {
+        self.fate.is_none_or(|fate| !fate.never_ran())
+    }
+}
+
+/// What the gate knows of a pod.
+pub struct Place {
+    pub entry: PodEntry,
+    /// When this sidecar was told that it drains or is gone.
+    pub ended: Option<Duration>,
+    pub sends: Window,
+}
+
+impl Place {
+    pub fn of(entry: &PodEntry) -> Self {
+        Self { entry: entry.clone(), ended: None, sends: Window::default() }
+    }
+
+    pub fn list(&mut self, entry: PodEntry, now: Duration) {
+        if entry.started != self.entry.started {
+            self.sends.clear();
+        }
+        self.ended = match entry.state {
+            PodState::Ready => None,
+            _ => self.ended.or(Some(now)),
+        };
+        self.entry = entry;
+    }
+}
+
+/// The desk's record of an open hit.
+pub struct OpenHit {
+    pub group: GroupId,
+    pub arrived: Duration,
+    pub due: Duration,
+    pub out: u32,
+    pub tried: Vec<PodId>,
+    pub refused: Vec<PodId>,
+    pub no_trial: bool,
+}
+
+impl OpenHit {
+    pub fn of(hit: &Hit, arrived: Duration) -> Self {
+        let (tried, refused) = (Vec::new(), Vec::new());
+        Self { group: hit.group, arrived, due: hit.due, out: 0, tried, refused, no_trial: false }
+    }
+}
+
+/// What was seen of one build in one stage.
+#[derive(Default, Clone)]
+pub struct Sample {
+    pub groups: BTreeMap<GroupId, Count>,
+    /// Times taken by warm pods, as shares of the target latency.
+    pub pods: BTreeMap<PodId, Vec<f64>>,
+}
+
+#[derive(Default, Clone, Copy)]
+pub struct Count {
+    pub seen: usize,
+    pub bad: usize,
+    pub flagged: usize,
+}
+
+impl Sample {
+    pub fn all(&self) -> Count {
+        self.groups.values().fold(Count::default(), |a, c| Count {
+            seen: a.seen + c.seen,
+            bad: a.bad + c.bad,
+            flagged: a.flagged + c.flagged,
+        })
+    }
+
+    pub fn times(&self) -> Vec<f64> {
+        self.pods.values().flatten().copied().collect()
+    }
+}
+
+/// A vote as it was sent.
+#[derive(Clone, Copy, PartialEq)]
+pub struct Vote {
+    pub verdict: Verdict,
+    pub build: BuildId,
+    pub stage: StageNo,
+    pub at: Duration,
+}
