Errors are no sign of speed: pods that err in a row are shut for a while

Cause: a few pods of one zone failed at once, and the pick by pace took them for the quickest. Other causes ruled out: both builds erred, other zones answered as usual. Should also cover a pod with a broken dependency or a full disk; may hurt when a build fails most of one path group in a row.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -200,17 +200,22 @@
         let (now, aim) = (round.now, round.figures.line(ended.group).target.as_secs_f64());
         let took = ended.outcome.took.as_secs_f64() / aim;
         match ended.outcome.fate {
-            Fate::Delivered | Fate::Errored => {
+            Fate::Delivered => {
                 self.last_answer = now;
                 (self.strikes, self.shut_until, self.quiet) = (0, Duration::ZERO, false);
                 self.pace = if self.pace == 0.0 { took } else { self.pace * 0.9 + took * 0.1 };
             }
-            // No connection, a reset, silence: shut for a while, longer each time.
-            Fate::Unreached | Fate::Broken | Fate::TimedOut => {
+            // No connection, a reset, silence, or errors in a row: shut for a while, longer each time. An error is
+            // no sign of speed: a pod that fails at once would otherwise draw all hits.
+            Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
                 self.strikes += 1;
-                let limit = if ended.outcome.fate == Fate::TimedOut { 2 } else { 1 };
+                let limit = match ended.outcome.fate {
+                    Fate::Errored => 3,
+                    Fate::TimedOut => 2,
+                    _ => 1,
+                };
                 if self.strikes >= limit {
-                    let wait = 0.25 * f64::from(1 << self.strikes.min(4));
+                    let wait = 0.25 * f64::from(1 << (self.strikes - limit + 1).min(4));
                     self.shut_until = now + Duration::from_secs_f64(wait);
                 }
             }
