--- a/src/choice.rs
+++ b/src/choice.rs
@@ -708,6 +708,7 @@
                 let build = self.pods.get(&pod).map(|p| p.build);
                 if let Some(sample) = build.and_then(|build| self.sample(build)) {
                     sample.groups.entry(group).or_default().flagged += 1;
+                    sample.pods.entry(pod).or_default().flagged += 1;
                 }
             }
             Note::VoteAnswered(answer) => {
@@ -757,11 +758,13 @@
             return;
         };
         let count = sample.groups.entry(ended.group).or_default();
-        count.seen += 1;
         // A reset is the mark of a dying pod, not of a build.
-        count.bad += usize::from(matches!(fate, Fate::Errored));
+        let bad = usize::from(fate == Fate::Errored);
+        (count.seen, count.bad) = (count.seen + 1, count.bad + bad);
+        let by_pod = sample.pods.entry(ended.outcome.pod).or_default();
+        (by_pod.seen, by_pod.bad) = (by_pod.seen + 1, by_pod.bad + bad);
         if fate == Fate::Delivered && !cold {
-            sample.pods.entry(ended.outcome.pod).or_default().push(took);
+            by_pod.times.push(took);
         }
     }
 
@@ -788,17 +791,25 @@
     fn is_bad(&self) -> bool {
         let old = if self.old.all().seen >= LEAST_SAMPLE { &self.old } else { &self.before };
         let pairs = self.new.groups.iter().map(|(g, c)| (*c, old.groups.get(g).copied().unwrap_or_default()));
-        let mut pairs = pairs.chain([(self.new.all(), old.all())]);
-        let wrong = pairs.any(|(n, o)| {
-            worse((n.bad, n.seen), (o.bad, o.seen), ERROR_MARGIN)
-                || worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01)
-        });
-        wrong || self.is_slow()
+        let pairs: Vec<(Count, Count)> = pairs.chain([(self.new.all(), old.all())]).collect();
+        let errs = pairs.iter().any(|(n, o)| worse((n.bad, n.seen), (o.bad, o.seen), ERROR_MARGIN));
+        let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01));
+        (errs && self.shows(5, |p| p.bad > 0))
+            || (wrong && self.shows(5, |p| p.flagged > 0))
+            || self.is_slow()
+    }
+
+    /// Whether a sign shows on most of the trial's pods that have told enough, and on two unless there is but one:
+    /// one sick pod, or a few in a sick zone, do not speak for the build.
+    fn shows(&self, enough: usize, sign: impl Fn(&ByPod) -> bool) -> bool {
+        let told: Vec<bool> = self.new.pods.values().filter(|p| p.seen >= enough).map(sign).collect();
+        let on = told.iter().filter(|s| **s).count();
+        2 * on > told.len() && on >= self.new.pods.len().min(2)
     }
 
-    /// Slower by more than chance explains, on most of its pods so that one sick pod does not speak for the
-    /// build, and only beside an earlier build that bears the same load now: the last stage starts a whole cold
-    /// fleet, whose queues would look like a slow build against times remembered from before.
+    /// Slower by more than chance explains, on two pods or more, and only beside an earlier build that bears the
+    /// same load now and well: the last stage starts a whole cold fleet, whose queues would look like a slow
+    /// build against times remembered from before, and under overload all times are queues.
     fn is_slow(&self) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
         if new.len().min(old.len()) < LEAST_SAMPLE {
@@ -806,10 +817,9 @@
         }
         let noise = 2.0 * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
-        let told: Vec<f64> =
-            self.new.pods.values().filter(|t| t.len() >= 5).flat_map(|t| median(t.clone())).collect();
-        let slow = told.iter().filter(|m| **m > SLOW_MARGIN * usual).count();
-        now > SLOW_MARGIN * usual * noise.exp() && slow >= 2 && 2 * slow > told.len()
+        let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
+        let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
+        usual < 0.4 && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -247,8 +247,16 @@
 #[derive(Default, Clone)]
 pub struct Sample {
     pub groups: BTreeMap<GroupId, Count>,
-    /// Times taken by warm pods, as shares of the target latency.
-    pub pods: BTreeMap<PodId, Vec<f64>>,
+    pub pods: BTreeMap<PodId, ByPod>,
+}
+
+#[derive(Default, Clone)]
+pub struct ByPod {
+    pub seen: usize,
+    pub bad: usize,
+    pub flagged: usize,
+    /// Times taken while warm, as shares of the target latency.
+    pub times: Vec<f64>,
 }
 
 #[derive(Default, Clone, Copy)]
@@ -268,7 +276,7 @@
     }
 
     pub fn times(&self) -> Vec<f64> {
-        self.pods.values().flatten().copied().collect()
+        self.pods.values().flat_map(|p| &p.times).copied().collect()
     }
 }
 
