--- a/src/choice.rs
+++ b/src/choice.rs
@@ -768,6 +768,11 @@
         }
     }
 
+    fn trial_pods(&self) -> impl Iterator<Item = &PodEntry> {
+        let build = self.news.map(|n| n.build);
+        self.pods.values().filter(move |p| Some(p.build) == build && p.state == PodState::Ready)
+    }
+
     fn verdict(&self, now: Duration, clock: bool) -> Verdict {
         let Some(news) = self.news else {
             return Verdict::Withhold;
@@ -775,8 +780,7 @@
         if !matches!(news.phase, Phase::OnTrial | Phase::Released) {
             return Verdict::Withhold;
         }
-        let of_build = self.pods.values().filter(|p| p.build == news.build && p.state == PodState::Ready);
-        let newest = of_build.filter_map(|p| p.started).max().unwrap_or(self.since).max(self.since);
+        let newest = self.trial_pods().filter_map(|p| p.started).max().unwrap_or(self.since).max(self.since);
         let short = self.new.all().seen < LEAST_SAMPLE || now < newest + LEAST_TIME;
         if self.new.all().seen >= LEAST_SAMPLE && self.is_bad() {
             return Verdict::Back;
@@ -804,7 +808,7 @@
     fn shows(&self, enough: usize, sign: impl Fn(&ByPod) -> bool) -> bool {
         let told: Vec<bool> = self.new.pods.values().filter(|p| p.seen >= enough).map(sign).collect();
         let on = told.iter().filter(|s| **s).count();
-        2 * on > told.len() && on >= self.new.pods.len().min(2)
+        2 * on > told.len() && on >= self.trial_pods().count().min(2)
     }
 
     /// Slower by more than chance explains, on two pods or more, and only beside an earlier build that bears the
@@ -819,7 +823,7 @@
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
         let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
-        usual < 0.4 && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
+        usual < 0.25 && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
