--- a/src/choice.rs
+++ b/src/choice.rs
@@ -153,14 +153,14 @@
     /// Recent time taken, as a share of the target latency.
     pace: f64,
     strikes: u32,
+    shuts: u32,
     shut_until: Duration,
-    quiet: bool,
 }
 
 impl Pod {
     fn new(entry: PodEntry) -> Self {
         let (open, never) = (BTreeMap::new(), Duration::ZERO);
-        Self { entry, open, last_answer: never, pace: 0.0, strikes: 0, shut_until: never, quiet: false }
+        Self { entry, open, last_answer: never, pace: 0.0, strikes: 0, shuts: 0, shut_until: never }
     }
 
     fn take(&mut self, note: Note, round: &mut Round) {
@@ -169,25 +169,30 @@
             Note::Listed(entry) => {
                 // A restart or another build under the same id: what was seen of it is void.
                 if entry.started != self.entry.started || entry.build != self.entry.build {
-                    (self.pace, self.strikes, self.shut_until) = (0.0, 0, Duration::ZERO);
+                    (self.pace, self.strikes, self.shuts, self.shut_until) = (0.0, 0, 0, Duration::ZERO);
                 }
                 self.entry = entry;
             }
             Note::Sent { hit, no } => {
                 self.open.insert((hit, no), now);
+                // A proof is out: the next one only after a longer wait.
+                if !self.shut_until.is_zero() {
+                    self.shut(now);
+                }
             }
             Note::Ended(ended) => {
                 self.open.remove(&(ended.outcome.hit, ended.outcome.no));
                 self.learn(&ended, round);
             }
             Note::Beat => {
-                // Takes hits and answers none: seen by its oldest open forward against its usual time.
+                // Takes hits and answers none, whatever the cause: shut until it answers again.
                 let oldest = self.open.values().min().copied();
-                let usual =
-                    Duration::from_secs_f64(round.figures.tightest * (0.15 + 3.0 * self.pace.max(0.05)));
-                let was = self.quiet;
-                self.quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + usual);
-                if was == self.quiet && self.shut_until.is_zero() {
+                let usual = round.figures.tightest * (0.15 + 3.0 * self.pace.max(0.05));
+                let patience = Duration::from_secs_f64(usual);
+                let quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + patience);
+                if quiet && self.shut_until.is_zero() {
+                    self.shut(now);
+                } else if self.shut_until.is_zero() {
                     return;
                 }
             }
@@ -202,7 +207,7 @@
         match ended.outcome.fate {
             Fate::Delivered => {
                 self.last_answer = now;
-                (self.strikes, self.shut_until, self.quiet) = (0, Duration::ZERO, false);
+                (self.strikes, self.shuts, self.shut_until) = (0, 0, Duration::ZERO);
                 self.pace = if self.pace == 0.0 { took } else { self.pace * 0.9 + took * 0.1 };
             }
             // No connection, a reset, silence, or errors in a row: shut for a while, longer each time. An error is
@@ -215,8 +220,7 @@
                     _ => 1,
                 };
                 if self.strikes >= limit {
-                    let wait = 0.25 * f64::from(1 << (self.strikes - limit + 1).min(4));
-                    self.shut_until = now + Duration::from_secs_f64(wait);
+                    self.shut(now);
                 }
             }
             Fate::TurnedAway => self.pace = self.pace * 0.9 + 0.1,
@@ -224,6 +228,11 @@
         }
     }
 
+    fn shut(&mut self, now: Duration) {
+        self.shuts = (self.shuts + 1).min(4);
+        self.shut_until = now + Duration::from_millis(250 << self.shuts);
+    }
+
     fn post_card(&mut self, round: &mut Round) {
         let (now, ready) = (round.now, self.entry.state == PodState::Ready);
         let shut = !self.shut_until.is_zero();
@@ -232,8 +241,8 @@
             ready,
             open: self.open.len(),
             pace: self.pace,
-            usable: ready && !shut && !self.quiet,
-            wants_proof: ready && shut && now >= self.shut_until && self.open.is_empty(),
+            usable: ready && !shut,
+            wants_proof: ready && shut && now >= self.shut_until,
         };
         round.mail.put(To::Desk, Note::Card(card));
     }
