--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,8 @@
 const COLD_LOAD: f64 = 1.4;
 /// Rates are smoothed over this time.
 const RATE_OVER: Duration = Duration::from_secs(2);
+/// How often an open forward is looked at again.
+const DOUBT_EVERY: Duration = Duration::from_millis(60);
 /// Further forwards for each hit taken, and the most that can be saved up.
 const SPARE_PER_HIT: f64 = 0.15;
 const SPARE_MOST: f64 = 20.0;
@@ -173,7 +175,7 @@
                 }
                 self.entry = entry;
             }
-            Note::Sent { hit, no } => {
+            Note::Sent { hit, no, .. } => {
                 self.open.insert((hit, no), now);
                 // A proof is out: the next one only after a longer wait.
                 if !self.shut_until.is_zero() {
@@ -397,7 +399,7 @@
         let counter = counter(group, &round.figures);
         self.exposed.entry((build, counter)).or_default().note(round.now);
         round.out.push(Action::Forward { hit, pod, within: Duration::ZERO });
-        round.tell([To::Pod(pod), To::Desk], &Note::Sent { hit, no });
+        round.tell([To::Pod(pod), To::Desk], &Note::Sent { hit, no, pod });
     }
 
     fn end_forward(&mut self, outcome: Outcome, round: &mut Round) {
@@ -517,17 +519,15 @@
                     _ => self.place(hit, round),
                 }
             }
-            Note::Sent { hit, no } => {
-                let Some(group) = self.hits.get(&hit).map(|open| open.group) else { return };
-                let (line, usual) = (round.figures.line(group), self.usual(group, round));
-                if line.repeat != Repeat::Mutating {
-                    let patience = (3.0 * usual).max(0.4 * line.target.as_secs_f64());
-                    round.later(Duration::from_secs_f64(patience), To::Desk, Note::Doubt(hit, no));
+            Note::Sent { hit, no, pod } => {
+                let Some(open) = self.hits.get_mut(&hit) else { return };
+                open.out += 1;
+                if round.figures.line(open.group).repeat != Repeat::Mutating {
+                    round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
                 }
-                self.hits.entry(hit).and_modify(|open| open.out += 1);
             }
             Note::Ended(ended) => self.end_forward(ended, round),
-            Note::Doubt(hit, no) => self.doubt(hit, no, round),
+            Note::Doubt(hit, no, pod) => self.doubt(hit, no, pod, round),
             Note::Retry(hit) => self.place(hit, round),
             Note::Over(hit) => {
                 self.hits.remove(&hit);
@@ -650,11 +650,18 @@
         }
     }
 
-    /// A forward takes unusually long: a copy where that is allowed, else it is called off and sent anew.
-    fn doubt(&mut self, hit: HitId, no: ForwardNo, round: &mut Round) {
-        let Some(open) = self.hits.get(&hit).filter(|o| o.out == 1) else { return };
+    /// A forward is out at a pod that went quiet: a copy where that is allowed, else it is called off and sent
+    /// anew. At a pod that answers others a long wait means a heavy hit, and a copy would be as heavy.
+    fn doubt(&mut self, hit: HitId, no: ForwardNo, pod: PodId, round: &mut Round) {
+        let Some(open) = self.hits.get(&hit).filter(|o| o.out == 1 && !o.tried.contains(&pod)) else {
+            return;
+        };
         let usual = Duration::from_secs_f64(self.usual(open.group, round));
-        if round.now + usual >= open.arrived + round.figures.line(open.group).useful || self.spare < 1.0 {
+        if round.now + usual >= open.arrived + round.figures.line(open.group).useful {
+            return;
+        }
+        if self.cards.get(&pod).is_some_and(|c| c.usable) || self.spare < 1.0 {
+            round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
             return;
         }
         if !round.figures.second_copies {
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -36,6 +36,7 @@
     Sent {
         hit: HitId,
         no: ForwardNo,
+        pod: PodId,
     },
     Back(Outcome),
     Ended(Ended),
@@ -61,7 +62,7 @@
         fate: Fate,
     },
     Card(Card),
-    Doubt(HitId, ForwardNo),
+    Doubt(HitId, ForwardNo, PodId),
     Retry(HitId),
     Beat,
     Watch,
