--- a/src/notes.rs
+++ b/src/notes.rs
@@ -256,7 +256,7 @@
     pub seen: usize,
     pub bad: usize,
     pub flagged: usize,
-    /// Times taken while warm, as shares of the target latency.
+    /// Times taken, scaled to a warm pod, as shares of the target latency.
     pub times: Vec<f64>,
 }
 
