--- a/src/choice.rs
+++ b/src/choice.rs
@@ -767,9 +767,11 @@
         if told || ended.sent < self.since {
             return;
         }
-        let cold = self.pods.get(&ended.outcome.pod).and_then(|p| p.started);
-        let cold = cold.is_some_and(|started| ended.sent < started + figures.cold_for);
-        let took = ended.outcome.took.as_secs_f64() / figures.line(ended.group).target.as_secs_f64();
+        // A cold pod's time is told as the least it would have been on a warm one.
+        let started = self.pods.get(&ended.outcome.pod).and_then(|p| p.started);
+        let strength = figures.strength(started, ended.sent);
+        let took =
+            ended.outcome.took.as_secs_f64() / figures.line(ended.group).target.as_secs_f64() * strength;
         let Some(sample) = self.sample(ended.build) else {
             return;
         };
@@ -779,7 +781,7 @@
         (count.seen, count.bad) = (count.seen + 1, count.bad + bad);
         let by_pod = sample.pods.entry(ended.outcome.pod).or_default();
         (by_pod.seen, by_pod.bad) = (by_pod.seen + 1, by_pod.bad + bad);
-        if fate == Fate::Delivered && !cold {
+        if fate == Fate::Delivered {
             by_pod.times.push(took);
         }
     }
@@ -861,10 +863,11 @@
         }
         let (n, o) = (self.new.all(), self.old.all());
         if verdict == Verdict::Back {
-            round.out.push(Action::Log(format!(
-                "back: build {} stage {}: {}/{}/{} against {}/{}/{} (bad, flagged, seen)",
-                news.build.0, news.stage.0, n.bad, n.flagged, n.seen, o.bad, o.flagged, o.seen
-            )));
+            let times = |s: &Sample| (median(s.times()).unwrap_or_default(), s.times().len());
+            let told =
+                format!("{n:?} against {o:?}; times {:?} against {:?}", times(&self.new), times(&self.old));
+            let line = format!("back: build {} stage {}: {told}", news.build.0, news.stage.0);
+            round.out.push(Action::Log(line));
         }
         let (build, stage) = (news.build, news.stage);
         self.asked = Some(Vote { verdict, build, stage, at: now });
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -260,7 +260,7 @@
     pub times: Vec<f64>,
 }
 
-#[derive(Default, Clone, Copy)]
+#[derive(Default, Clone, Copy, Debug)]
 pub struct Count {
     pub seen: usize,
     pub bad: usize,
