--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -132,7 +132,7 @@
         })
     }
     fn entry(&mut self) -> Got<PodEntry> {
-        let _kind = self.u8()?;
+        let kind = KindId(self.u8()?);
         let state = match self.u8()? {
             0 => PodState::Gone,
             1 => PodState::Ready,
@@ -145,7 +145,7 @@
         let cell = CellId(self.u16()?);
         let pod = self.pod()?;
         let zone = ZoneId(self.u16()?);
-        Ok(PodEntry { pod, state, build, size, started, zone, cell })
+        Ok(PodEntry { pod, state, build, size, started, zone, cell, kind })
     }
     fn hit(&mut self) -> Got<Event> {
         let id = HitId(self.u64()?);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -152,8 +152,7 @@
     entry: PodEntry,
     open: BTreeMap<(HitId, ForwardNo), Duration>,
     last_answer: Duration,
-    /// Recent time taken, as a share of the target latency.
-    pace: f64,
+    pace: Option<f64>,
     strikes: u32,
     shuts: u32,
     shut_until: Duration,
@@ -162,7 +161,7 @@
 impl Pod {
     fn new(entry: PodEntry) -> Self {
         let (open, never) = (BTreeMap::new(), Duration::ZERO);
-        Self { entry, open, last_answer: never, pace: 0.0, strikes: 0, shuts: 0, shut_until: never }
+        Self { entry, open, last_answer: never, pace: None, strikes: 0, shuts: 0, shut_until: never }
     }
 
     fn take(&mut self, note: Note, round: &mut Round) {
@@ -171,7 +170,7 @@
             Note::Listed(entry) => {
                 // A restart or another build under the same id: what was seen of it is void.
                 if entry.started != self.entry.started || entry.build != self.entry.build {
-                    (self.pace, self.strikes, self.shuts, self.shut_until) = (0.0, 0, 0, Duration::ZERO);
+                    (self.pace, self.strikes, self.shuts, self.shut_until) = (None, 0, 0, Duration::ZERO);
                 }
                 self.entry = entry;
             }
@@ -189,7 +188,7 @@
             Note::Beat => {
                 // Takes hits and answers none, whatever the cause: shut until it answers again.
                 let oldest = self.open.values().min().copied();
-                let usual = round.figures.tightest * (0.15 + 3.0 * self.pace.max(0.05));
+                let usual = round.figures.tightest * (0.15 + 3.0 * self.pace.unwrap_or(0.3).max(0.05));
                 let patience = Duration::from_secs_f64(usual);
                 let quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + patience);
                 if quiet && self.shut_until.is_zero() {
@@ -210,7 +209,7 @@
             Fate::Delivered => {
                 self.last_answer = now;
                 (self.strikes, self.shuts, self.shut_until) = (0, 0, Duration::ZERO);
-                self.pace = if self.pace == 0.0 { took } else { self.pace * 0.9 + took * 0.1 };
+                self.pace = Some(self.pace.map_or(took, |pace| pace * 0.9 + took * 0.1));
             }
             // No connection, a reset, silence, or errors in a row: shut for a while, longer each time. An error is
             // no sign of speed: a pod that fails at once would otherwise draw all hits.
@@ -225,7 +224,7 @@
                     self.shut(now);
                 }
             }
-            Fate::TurnedAway => self.pace = self.pace * 0.9 + 0.1,
+            Fate::TurnedAway => self.pace = self.pace.map(|pace| pace * 0.9 + 0.1),
             Fate::Cancelled | Fate::Void => {}
         }
     }
@@ -500,6 +499,8 @@
     finished: Rate,
     /// Mean time of delivered forwards by path group, in seconds.
     usual: BTreeMap<GroupId, f64>,
+    /// Mean time of delivered forwards by machine kind, as a share of the target latency.
+    kinds: BTreeMap<KindId, f64>,
 }
 
 impl Desk {
@@ -575,10 +576,9 @@
             None if ready().any(|c| c.entry.build < build) => (0, first_cap),
             _ => return (None, 0.0),
         };
-        let strength = |c: &Card| c.entry.size.max(0.01) * round.figures.strength(c.entry.started, round.now);
         let usable = || self.cards.values().filter(|c| c.usable);
-        let whole: f64 = usable().map(strength).sum();
-        let new: f64 = usable().filter(|c| c.entry.build == build).map(strength).sum();
+        let whole: f64 = usable().map(|c| self.strength(c, round)).sum();
+        let new: f64 = usable().filter(|c| c.entry.build == build).map(|c| self.strength(c, round)).sum();
         let told = round.figures.stage_shares.get(stage).copied().unwrap_or(1.0);
         (Some(build), (new / whole.max(1e-9)).min(told).min(cap))
     }
@@ -591,7 +591,7 @@
         let fits = |c: &&Card| !open.refused.contains(&c.entry.pod) && !open.tried.contains(&c.entry.pod);
         let cheapest = |wanted: &dyn Fn(&Card) -> bool| {
             let cards = self.cards.values().filter(|c| wanted(c)).filter(fits);
-            cards.min_by(|a, b| cost(a, round).total_cmp(&cost(b, round))).map(|c| c.entry.pod)
+            cards.min_by(|a, b| self.cost(a, round).total_cmp(&self.cost(b, round))).map(|c| c.entry.pod)
         };
         let repeats = round.figures.line(open.group).repeat != Repeat::Mutating;
         let first = repeats && open.tried.is_empty();
@@ -608,6 +608,21 @@
         }
     }
 
+    /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
+    fn strength(&self, card: &Card, round: &Round) -> f64 {
+        let pace = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
+        card.entry.size.max(0.01) * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
+    }
+
+    /// What one more hit would bear at a pod: those ahead of it, at the pod's pace and present strength. An unknown
+    /// pace is taken to be the kind's: as the quickest of all, a new pod would be flooded while it is cold.
+    fn cost(&self, card: &Card, round: &Round) -> f64 {
+        let pace = card.pace.or(self.kinds.get(&card.entry.kind).copied()).unwrap_or(1.0);
+        let strength = card.entry.size.max(0.01) * round.figures.strength(card.entry.started, round.now);
+        let far = if card.entry.zone == round.figures.zone { 1.0 } else { 1.1 };
+        (card.open as f64 + 1.0) * pace.max(0.02) * far / strength
+    }
+
     /// No pod may have it now: it waits while an answer could still be worth something.
     fn wait(&mut self, hit: HitId, round: &mut Round) {
         let Some(open) = self.hits.get_mut(&hit) else { return };
@@ -625,7 +640,13 @@
         let usual = self.usual(ended.group, round);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
-            self.usual.insert(ended.group, usual * 0.95 + ended.outcome.took.as_secs_f64() * 0.05);
+            let took = ended.outcome.took.as_secs_f64();
+            self.usual.insert(ended.group, usual * 0.95 + took * 0.05);
+            if let Some(card) = self.cards.get(&ended.outcome.pod) {
+                let share = took / round.figures.line(ended.group).target.as_secs_f64();
+                let mean = self.kinds.entry(card.entry.kind).or_insert(share);
+                *mean = *mean * 0.98 + share * 0.02;
+            }
         }
         let hit = ended.outcome.hit;
         if !ended.open {
@@ -676,13 +697,6 @@
     }
 }
 
-/// What one more hit would bear at a pod: those ahead of it, at the pod's pace and present strength.
-fn cost(card: &Card, round: &Round) -> f64 {
-    let strength = card.entry.size.max(0.01) * round.figures.strength(card.entry.started, round.now);
-    let far = if card.entry.zone == round.figures.zone { 1.0 } else { 1.1 };
-    (card.open as f64 + 1.0) * card.pace.max(0.02) * far / strength
-}
-
 fn median(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -20,7 +20,7 @@
     CellId(u16),
     BuildId(u16)
 );
-ids!(ForwardNo(u16), StageNo(u8), TimerId(u64));
+ids!(ForwardNo(u16), StageNo(u8), TimerId(u64), KindId(u8));
 
 /// Whether a hit of a path group may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,6 +124,8 @@
     pub started: Option<Duration>,
     pub zone: ZoneId,
     pub cell: CellId,
+    /// The kind of machine.
+    pub kind: KindId,
 }
 
 #[derive(Clone, Debug)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -163,7 +163,8 @@
     pub entry: PodEntry,
     pub ready: bool,
     pub open: usize,
-    pub pace: f64,
+    /// Recent time taken, as a share of the target latency; unknown before the first answer.
+    pub pace: Option<f64>,
     pub usable: bool,
     /// Shut, but due for a hit that shows whether it is back.
     pub wants_proof: bool,
