--- a/src/choice.rs
+++ b/src/choice.rs
@@ -402,12 +402,8 @@
     }
 
     fn end_forward(&mut self, outcome: Outcome, round: &mut Round) {
-        let Some(account) = self.accounts.get_mut(&outcome.hit) else {
-            return;
-        };
-        let Some(sent) = account.forwards.get_mut(usize::from(outcome.no.0)) else {
-            return;
-        };
+        let Some(account) = self.accounts.get_mut(&outcome.hit) else { return };
+        let Some(sent) = account.forwards.get_mut(usize::from(outcome.no.0)) else { return };
         if sent.fate.is_some() {
             return;
         }
@@ -430,9 +426,7 @@
 
     /// A hit that is given up: bounced where a retry does no harm, errored elsewhere.
     fn answer(&mut self, hit: HitId, round: &mut Round) {
-        let Some(account) = self.accounts.get_mut(&hit).filter(|a| !a.over && !a.streams) else {
-            return;
-        };
+        let Some(account) = self.accounts.get_mut(&hit).filter(|a| !a.over && !a.streams) else { return };
         account.over = true;
         let ran = account.forwards.iter().any(Sent::may_have_run);
         let harmless = match round.figures.line(account.group).repeat {
@@ -450,9 +444,7 @@
 
     /// Calls off what is still out for a hit that is over, and closes its account once nothing is.
     fn tidy(&mut self, hit: HitId, round: &mut Round) {
-        let Some(account) = self.accounts.get(&hit).filter(|a| a.over) else {
-            return;
-        };
+        let Some(account) = self.accounts.get(&hit).filter(|a| a.over) else { return };
         let out: Vec<u16> =
             (0u16..).zip(&account.forwards).filter(|(_, f)| f.fate.is_none()).map(|(n, _)| n).collect();
         if out.is_empty() {
@@ -721,6 +713,8 @@
     old: Sample,
     /// Figures of the earlier build from before this stage.
     before: Sample,
+    /// Mean time of the earlier build by machine kind, as a share of the target latency.
+    kinds: BTreeMap<KindId, f64>,
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
@@ -782,13 +776,18 @@
             return;
         }
         // A cold pod's time is told as the least it would have been on a warm one.
-        let started = self.pods.get(&ended.outcome.pod).and_then(|p| p.started);
-        let strength = figures.strength(started, ended.sent);
+        let Some(entry) = self.pods.get(&ended.outcome.pod) else { return };
+        let strength = figures.strength(entry.started, ended.sent);
         let took =
             ended.outcome.took.as_secs_f64() / figures.line(ended.group).target.as_secs_f64() * strength;
-        let Some(sample) = self.sample(ended.build) else {
-            return;
-        };
+        // Like is compared with like: the machines on trial may be of a slower kind.
+        let earlier = self.news.is_some_and(|n| ended.build < n.build);
+        let mean = self.kinds.entry(entry.kind).or_insert(took);
+        if earlier && fate == Fate::Delivered {
+            *mean = *mean * 0.98 + took * 0.02;
+        }
+        let took = took / mean.max(0.001);
+        let Some(sample) = self.sample(ended.build) else { return };
         let count = sample.groups.entry(ended.group).or_default();
         // A reset is the mark of a dying pod, not of a build.
         let bad = usize::from(fate == Fate::Errored);
@@ -806,9 +805,7 @@
     }
 
     fn verdict(&self, now: Duration, clock: bool) -> Verdict {
-        let Some(news) = self.news else {
-            return Verdict::Withhold;
-        };
+        let Some(news) = self.news else { return Verdict::Withhold };
         if !matches!(news.phase, Phase::OnTrial | Phase::Released) {
             return Verdict::Withhold;
         }
@@ -855,7 +852,8 @@
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
         let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
-        usual < 0.25 && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
+        let calm = self.kinds.values().all(|mean| *mean < 0.35);
+        calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -257,7 +257,7 @@
     pub seen: usize,
     pub bad: usize,
     pub flagged: usize,
-    /// Times taken, scaled to a warm pod, as shares of the target latency.
+    /// Times taken, scaled to a warm pod and to what the earlier build takes on its kind of machine.
     pub times: Vec<f64>,
 }
 
