--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,7 +1,7 @@
 //! Hosts instances of the decision module on the simulator wire: translates, decides nothing.
 
-use limewing::choice::Sidecar;
 use limewing::interface::{Event, ListNews, PodEntry};
+use limewing::sidecar::Sidecar;
 use limewing_wire::{read_batch, start_terms, Batch, ListHow, Record, Reply, ReportFields, Trouble};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Write};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,16 +1,17 @@
 //! Every decision of limewing: which pod a hit goes to, what counts as evidence, when to vote, when to give up.
 //!
-//! How to call it: make one `Sidecar` for each instance with its start terms, then give every event to `handle`
-//! and carry out the actions it returns, in order. The words of both sides are in `interface`. Nothing else is
-//! read: the same events give the same actions.
+//! How to call it: make one `sidecar::Sidecar` for each instance with its start terms, then give every event to
+//! `handle` and carry out the actions it returns, in order. The words of both sides are in `interface`. Nothing
+//! else is read: the same events give the same actions.
 //!
-//! Inside, the parts (pods, desk, gate, judge, lister) talk only by notes in inboxes that one loop empties.
+//! Inside, the parts (pods, desk, gate, judge, lister) talk only by notes in inboxes that one
+//! loop (`sidecar`) empties.
 //! A hit's way: gate (taken) -> desk (pick) -> gate (the five rules) -> forward -> gate (outcome) -> pod, desk,
 //! judge. `docs/design.md` tells what is the design's and what is ours.
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{Rate, Window};
+use crate::ledger::{median, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,7 +20,7 @@
 mod tests;
 
 /// How often the one periodic timer fires.
-const BEAT: Duration = Duration::from_millis(20);
+pub const BEAT: Duration = Duration::from_millis(20);
 /// Evidence: the design's least sample and least time, and how long a stage may be held for it.
 const LEAST_SAMPLE: usize = 20;
 const LEAST_TIME: Duration = Duration::from_secs(3);
@@ -37,81 +38,15 @@
 const SPARE_PER_HIT: f64 = 0.15;
 const SPARE_MOST: f64 = 20.0;
 
-pub struct Sidecar {
-    round: Round,
-    pods: BTreeMap<PodId, Pod>,
-    desk: Desk,
-    gate: Gate,
-    judge: Judge,
-    lister: Lister,
-    next_beat: Duration,
-}
-
-impl Sidecar {
-    pub fn new(now: Duration, terms: StartTerms) -> Self {
-        Self {
-            round: Round::new(now, &terms),
-            pods: BTreeMap::new(),
-            desk: Desk::default(),
-            gate: Gate::default(),
-            judge: Judge::default(),
-            lister: Lister::default(),
-            next_beat: now,
-        }
-    }
-
-    pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
-        self.round.now = now;
-        for event in events {
-            self.round.deliver(event);
-            self.empty();
-        }
-        while let Some((to, note)) = self.round.due.take(now) {
-            self.round.mail.put(to, note);
-            self.empty();
-        }
-        if now >= self.next_beat {
-            self.next_beat = now + BEAT;
-            self.round.out.push(Action::Wake { at: self.next_beat, id: TimerId(0) });
-            let pods: Vec<PodId> = self.pods.keys().copied().collect();
-            pods.into_iter().for_each(|pod| self.round.mail.put(To::Pod(pod), Note::Beat));
-            self.round.tell([To::Gate, To::Desk, To::Judge], &Note::Beat);
-            self.empty();
-        }
-        std::mem::take(&mut self.round.out)
-    }
-
-    /// The one loop: hands each note to its addressee until all inboxes are empty.
-    fn empty(&mut self) {
-        while let Some((to, note)) = self.round.mail.take() {
-            let round = &mut self.round;
-            match to {
-                To::Pod(id) => match (self.pods.get_mut(&id), note) {
-                    (None, Note::Listed(entry)) => {
-                        let pod = self.pods.entry(id).or_insert(Pod::new(entry));
-                        pod.post_card(round);
-                    }
-                    (Some(pod), note) => pod.take(note, round),
-                    (None, _) => {}
-                },
-                To::Desk => self.desk.take(note, round),
-                To::Gate => self.gate.take(note, round),
-                To::Judge => self.judge.take(note, round),
-                To::Lister => self.lister.take(note, round),
-            }
-        }
-    }
-}
-
 /// Watches the list and tells pods, gate and judge what changed.
 #[derive(Default)]
-struct Lister {
+pub struct Lister {
     held: BTreeMap<PodId, PodEntry>,
     watched: bool,
 }
 
 impl Lister {
-    fn take(&mut self, note: Note, round: &mut Round) {
+    pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::List(ListNews::Change(rows)) => rows.into_iter().for_each(|row| self.tell(row, round)),
             Note::List(ListNews::Whole(rows) | ListNews::Remembered(rows)) => {
@@ -148,7 +83,7 @@
 }
 
 /// One pod as this sidecar sees it.
-struct Pod {
+pub struct Pod {
     entry: PodEntry,
     open: BTreeMap<(HitId, ForwardNo), Duration>,
     last_answer: Duration,
@@ -159,12 +94,12 @@
 }
 
 impl Pod {
-    fn new(entry: PodEntry) -> Self {
+    pub fn new(entry: PodEntry) -> Self {
         let (open, never) = (BTreeMap::new(), Duration::ZERO);
         Self { entry, open, last_answer: never, pace: None, strikes: 0, shuts: 0, shut_until: never }
     }
 
-    fn take(&mut self, note: Note, round: &mut Round) {
+    pub fn take(&mut self, note: Note, round: &mut Round) {
         let now = round.now;
         match note {
             Note::Listed(entry) => {
@@ -215,11 +150,7 @@
             // no sign of speed: a pod that fails at once would otherwise draw all hits.
             Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
                 self.strikes += 1;
-                let limit = match ended.outcome.fate {
-                    Fate::Errored => 3,
-                    Fate::TimedOut => 2,
-                    _ => 1,
-                };
+                let limit = if matches!(ended.outcome.fate, Fate::Errored | Fate::TimedOut) { 3 } else { 1 };
                 if self.strikes >= limit {
                     self.shut(now);
                 }
@@ -234,7 +165,7 @@
         self.shut_until = now + Duration::from_millis(250 << self.shuts);
     }
 
-    fn post_card(&mut self, round: &mut Round) {
+    pub fn post_card(&mut self, round: &mut Round) {
         let (now, ready) = (round.now, self.entry.state == PodState::Ready);
         let shut = !self.shut_until.is_zero();
         let card = Card {
@@ -251,7 +182,7 @@
 
 /// Keeps the five rules: every forward and every final answer passes here.
 #[derive(Default)]
-struct Gate {
+pub struct Gate {
     news: Option<StageNews>,
     places: BTreeMap<PodId, Place>,
     accounts: BTreeMap<HitId, Account>,
@@ -262,7 +193,7 @@
 }
 
 impl Gate {
-    fn take(&mut self, note: Note, round: &mut Round) {
+    pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Listed(entry) => {
                 self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry)).list(entry, round.now)
@@ -305,7 +236,7 @@
         if usize::from(hit.group.0) >= round.figures.lines.len() || self.accounts.contains_key(&hit.id) {
             return;
         }
-        let counter = counter(hit.group, &round.figures);
+        let counter = round.figures.counter(hit.group);
         self.taken.entry(counter).or_default().note(round.now);
         self.accounts.insert(hit.id, Account::of(&hit));
         round.mail.put(To::Desk, Note::Taken(hit));
@@ -352,12 +283,9 @@
             let lowest = self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min();
             return if lowest.is_some_and(|l| build > l) { unannounced } else { None };
         };
-        match build.cmp(&news.build) {
-            std::cmp::Ordering::Less => None,
-            std::cmp::Ordering::Equal if news.phase == Phase::Released => None,
-            std::cmp::Ordering::Equal => Some((news.cap, news.stage.0)),
-            std::cmp::Ordering::Greater => unannounced,
-        }
+        let settled = build < news.build || (build == news.build && news.phase == Phase::Released);
+        let told = if build == news.build { Some((news.cap, news.stage.0)) } else { unannounced };
+        told.filter(|_| !settled)
     }
 
     /// Rule 5. A lower cap is kept from the moment it is told, without the grace.
@@ -377,7 +305,7 @@
         if cap <= 0.0 || (stage < figures.guarded_stages && !repeatable) {
             return Err(Refusal::Exposed);
         }
-        let counter = counter(account.group, figures);
+        let counter = figures.counter(account.group);
         // Hits near the window's far edge are left out: they fall out of it before the forwards made for them.
         let sent = self.exposed.get(&(build, counter)).map_or(0, |w| w.since(round.ago(figures.cap_window)));
         let taken =
@@ -395,7 +323,7 @@
         account.forwards.push(Sent { pod, build, zone, cell, at: round.now, fate: None });
         place.sends.note(round.now);
         place.sends.forget(round.ago(round.figures.fall_within));
-        let counter = counter(group, &round.figures);
+        let counter = round.figures.counter(group);
         self.exposed.entry((build, counter)).or_default().note(round.now);
         round.out.push(Action::Forward { hit, pod, within: Duration::ZERO });
         round.tell([To::Pod(pod), To::Desk], &Note::Sent { hit, no, pod });
@@ -445,21 +373,15 @@
     /// Calls off what is still out for a hit that is over, and closes its account once nothing is.
     fn tidy(&mut self, hit: HitId, round: &mut Round) {
         let Some(account) = self.accounts.get(&hit).filter(|a| a.over) else { return };
-        let out: Vec<u16> =
-            (0u16..).zip(&account.forwards).filter(|(_, f)| f.fate.is_none()).map(|(n, _)| n).collect();
+        let out = account.still_out();
         if out.is_empty() {
             self.accounts.remove(&hit);
         } else if round.figures.may_cancel && !account.streams {
-            out.into_iter().for_each(|n| round.out.push(Action::Cancel { hit, no: ForwardNo(n) }));
+            out.into_iter().for_each(|no| round.out.push(Action::Cancel { hit, no }));
         }
     }
 }
 
-/// Which count of the exposure rule a path group belongs to.
-fn counter(group: GroupId, figures: &Figures) -> usize {
-    usize::from(if figures.cap_by_group { group.0 } else { 0 })
-}
-
 /// Rule 2: a second effect is possible only where an earlier forward may have run.
 fn allow_repeat(account: &Account, to: &PodEntry, round: &Round) -> Result<(), Refusal> {
     if !round.figures.second_copies && account.forwards.iter().any(|f| f.fate.is_none()) {
@@ -469,21 +391,16 @@
     let fine = match round.figures.line(account.group).repeat {
         Repeat::Repeatable => true,
         Repeat::Mutating => ran.next().is_none(),
-        Repeat::Tagged { drops_repeats, memory } => ran.all(|f| {
-            let reached = match drops_repeats {
-                Reach::All => true,
-                Reach::Zone => f.zone == to.zone,
-                Reach::Cell => f.cell == to.cell,
-            };
-            reached && round.now < f.at + memory
-        }),
+        Repeat::Tagged { drops_repeats, memory } => {
+            ran.all(|f| f.remembered_by(to, drops_repeats) && round.now < f.at + memory)
+        }
     };
     fine.then_some(()).ok_or(Refusal::MayHaveRun)
 }
 
 /// Holds the open hits and picks pods for them.
 #[derive(Default)]
-struct Desk {
+pub struct Desk {
     cards: BTreeMap<PodId, Card>,
     hits: BTreeMap<HitId, OpenHit>,
     news: Option<StageNews>,
@@ -496,7 +413,7 @@
 }
 
 impl Desk {
-    fn take(&mut self, note: Note, round: &mut Round) {
+    pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Taken(hit) => self.arrive(hit, round),
             Note::Card(card) => {
@@ -689,11 +606,6 @@
     }
 }
 
-fn median(mut values: Vec<f64>) -> Option<f64> {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
-}
-
 /// Whether `new` is worse than `old` by more than `margin` and more than chance explains; both (bad, seen).
 fn worse(new: (usize, usize), old: (usize, usize), margin: f64) -> bool {
     let share =
@@ -705,7 +617,7 @@
 
 /// Gathers evidence on the build on trial and votes.
 #[derive(Default)]
-struct Judge {
+pub struct Judge {
     news: Option<StageNews>,
     since: Duration,
     pods: BTreeMap<PodId, PodEntry>,
@@ -721,7 +633,7 @@
 }
 
 impl Judge {
-    fn take(&mut self, note: Note, round: &mut Round) {
+    pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Listed(entry) => {
                 self.pods.insert(entry.pod, entry);
@@ -731,8 +643,7 @@
             Note::Flagged { pod, group } => {
                 let build = self.pods.get(&pod).map(|p| p.build);
                 if let Some(sample) = build.and_then(|build| self.sample(build)) {
-                    sample.groups.entry(group).or_default().flagged += 1;
-                    sample.pods.entry(pod).or_default().flagged += 1;
+                    sample.flag(group, pod);
                 }
             }
             Note::VoteAnswered(answer) => {
@@ -762,11 +673,8 @@
 
     fn sample(&mut self, build: BuildId) -> Option<&mut Sample> {
         let news = self.news?;
-        match build.cmp(&news.build) {
-            std::cmp::Ordering::Less => Some(&mut self.old),
-            std::cmp::Ordering::Equal => Some(&mut self.new),
-            std::cmp::Ordering::Greater => None,
-        }
+        let sample = if build < news.build { &mut self.old } else { &mut self.new };
+        (build <= news.build).then_some(sample)
     }
 
     fn count(&mut self, ended: &Ended, figures: &Figures) {
@@ -788,15 +696,9 @@
         }
         let took = took / mean.max(0.001);
         let Some(sample) = self.sample(ended.build) else { return };
-        let count = sample.groups.entry(ended.group).or_default();
         // A reset is the mark of a dying pod, not of a build.
-        let bad = usize::from(fate == Fate::Errored);
-        (count.seen, count.bad) = (count.seen + 1, count.bad + bad);
-        let by_pod = sample.pods.entry(ended.outcome.pod).or_default();
-        (by_pod.seen, by_pod.bad) = (by_pod.seen + 1, by_pod.bad + bad);
-        if fate == Fate::Delivered {
-            by_pod.times.push(took);
-        }
+        let time = (fate == Fate::Delivered).then_some(took);
+        sample.count(ended.group, ended.outcome.pod, fate == Fate::Errored, time);
     }
 
     fn trial_pods(&self) -> impl Iterator<Item = &PodEntry> {
@@ -873,12 +775,9 @@
         if same || self.asked.is_some() || now < self.not_before {
             return;
         }
-        let (n, o) = (self.new.all(), self.old.all());
         if verdict == Verdict::Back {
-            let times = |s: &Sample| (median(s.times()).unwrap_or_default(), s.times().len());
-            let told =
-                format!("{n:?} against {o:?}; times {:?} against {:?}", times(&self.new), times(&self.old));
-            let line = format!("back: build {} stage {}: {told}", news.build.0, news.stage.0);
+            let (build, stage) = (news.build.0, news.stage.0);
+            let line = format!("back: build {build} stage {stage}: {} against {}", self.new, self.old);
             round.out.push(Action::Log(line));
         }
         let (build, stage) = (news.build, news.stage);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -98,6 +98,11 @@
         &self.lines[usize::from(group.0)]
     }
 
+    /// Which count of the exposure rule a path group belongs to.
+    pub fn counter(&self, group: GroupId) -> usize {
+        usize::from(if self.cap_by_group { group.0 } else { 0 })
+    }
+
     /// How strong a pod surely is by now: cold ones grow at least evenly from a share to the whole.
     pub fn strength(&self, started: Option<Duration>, now: Duration) -> f64 {
         let Some(started) = started else { return 1.0 };
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// The middle one of some values.
+pub fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 /// A rate in events a second, smoothed over about `over`.
 #[derive(Clone, Copy, Default)]
 pub struct Rate {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod interface;
 pub mod ledger;
 pub mod notes;
+pub mod sidecar;
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -3,9 +3,10 @@
 use crate::figures::Figures;
 use crate::inbox::Inboxes;
 use crate::interface::*;
-use crate::ledger::{DueTimes, Window};
+use crate::ledger::{median, DueTimes, Window};
 use nanorand::{Rng, WyRand};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 /// The parts that have an inbox.
@@ -185,6 +186,11 @@
         let (group, key, due) = (hit.group, hit.key, hit.due);
         Self { group, key, due, forwards: Vec::new(), over: false, streams: false }
     }
+
+    pub fn still_out(&self) -> Vec<ForwardNo> {
+        let numbered = (0u16..).zip(&self.forwards);
+        numbered.filter(|(_, f)| f.fate.is_none()).map(|(n, _)| ForwardNo(n)).collect()
+    }
 }
 
 pub struct Sent {
@@ -197,6 +203,15 @@
 }
 
 impl Sent {
+    /// Whether `pod` knows of this forward if it ran, so that it drops a repeat.
+    pub fn remembered_by(&self, pod: &PodEntry, reach: Reach) -> bool {
+        match reach {
+            Reach::All => true,
+            Reach::Zone => self.zone == pod.zone,
+            Reach::Cell => self.cell == pod.cell,
+        }
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.fate.is_none_or(|fate| !fate.never_ran())
     }
@@ -277,11 +292,37 @@
         })
     }
 
+    pub fn count(&mut self, group: GroupId, pod: PodId, bad: bool, time: Option<f64>) {
+        let (count, by_pod) = (self.groups.entry(group).or_default(), self.pods.entry(pod).or_default());
+        (count.seen, by_pod.seen) = (count.seen + 1, by_pod.seen + 1);
+        (count.bad, by_pod.bad) = (count.bad + usize::from(bad), by_pod.bad + usize::from(bad));
+        by_pod.times.extend(time);
+    }
+
+    pub fn flag(&mut self, group: GroupId, pod: PodId) {
+        self.groups.entry(group).or_default().flagged += 1;
+        self.pods.entry(pod).or_default().flagged += 1;
+    }
+
     pub fn times(&self) -> Vec<f64> {
         self.pods.values().flat_map(|p| &p.times).copied().collect()
     }
 }
 
+impl fmt::Display for Sample {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (all, times) = (self.all(), self.times());
+        write!(f, "{} bad and {} flagged of {}", all.bad, all.flagged, all.seen)?;
+        write!(
+            f,
+            " on {} pods, median {:.2} of {}",
+            self.pods.len(),
+            median(times.clone()).unwrap_or(0.0),
+            times.len()
+        )
+    }
+}
+
 /// A vote as it was sent.
 #[derive(Clone, Copy, PartialEq)]
 pub struct Vote {
--- /dev/null
+++ b/src/sidecar.rs
@@ -0,0 +1,74 @@
+//! One sidecar: its parts, and the loop that empties their inboxes. The parts decide, in `choice`.
+
+use crate::choice::{Desk, Gate, Judge, Lister, Pod, BEAT};
+use crate::interface::*;
+use crate::notes::{Note, Round, To};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub struct Sidecar {
+    round: Round,
+    pods: BTreeMap<PodId, Pod>,
+    desk: Desk,
+    gate: Gate,
+    judge: Judge,
+    lister: Lister,
+    next_beat: Duration,
+}
+
+impl Sidecar {
+    pub fn new(now: Duration, terms: StartTerms) -> Self {
+        Self {
+            round: Round::new(now, &terms),
+            pods: BTreeMap::new(),
+            desk: Desk::default(),
+            gate: Gate::default(),
+            judge: Judge::default(),
+            lister: Lister::default(),
+            next_beat: now,
+        }
+    }
+
+    /// Takes the events of one moment, in order, and tells what to do, in order.
+    pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        self.round.now = now;
+        for event in events {
+            self.round.deliver(event);
+            self.empty();
+        }
+        while let Some((to, note)) = self.round.due.take(now) {
+            self.round.mail.put(to, note);
+            self.empty();
+        }
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT;
+            self.round.out.push(Action::Wake { at: self.next_beat, id: TimerId(0) });
+            let pods: Vec<PodId> = self.pods.keys().copied().collect();
+            pods.into_iter().for_each(|pod| self.round.mail.put(To::Pod(pod), Note::Beat));
+            self.round.tell([To::Gate, To::Desk, To::Judge], &Note::Beat);
+            self.empty();
+        }
+        std::mem::take(&mut self.round.out)
+    }
+
+    /// The one loop: hands each note to its addressee until all inboxes are empty.
+    fn empty(&mut self) {
+        while let Some((to, note)) = self.round.mail.take() {
+            let round = &mut self.round;
+            match to {
+                To::Pod(id) => match (self.pods.get_mut(&id), note) {
+                    (None, Note::Listed(entry)) => {
+                        let pod = self.pods.entry(id).or_insert(Pod::new(entry));
+                        pod.post_card(round);
+                    }
+                    (Some(pod), note) => pod.take(note, round),
+                    (None, _) => {}
+                },
+                To::Desk => self.desk.take(note, round),
+                To::Gate => self.gate.take(note, round),
+                To::Judge => self.judge.take(note, round),
+                To::Lister => self.lister.take(note, round),
+            }
+        }
+    }
+}
