--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -1,1 +1,268 @@
+//! Each test builds the state that it needs and calls one function.
 
+use super::*;
+use rstest::rstest;
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn group(repeat: Repeat) -> PathGroup {
+    let (target_latency, client_timeout) = (at(1.0), at(3.0));
+    PathGroup { repeat, target_latency, client_timeout, benefit: 1.0, late_benefit: 0.0, streamed: false }
+}
+
+const TAGGED: Repeat = Repeat::Tagged { drops_repeats: Reach::Zone, memory: Duration::from_secs(2) };
+
+/// Path groups: 0 repeatable, 1 tagged within a zone, 2 mutating.
+fn terms() -> StartTerms {
+    StartTerms {
+        seed: 7,
+        sidecars: 2,
+        zone: ZoneId(0),
+        groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
+        customers: Vec::new(),
+        over_quota_worth: 0.1,
+        list_on_request: false,
+        may_probe: false,
+        may_cancel: true,
+        second_copies: true,
+        retry_after: None,
+        max_forwards: 3,
+        rules: RuleTerms {
+            answer_slack: at(0.02),
+            drain_grace: at(1.0),
+            cold_from: 0.4,
+            cold_for: at(4.0),
+            fall_multiple: 2.0,
+            fall_within: at(2.0),
+            ask_list_within: at(10.0),
+        },
+        release: ReleaseTerms {
+            control: Control::Clock,
+            stage_shares: vec![0.1, 1.0],
+            caps: vec![0.2, 1.0],
+            cap_window: at(2.0),
+            cap_free: 1.0,
+            cap_by_group: false,
+            guarded_stages: 1,
+            keys_stay: true,
+            step_after: at(4.0),
+            vote_life: at(4.0),
+            vote_answer_within: at(1.0),
+            flagged_share: 0.0,
+        },
+    }
+}
+
+fn round(now: f64) -> Round {
+    let mut round = Round::new(Duration::ZERO, &terms());
+    round.now = at(now);
+    round
+}
+
+fn pod(id: u64, build: u16) -> PodEntry {
+    let (pod, zone, cell) = (PodId(id), ZoneId(id as u16 % 2), CellId(0));
+    let (build, kind, state) = (BuildId(build), KindId(0), PodState::Ready);
+    PodEntry { pod, state, build, size: 1.0, started: None, zone, cell, kind }
+}
+
+fn news(phase: Phase, cap: f64) -> StageNews {
+    StageNews { build: BuildId(2), stage: StageNo(0), phase, cap, age: Duration::ZERO }
+}
+
+/// A gate with pods 0 to 2 on build 1 and pod 3 on build 2, and hit 0 of a path group, due at 9 s.
+fn gate(of: u16, phase: Phase, cap: f64) -> Gate {
+    let mut gate = Gate { news: Some(news(phase, cap)), ..Gate::default() };
+    for entry in [pod(0, 1), pod(1, 1), pod(2, 1), pod(3, 2)] {
+        gate.places.insert(entry.pod, Place::of(&entry));
+    }
+    let hit = Hit { id: HitId(0), group: GroupId(of), customer: None, key: Some(KeyId(5)), due: at(9.0) };
+    gate.accounts.insert(hit.id, Account::of(&hit));
+    gate
+}
+
+fn sent(to: PodEntry, when: f64, fate: Option<Fate>) -> Sent {
+    Sent { pod: to.pod, build: to.build, zone: to.zone, cell: to.cell, at: at(when), fate }
+}
+
+#[rstest]
+#[case::late(9.0, false, Err(Refusal::Over))]
+#[case::over(1.0, true, Err(Refusal::Over))]
+#[case::open(1.0, false, Ok(()))]
+fn nothing_is_sent_after_the_end(#[case] now: f64, #[case] over: bool, #[case] want: Result<(), Refusal>) {
+    let mut gate = gate(0, Phase::Released, 1.0);
+    gate.accounts.get_mut(&HitId(0)).unwrap().over = over;
+    assert_eq!(gate.allow(HitId(0), PodId(0), &round(now)), want);
+}
+
+#[rstest]
+#[case::mutating_out(2, None, 0, 1.0, false)]
+#[case::mutating_timed_out(2, Some(Fate::TimedOut), 0, 1.0, false)]
+#[case::mutating_never_ran(2, Some(Fate::TurnedAway), 0, 1.0, true)]
+#[case::tagged_same_zone(1, Some(Fate::TimedOut), 2, 1.0, true)]
+#[case::tagged_other_zone(1, Some(Fate::TimedOut), 1, 1.0, false)]
+#[case::tagged_memory_lapsed(1, Some(Fate::TimedOut), 2, 2.6, false)]
+#[case::repeatable(0, Some(Fate::Errored), 1, 2.6, true)]
+fn no_effect_happens_twice(
+    #[case] of: u16,
+    #[case] fate: Option<Fate>,
+    #[case] to: u64,
+    #[case] now: f64,
+    #[case] allowed: bool,
+) {
+    let mut gate = gate(of, Phase::Released, 1.0);
+    gate.accounts.get_mut(&HitId(0)).unwrap().forwards.push(sent(pod(0, 1), 0.5, fate));
+    assert_eq!(gate.allow(HitId(0), PodId(to), &round(now)).is_ok(), allowed);
+}
+
+#[test]
+fn a_hit_that_may_have_run_is_errored_not_bounced() {
+    let (mut gate, mut round) = (gate(2, Phase::Released, 1.0), round(1.0));
+    gate.accounts.get_mut(&HitId(0)).unwrap().forwards.push(sent(pod(0, 1), 0.5, Some(Fate::TimedOut)));
+    gate.answer(HitId(0), &mut round);
+    assert_eq!(round.out, [Action::Fail { hit: HitId(0) }]);
+}
+
+#[rstest]
+#[case::in_grace(1.9, Ok(()))]
+#[case::after(2.1, Err(Refusal::Drained))]
+fn a_draining_pod_gets_nothing_after_the_grace(#[case] now: f64, #[case] want: Result<(), Refusal>) {
+    let mut gate = gate(0, Phase::Released, 1.0);
+    gate.places.get_mut(&PodId(0)).unwrap().ended = Some(at(1.0));
+    assert_eq!(gate.allow(HitId(0), PodId(0), &round(now)), want);
+}
+
+#[rstest]
+#[case::just_started(8.9, 9, Err(Refusal::Cold))]
+#[case::half_warm(7.0, 9, Ok(()))]
+#[case::warm(1.0, 99, Ok(()))]
+fn a_cold_pod_gets_its_part_only(
+    #[case] started: f64,
+    #[case] sent: usize,
+    #[case] want: Result<(), Refusal>,
+) {
+    let (mut gate, mut round) = (gate(0, Phase::Released, 1.0), round(0.0));
+    for n in 0..200 {
+        gate.answered.add(at(0.05 * f64::from(n)), RATE_OVER);
+    }
+    round.now = at(8.95);
+    let place = gate.places.get_mut(&PodId(0)).unwrap();
+    place.entry.started = Some(at(started));
+    (0..sent).for_each(|_| place.sends.note(at(8.9)));
+    assert_eq!(gate.allow(HitId(0), PodId(0), &round), want);
+}
+
+#[rstest]
+#[case::within(Phase::OnTrial, 0.5, 4, Ok(()))]
+#[case::spent(Phase::OnTrial, 0.5, 6, Err(Refusal::Exposed))]
+#[case::going_back(Phase::GoingBack, 0.0, 0, Err(Refusal::Exposed))]
+#[case::released(Phase::Released, 0.0, 99, Ok(()))]
+fn exposure_stays_under_the_cap(
+    #[case] phase: Phase,
+    #[case] cap: f64,
+    #[case] before: usize,
+    #[case] want: Result<(), Refusal>,
+) {
+    let mut gate = gate(0, phase, cap);
+    (0..10).for_each(|_| gate.taken.entry(0).or_default().note(at(1.0)));
+    (0..before).for_each(|_| gate.exposed.entry((BuildId(2), 0)).or_default().note(at(1.0)));
+    assert_eq!(gate.allow(HitId(0), PodId(3), &round(1.5)), want);
+}
+
+#[test]
+fn a_build_without_news_counts_as_in_the_first_stage() {
+    let gate = Gate { news: None, ..gate(0, Phase::OnTrial, 1.0) };
+    assert_eq!(gate.cap(BuildId(2), &round(1.0).figures), Some((0.2, 0)));
+}
+
+#[test]
+fn a_guarded_stage_takes_repeatable_hits_only() {
+    assert_eq!(gate(1, Phase::OnTrial, 1.0).allow(HitId(0), PodId(3), &round(1.0)), Err(Refusal::Exposed));
+}
+
+#[test]
+fn a_key_that_met_the_new_build_stays_there() {
+    let mut gate = gate(0, Phase::OnTrial, 1.0);
+    gate.met.insert(KeyId(5), BuildId(2));
+    assert_eq!(gate.allow(HitId(0), PodId(0), &round(1.0)), Err(Refusal::KeyStays));
+}
+
+/// A judge on build 2 with pods 3 and 5 on trial; each entry is (pod, errors, outcomes, time).
+fn judge(new: &[(u64, usize, usize, f64)], old: (usize, usize, f64)) -> Judge {
+    let mut judge = Judge { news: Some(news(Phase::OnTrial, 0.2)), ..Judge::default() };
+    let fill = |sample: &mut Sample, (id, bad, seen, time): (u64, usize, usize, f64)| {
+        (0..seen).for_each(|n| sample.count(GroupId(0), PodId(id), n < bad, Some(time)));
+    };
+    new.iter().for_each(|part| fill(&mut judge.new, *part));
+    fill(&mut judge.old, (0, old.0, old.1, old.2));
+    [pod(0, 1), pod(3, 2), pod(5, 2)].map(|entry| judge.pods.insert(entry.pod, entry));
+    judge
+}
+
+#[rstest]
+#[case::sound(&[(3, 0, 30, 0.1), (5, 0, 30, 0.1)], (0, 200, 0.1), Verdict::Withhold)]
+#[case::errs(&[(3, 8, 30, 0.1), (5, 9, 30, 0.1)], (1, 200, 0.1), Verdict::Back)]
+#[case::both_builds_err(&[(3, 8, 30, 0.1), (5, 9, 30, 0.1)], (60, 200, 0.1), Verdict::Withhold)]
+#[case::one_sick_pod(&[(3, 28, 30, 0.1), (5, 0, 30, 0.1)], (0, 200, 0.1), Verdict::Withhold)]
+#[case::slow(&[(3, 0, 30, 0.4), (5, 0, 30, 0.4)], (0, 200, 0.1), Verdict::Back)]
+#[case::one_slow_pod(&[(3, 0, 40, 0.9), (5, 0, 30, 0.1)], (0, 200, 0.1), Verdict::Withhold)]
+#[case::slow_with_no_earlier_build(&[(3, 0, 30, 0.4), (5, 0, 30, 0.4)], (0, 0, 0.1), Verdict::Withhold)]
+#[case::few(&[(3, 5, 9, 0.1), (5, 5, 9, 0.1)], (0, 200, 0.1), Verdict::Withhold)]
+fn the_judge_sends_back_what_is_bad_on_most_pods(
+    #[case] new: &[(u64, usize, usize, f64)],
+    #[case] old: (usize, usize, f64),
+    #[case] want: Verdict,
+) {
+    assert_eq!(judge(new, old).verdict(at(30.0), true), want);
+}
+
+#[rstest]
+#[case::short(2.0, true, Verdict::Hold)]
+#[case::held_long_enough(30.0, true, Verdict::Withhold)]
+#[case::no_clock(2.0, false, Verdict::Withhold)]
+fn a_short_sample_holds_the_clock(#[case] now: f64, #[case] clock: bool, #[case] want: Verdict) {
+    assert_eq!(judge(&[(3, 0, 5, 0.1)], (0, 200, 0.1)).verdict(at(now), clock), want);
+}
+
+#[test]
+fn a_standing_vote_is_not_repeated() {
+    let (mut judge, mut round) = (judge(&[(3, 0, 5, 0.1)], (0, 200, 0.1)), round(1.0));
+    let (build, stage) = (BuildId(2), StageNo(0));
+    judge.standing = Some(Vote { verdict: Verdict::Hold, build, stage, at: at(0.5) });
+    judge.vote(&mut round);
+    assert_eq!(round.out, []);
+}
+
+fn ended(fate: Fate) -> Ended {
+    let (hit, no, pod, took) = (HitId(0), ForwardNo(0), PodId(0), at(0.002));
+    let outcome = Outcome { hit, no, pod, fate, took, over: false, load: LoadReport::default() };
+    Ended { outcome, group: GroupId(0), build: BuildId(1), sent: at(1.0), open: true }
+}
+
+#[test]
+fn a_pod_that_fails_at_once_is_shut_and_not_taken_for_quick() {
+    let (mut pod, round) = (Pod::new(pod(0, 1)), round(1.0));
+    (0..3).for_each(|_| pod.learn(&ended(Fate::Errored), &round));
+    assert!(pod.shut_until > round.now && pod.pace.is_none());
+}
+
+#[rstest]
+#[case::still_silent(None, true)]
+#[case::answered(Some(Fate::Delivered), false)]
+#[case::called_off(Some(Fate::Cancelled), true)]
+fn a_quiet_pod_stays_shut_until_it_answers(#[case] fate: Option<Fate>, #[case] shut: bool) {
+    let (mut pod, mut round) = (Pod::new(pod(0, 1)), round(9.0));
+    pod.open.insert((HitId(0), ForwardNo(0)), at(1.0));
+    pod.take(Note::Beat, &mut round);
+    fate.into_iter().for_each(|fate| pod.take(Note::Ended(ended(fate)), &mut round));
+    assert_eq!(!pod.shut_until.is_zero(), shut);
+}
+
+#[test]
+fn a_new_pod_of_unknown_pace_is_not_the_cheapest() {
+    let (mut desk, round) = (Desk::default(), round(1.0));
+    desk.kinds.insert(KindId(0), 0.3);
+    let card = |pace| Card { entry: pod(0, 1), ready: true, open: 0, pace, usable: true, wants_proof: false };
+    assert!(desk.cost(&card(None), &round) > desk.cost(&card(Some(0.2)), &round));
+}
