--- a/src/choice.rs
+++ b/src/choice.rs
@@ -123,7 +123,9 @@
             Note::Beat => {
                 // Takes hits and answers none, whatever the cause: shut until it answers again.
                 let oldest = self.open.values().min().copied();
-                let usual = round.figures.tightest * (0.15 + 3.0 * self.pace.unwrap_or(0.3).max(0.05));
+                // With few hits open a heavy one explains the silence, with many it does not.
+                let few = 1.0 + 2.0 / self.open.len().max(1) as f64;
+                let usual = round.figures.tightest * (0.15 + 2.0 * self.pace.unwrap_or(0.3).max(0.05)) * few;
                 let patience = Duration::from_secs_f64(usual);
                 let quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + patience);
                 if quiet && self.shut_until.is_zero() {
