--- a/src/choice.rs
+++ b/src/choice.rs
@@ -741,7 +741,8 @@
     fn shows(&self, enough: usize, sign: impl Fn(&ByPod) -> bool) -> bool {
         let told: Vec<bool> = self.new.pods.values().filter(|p| p.seen >= enough).map(sign).collect();
         let on = told.iter().filter(|s| **s).count();
-        2 * on > told.len() && on >= self.trial_pods().count().min(2)
+        let pods = self.trial_pods().count();
+        2 * on > told.len() && on >= pods.min(2) && 2 * told.len() >= pods
     }
 
     /// Slower by more than chance explains, on two pods or more, and only beside an earlier build that bears the
