--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, Rate, Window};
+use crate::ledger::{median, quantile, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -754,11 +754,13 @@
             return false;
         }
         let noise = 2.0 * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
+        // Queues lengthen the longer times only, and few pods queue sooner; a slow build lengthens all.
+        let low = quantile(new.clone(), 0.25) > quantile(old.clone(), 0.25).map(|time| time * SLOW_MARGIN);
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
         let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
         let calm = self.kinds.values().all(|mean| *mean < 0.35);
-        calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
+        calm && low && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -58,10 +58,14 @@
     }
 }
 
-/// The middle one of some values.
-pub fn median(mut values: Vec<f64>) -> Option<f64> {
+/// The value that a share of all lie under.
+pub fn quantile(mut values: Vec<f64>, share: f64) -> Option<f64> {
     values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
+    values.get((values.len() as f64 * share) as usize).copied()
+}
+
+pub fn median(values: Vec<f64>) -> Option<f64> {
+    quantile(values, 0.5)
 }
 
 /// A rate in events a second, smoothed over about `over`.
