--- a/src/choice.rs
+++ b/src/choice.rs
@@ -765,7 +765,7 @@
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
         let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
-        let calm = self.kinds.values().all(|mean| *mean < 0.35);
+        let calm = self.kinds.values().all(|mean| *mean < 0.25);
         calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
