--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, Rate, Window};
+use crate::ledger::{median, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -208,11 +208,7 @@
                 Err(why) => round.mail.put(To::Desk, Note::Refused { hit, pod, why }),
             },
             Note::Back(outcome) => self.end_forward(outcome, round),
-            Note::Streams(hit) => {
-                if let Some(account) = self.accounts.get_mut(&hit) {
-                    account.streams = true;
-                }
-            }
+            Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
             Note::End(hit) => self.answer(hit, round),
             Note::Call(hit, no) => {
                 let open = self.accounts.get(&hit).is_some_and(|a| !a.streams);
@@ -420,9 +416,7 @@
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Taken(hit) => self.arrive(hit, round),
-            Note::Card(card) => {
-                self.cards.insert(card.entry.pod, card);
-            }
+            Note::Card(card) => drop(self.cards.insert(card.entry.pod, card)),
             Note::Refused { hit, pod, why } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
                 open.refused.push(pod);
@@ -443,9 +437,7 @@
             Note::Ended(ended) => self.end_forward(ended, round),
             Note::Doubt(hit, no, pod) => self.doubt(hit, no, pod, round),
             Note::Retry(hit) => self.place(hit, round),
-            Note::Over(hit) => {
-                self.hits.remove(&hit);
-            }
+            Note::Over(hit) => drop(self.hits.remove(&hit)),
             Note::Stage(news) => self.news = Some(news),
             _ => {}
         }
@@ -635,8 +627,10 @@
     old: Sample,
     /// Figures of the earlier build from before this stage.
     before: Sample,
-    /// Mean time of the earlier build by machine kind, as a share of the target latency.
-    kinds: BTreeMap<KindId, f64>,
+    /// Mean time by machine kind while no build is on trial, as a share of the target latency.
+    kinds: BTreeMap<KindId, Mean>,
+    /// Median times of the earlier build: before the trial, then in each of its stages that ended.
+    rungs: Vec<f64>,
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
@@ -645,9 +639,7 @@
 impl Judge {
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
-            Note::Listed(entry) => {
-                self.pods.insert(entry.pod, entry);
-            }
+            Note::Listed(entry) => drop(self.pods.insert(entry.pod, entry)),
             Note::Stage(news) => self.enter(news, round.now),
             Note::Ended(ended) => self.count(&ended, &round.figures),
             Note::Flagged { pod, group } => {
@@ -673,8 +665,14 @@
         let same =
             self.news.is_some_and(|n| (n.build, n.stage, n.phase) == (news.build, news.stage, news.phase));
         if !same {
-            if self.old.all().seen >= LEAST_SAMPLE {
-                self.before = std::mem::take(&mut self.old);
+            let next = self.news.is_some_and(|n| n.build != news.build);
+            let base = if next { &mut self.new } else { &mut self.old };
+            if next {
+                self.rungs.clear();
+            }
+            if base.all().seen >= LEAST_SAMPLE {
+                self.rungs.extend(median(base.times()));
+                self.before = std::mem::take(base);
             }
             (self.new, self.old, self.since) = (Sample::default(), Sample::default(), now);
         }
@@ -699,15 +697,16 @@
         let took =
             ended.outcome.took.as_secs_f64() / figures.line(ended.group).target.as_secs_f64() * strength;
         // Like is compared with like: the machines on trial may be of a slower kind.
+        let calm = self.news.is_none_or(|n| n.phase != Phase::OnTrial);
         let earlier = self.news.is_some_and(|n| ended.build < n.build);
-        let mean = self.kinds.entry(entry.kind).or_insert(took);
-        if earlier && fate == Fate::Delivered {
-            *mean = *mean * 0.98 + took * 0.02;
+        let mean = self.kinds.entry(entry.kind).or_default();
+        if fate == Fate::Delivered && (calm || (earlier && mean.of < 50)) {
+            mean.add(took, 50);
         }
-        let took = took / mean.max(0.001);
+        let took = (mean.of >= LEAST_SAMPLE).then(|| took / mean.value.max(0.001));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
-        let time = (fate == Fate::Delivered).then_some(took);
+        let time = took.filter(|_| fate == Fate::Delivered);
         sample.count(ended.group, ended.outcome.pod, fate == Fate::Errored, time);
     }
 
@@ -742,6 +741,7 @@
         (errs && self.shows(5, |p| p.bad > 0))
             || (wrong && self.shows(5, |p| p.flagged > 0))
             || self.is_slow()
+            || self.drags()
     }
 
     /// Whether a sign shows on most of the trial's pods that have told enough, and on two unless there is but one:
@@ -765,10 +765,19 @@
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
         let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
-        let calm = self.kinds.values().all(|mean| *mean < 0.25);
+        let calm = usual < 2.0 && self.kinds.values().all(|mean| mean.value < 0.25);
         calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
+    /// The earlier build slows in step with the trial's share, stage by stage: a build that burdens something that
+    /// all share. One step may be anything else; two in a row at the trial's own moments are the build's.
+    fn drags(&self) -> bool {
+        let [.., first, second] = self.rungs[..] else { return false };
+        let told = self.old.times().len() >= 2 * LEAST_SAMPLE;
+        let now = median(self.old.times()).unwrap_or_default();
+        told && second > 1.2 * first && now > 1.2 * second && now > 1.7 * first
+    }
+
     /// Calls only on a changed verdict or a lapsing vote.
     fn vote(&mut self, round: &mut Round) {
         let Some(news) = self.news else { return };
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -68,6 +68,20 @@
     quantile(values, 0.5)
 }
 
+/// A mean that forgets: of all values at first, then of about the last so many.
+#[derive(Clone, Copy, Default)]
+pub struct Mean {
+    pub value: f64,
+    pub of: usize,
+}
+
+impl Mean {
+    pub fn add(&mut self, value: f64, last: usize) {
+        self.of += 1;
+        self.value += (value - self.value) / self.of.min(last) as f64;
+    }
+}
+
 /// A rate in events a second, smoothed over about `over`.
 #[derive(Clone, Copy, Default)]
 pub struct Rate {
