--- a/src/choice.rs
+++ b/src/choice.rs
@@ -504,7 +504,7 @@
         // crowded trial go to the base, so that clients don't wait and the judge compares like with like.
         let least = |side: bool| {
             let cards = self.cards.values().filter(|c| c.usable && on_trial(c) == side);
-            cards.map(|c| (c.open as f64 + 1.0) / self.strength(c, round)).fold(f64::MAX, f64::min)
+            cards.map(|c| (c.open as f64 + 1.0) / c.entry.size.max(0.01)).fold(f64::MAX, f64::min)
         };
         let want_trial = !open.no_trial && draw < share && least(true) < CROWDED * least(false);
         let pick = cheapest(&|c| first && c.wants_proof && !on_trial(c))
@@ -775,7 +775,8 @@
         let [.., first, second] = self.rungs[..] else { return false };
         let told = self.old.times().len() >= 2 * LEAST_SAMPLE;
         let now = median(self.old.times()).unwrap_or_default();
-        told && second > 1.2 * first && now > 1.2 * second && now > 1.7 * first
+        let both = median(self.new.times()).is_some_and(|time| time > 1.5 * first);
+        told && both && second > 1.2 * first && now > 1.2 * second && now > 1.7 * first
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
