--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,8 +25,6 @@
 const LEAST_SAMPLE: usize = 20;
 const LEAST_TIME: Duration = Duration::from_secs(3);
 const LONGEST_HOLD: Duration = Duration::from_secs(3);
-/// A stage's clock starts about this long after its last machine: only then does a hold hold anything.
-const CLOCK_STARTS: Duration = Duration::from_secs(1);
 /// The design's margins for a vote back: error points over the earlier build, and times its median latency.
 const ERROR_MARGIN: f64 = 0.05;
 const SLOW_MARGIN: f64 = 1.5;
@@ -729,7 +727,7 @@
         }
         match (news.phase, clock) {
             (Phase::OnTrial, false) if !short => Verdict::On,
-            (Phase::OnTrial, true) if short && now < newest + CLOCK_STARTS + LONGEST_HOLD => Verdict::Hold,
+            (Phase::OnTrial, true) if short && now < self.since + LONGEST_HOLD => Verdict::Hold,
             _ => Verdict::Withhold,
         }
     }
