--- a/src/choice.rs
+++ b/src/choice.rs
@@ -629,8 +629,11 @@
     before: Sample,
     /// Mean time by machine kind while no build is on trial, as a share of the target latency.
     kinds: BTreeMap<KindId, Mean>,
-    /// Median times of the earlier build: before the trial, then in each of its stages that ended.
-    rungs: Vec<f64>,
+    /// Times of the earlier build in this stage, before and after its own machines took hits.
+    beside: [Vec<f64>; 2],
+    loaded: bool,
+    /// How many stages running showed a step between the two.
+    drag_steps: u32,
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
@@ -667,14 +670,12 @@
         if !same {
             let next = self.news.is_some_and(|n| n.build != news.build);
             let base = if next { &mut self.new } else { &mut self.old };
-            if next {
-                self.rungs.clear();
-            }
             if base.all().seen >= LEAST_SAMPLE {
-                self.rungs.extend(median(base.times()));
                 self.before = std::mem::take(base);
             }
+            self.drag_steps = if !next && self.drag_step() { self.drag_steps + 1 } else { 0 };
             (self.new, self.old, self.since) = (Sample::default(), Sample::default(), now);
+            (self.beside, self.loaded) = Default::default();
         }
         self.news = Some(news);
     }
@@ -704,9 +705,11 @@
             mean.add(took, 50);
         }
         let took = (mean.of >= LEAST_SAMPLE).then(|| took / mean.value.max(0.001));
+        let time = took.filter(|_| fate == Fate::Delivered);
+        self.loaded |= !earlier && entry.started > Some(self.since);
+        self.beside[usize::from(self.loaded)].extend(time.filter(|_| earlier));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
-        let time = took.filter(|_| fate == Fate::Delivered);
         sample.count(ended.group, ended.outcome.pod, fate == Fate::Errored, time);
     }
 
@@ -769,14 +772,16 @@
         calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
-    /// The earlier build slows in step with the trial's share, stage by stage: a build that burdens something that
-    /// all share. One step may be anything else; two in a row at the trial's own moments are the build's.
+    /// The earlier build slows when the stage's own machines begin to take hits, in two stages running: a build
+    /// that burdens something that all share. A slowdown from outside does not keep to these moments.
     fn drags(&self) -> bool {
-        let [.., first, second] = self.rungs[..] else { return false };
-        let told = self.old.times().len() >= 2 * LEAST_SAMPLE;
-        let now = median(self.old.times()).unwrap_or_default();
-        let both = median(self.new.times()).is_some_and(|time| time > 1.1 * first);
-        told && both && second > 1.2 * first && now > 1.2 * second && now > 1.7 * first
+        self.drag_steps > 0 && self.drag_step()
+    }
+
+    fn drag_step(&self) -> bool {
+        let [idle, loaded] = &self.beside;
+        let told = idle.len() >= LEAST_SAMPLE && loaded.len() >= 2 * LEAST_SAMPLE;
+        told && median(loaded.clone()) > median(idle.clone()).map(|time| 1.2 * time)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
