--- a/src/choice.rs
+++ b/src/choice.rs
@@ -632,8 +632,8 @@
     /// Times of the earlier build in this stage, before and after its own machines took hits.
     beside: [Vec<f64>; 2],
     loaded: bool,
-    /// How many stages running showed a step between the two.
-    drag_steps: u32,
+    /// How far apart the two were in the stage before.
+    last_step: f64,
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
@@ -673,7 +673,7 @@
             if base.all().seen >= LEAST_SAMPLE {
                 self.before = std::mem::take(base);
             }
-            self.drag_steps = if !next && self.drag_step() { self.drag_steps + 1 } else { 0 };
+            self.last_step = if next { 0.0 } else { self.step() };
             (self.new, self.old, self.since) = (Sample::default(), Sample::default(), now);
             (self.beside, self.loaded) = Default::default();
         }
@@ -775,13 +775,17 @@
     /// The earlier build slows when the stage's own machines begin to take hits, in two stages running: a build
     /// that burdens something that all share. A slowdown from outside does not keep to these moments.
     fn drags(&self) -> bool {
-        self.drag_steps > 0 && self.drag_step()
+        self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.7
     }
 
-    fn drag_step(&self) -> bool {
+    /// The logarithm of the earlier build's times beside the stage's own machines over those before them.
+    fn step(&self) -> f64 {
         let [idle, loaded] = &self.beside;
-        let told = idle.len() >= LEAST_SAMPLE && loaded.len() >= 2 * LEAST_SAMPLE;
-        told && median(loaded.clone()) > median(idle.clone()).map(|time| 1.2 * time)
+        if idle.len().min(loaded.len()) < 3 * LEAST_SAMPLE {
+            return 0.0;
+        }
+        let middle = |times: &Vec<f64>| median(times.clone()).unwrap_or(1.0).max(0.001);
+        (middle(loaded) / middle(idle)).ln()
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
