--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, Mean, Rate, Window};
+use crate::ledger::{median, step, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -79,6 +79,7 @@
         } else if row.started.is_none() {
             row.started = known.filter(|k| k.build == row.build).and_then(|k| k.started);
         }
+        row.size = row.size.max(0.01);
         self.held.insert(row.pod, row.clone());
         round.tell([To::Gate, To::Pod(row.pod), To::Judge], &Note::Listed(row));
     }
@@ -211,8 +212,7 @@
             Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
             Note::End(hit) => self.answer(hit, round),
             Note::Call(hit, no) => {
-                let open = self.accounts.get(&hit).is_some_and(|a| !a.streams);
-                if round.figures.may_cancel && open {
+                if round.figures.may_cancel && self.accounts.get(&hit).is_some_and(|a| !a.streams) {
                     round.out.push(Action::Cancel { hit, no });
                 }
             }
@@ -268,10 +268,9 @@
             return Ok(());
         }
         let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
-        let whole: f64 = ready.map(|p| p.entry.size.max(0.01) * figures.strength(p.entry.started, now)).sum();
+        let whole: f64 = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
         let fair = self.answered.now(now, RATE_OVER) / whole.max(0.01);
-        let most =
-            fair * place.entry.size.max(0.01) * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
+        let most = fair * place.entry.size * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
         let sent = place.sends.since(round.ago(figures.fall_within));
         ((sent as f64) < most + 1.0).then_some(()).ok_or(Refusal::Cold)
     }
@@ -504,7 +503,7 @@
         // crowded trial go to the base, so that clients don't wait and the judge compares like with like.
         let least = |side: bool| {
             let cards = self.cards.values().filter(|c| c.usable && on_trial(c) == side);
-            cards.map(|c| (c.open as f64 + 1.0) / c.entry.size.max(0.01)).fold(f64::MAX, f64::min)
+            cards.map(|c| (c.open as f64 + 1.0) / c.entry.size).fold(f64::MAX, f64::min)
         };
         let want_trial = !open.no_trial && draw < share && least(true) < CROWDED * least(false);
         let pick = cheapest(&|c| first && c.wants_proof && !on_trial(c))
@@ -522,14 +521,14 @@
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
     fn strength(&self, card: &Card, round: &Round) -> f64 {
         let pace = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
-        card.entry.size.max(0.01) * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
+        card.entry.size * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
     }
 
     /// What one more hit would bear at a pod: those ahead of it, at the pod's pace and present strength. An unknown
     /// pace is taken to be the kind's: as the quickest of all, a new pod would be flooded while it is cold.
     fn cost(&self, card: &Card, round: &Round) -> f64 {
         let pace = card.pace.or(self.kinds.get(&card.entry.kind).copied()).unwrap_or(1.0);
-        let strength = card.entry.size.max(0.01) * round.figures.strength(card.entry.started, round.now);
+        let strength = card.entry.size * round.figures.strength(card.entry.started, round.now);
         let far = if card.entry.zone == round.figures.zone { 1.0 } else { 1.1 };
         (card.open as f64 + 1.0) * pace.max(0.02) * far / strength
     }
@@ -665,9 +664,8 @@
 
     /// Evidence is gathered afresh each stage.
     fn enter(&mut self, news: StageNews, now: Duration) {
-        let same =
-            self.news.is_some_and(|n| (n.build, n.stage, n.phase) == (news.build, news.stage, news.phase));
-        if !same {
+        let key = |n: StageNews| (n.build, n.stage, n.phase);
+        if self.news.map(key) != Some(key(news)) {
             let next = self.news.is_some_and(|n| n.build != news.build);
             let base = if next { &mut self.new } else { &mut self.old };
             if base.all().seen >= LEAST_SAMPLE {
@@ -775,17 +773,12 @@
     /// The earlier build slows when the stage's own machines begin to take hits, in two stages running: a build
     /// that burdens something that all share. A slowdown from outside does not keep to these moments.
     fn drags(&self) -> bool {
-        self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.7
+        let both = median(self.new.times()) > median(self.beside[0].clone()).map(|time| 0.65 * time);
+        both && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.7
     }
 
-    /// The logarithm of the earlier build's times beside the stage's own machines over those before them.
     fn step(&self) -> f64 {
-        let [idle, loaded] = &self.beside;
-        if idle.len().min(loaded.len()) < 3 * LEAST_SAMPLE {
-            return 0.0;
-        }
-        let middle = |times: &Vec<f64>| median(times.clone()).unwrap_or(1.0).max(0.001);
-        (middle(loaded) / middle(idle)).ln()
+        step(&self.beside[0], &self.beside[1], 3 * LEAST_SAMPLE)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
@@ -805,12 +798,11 @@
         if same || self.asked.is_some() || now < self.not_before {
             return;
         }
+        let (build, stage) = (news.build, news.stage);
         if verdict == Verdict::Back {
-            let (build, stage) = (news.build.0, news.stage.0);
-            let line = format!("back: build {build} stage {stage}: {} against {}", self.new, self.old);
-            round.out.push(Action::Log(line));
+            let (new, old) = (&self.new, &self.old);
+            round.out.push(Action::Log(format!("back: {build:?} {stage:?}: {new} against {old}")));
         }
-        let (build, stage) = (news.build, news.stage);
         self.asked = Some(Vote { verdict, build, stage, at: now });
         round.out.push(Action::Vote { verdict, build, stage });
     }
