--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,6 +25,7 @@
 const LEAST_SAMPLE: usize = 20;
 const LEAST_TIME: Duration = Duration::from_secs(3);
 const LONGEST_HOLD: Duration = Duration::from_secs(3);
+const AFRESH: Duration = Duration::from_secs(5);
 /// The design's margins for a vote back: error points over the earlier build, and times its median latency.
 const ERROR_MARGIN: f64 = 0.05;
 const SLOW_MARGIN: f64 = 1.5;
@@ -131,10 +132,10 @@
                 let usual = round.figures.tightest * (0.15 + 2.0 * self.pace.unwrap_or(0.3).max(0.05)) * few;
                 let patience = Duration::from_secs_f64(usual);
                 let quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + patience);
-                if quiet && self.shut_until.is_zero() {
-                    self.shut(now);
-                } else if self.shut_until.is_zero() {
-                    return;
+                match (self.shut_until.is_zero(), quiet) {
+                    (true, true) => self.shut(now),
+                    (true, false) => return,
+                    _ => {}
                 }
             }
             _ => {}
@@ -420,10 +421,10 @@
                 let Some(open) = self.hits.get_mut(&hit) else { return };
                 open.refused.push(pod);
                 open.no_trial |= why == Refusal::Exposed;
-                match why {
-                    Refusal::Over if open.out == 0 => round.mail.put(To::Gate, Note::End(hit)),
-                    Refusal::Over => {}
-                    _ => self.place(hit, round),
+                if why != Refusal::Over {
+                    self.place(hit, round);
+                } else if open.out == 0 {
+                    round.mail.put(To::Gate, Note::End(hit));
                 }
             }
             Note::Sent { hit, no, pod } => {
@@ -497,8 +498,7 @@
             let cards = self.cards.values().filter(|c| wanted(c)).filter(fits);
             cards.min_by(|a, b| self.cost(a, round).total_cmp(&self.cost(b, round))).map(|c| c.entry.pod)
         };
-        let repeats = round.figures.line(open.group).repeat != Repeat::Mutating;
-        let first = repeats && open.tried.is_empty();
+        let first = round.figures.line(open.group).repeat != Repeat::Mutating && open.tried.is_empty();
         // A random share for a few pods queues where the many of the base, picked by load, do not: hits drawn for a
         // crowded trial go to the base, so that clients don't wait and the judge compares like with like.
         let least = |side: bool| {
@@ -787,6 +787,10 @@
         let (now, life) = (round.now, round.figures.vote_life);
         let patience = round.figures.vote_answer_within + BEAT * 25;
         self.asked = self.asked.filter(|asked| now < asked.at + patience);
+        // Badness may come late: after the release the evidence starts afresh every so often.
+        if news.phase == Phase::Released && now > self.since + AFRESH {
+            (self.new, self.since) = (Sample::default(), now);
+        }
         let verdict = self.verdict(now, round.figures.clock);
         let here = |v: &Vote| v.build == news.build && v.stage == news.stage && now < v.at + life;
         let same = match self.standing.filter(here) {
