--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,7 +25,6 @@
 const LEAST_SAMPLE: usize = 20;
 const LEAST_TIME: Duration = Duration::from_secs(3);
 const LONGEST_HOLD: Duration = Duration::from_secs(3);
-const AFRESH: Duration = Duration::from_secs(5);
 /// The design's margins for a vote back: error points over the earlier build, and times its median latency.
 const ERROR_MARGIN: f64 = 0.05;
 const SLOW_MARGIN: f64 = 1.5;
@@ -787,10 +786,6 @@
         let (now, life) = (round.now, round.figures.vote_life);
         let patience = round.figures.vote_answer_within + BEAT * 25;
         self.asked = self.asked.filter(|asked| now < asked.at + patience);
-        // Badness may come late: after the release the evidence starts afresh every so often.
-        if news.phase == Phase::Released && now > self.since + AFRESH {
-            (self.new, self.since) = (Sample::default(), now);
-        }
         let verdict = self.verdict(now, round.figures.clock);
         let here = |v: &Vote| v.build == news.build && v.stage == news.stage && now < v.at + life;
         let same = match self.standing.filter(here) {
