--- a/src/choice.rs
+++ b/src/choice.rs
@@ -466,7 +466,7 @@
         }
         let open: usize = self.cards.values().filter(|c| c.usable).map(|c| c.open).sum();
         let wait = open as f64 / self.finished.now(round.now, RATE_OVER).max(5.0);
-        ((wait / round.figures.tightest - 0.6) / 0.6).clamp(0.0, 1.0)
+        ((wait / round.figures.tightest - 0.45) / 0.6).clamp(0.0, 1.0)
     }
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
