--- a/src/choice.rs
+++ b/src/choice.rs
@@ -761,7 +761,7 @@
         if new.len().min(old.len()) < LEAST_SAMPLE {
             return false;
         }
-        let noise = 2.0 * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
+        let noise = 2.5 * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
         let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
