--- a/src/choice.rs
+++ b/src/choice.rs
@@ -707,7 +707,7 @@
         self.beside[usize::from(self.loaded)].extend(time.filter(|_| earlier));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
-        sample.count(ended.group, ended.outcome.pod, fate == Fate::Errored, time);
+        sample.count(ended.group, ended.outcome.pod, matches!(fate, Fate::Errored | Fate::TimedOut), time);
     }
 
     fn trial_pods(&self) -> impl Iterator<Item = &PodEntry> {
