--- a/src/choice.rs
+++ b/src/choice.rs
@@ -773,7 +773,8 @@
     /// that burdens something that all share. A slowdown from outside does not keep to these moments.
     fn drags(&self) -> bool {
         let both = median(self.new.times()) > median(self.beside[0].clone()).map(|time| 0.65 * time);
-        both && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.7
+        let sound = 20 * self.old.all().bad < self.old.all().seen;
+        both && sound && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.7
     }
 
     fn step(&self) -> f64 {
