--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,7 @@
 /// A cold pod gets at most this multiple of the load that warm pods of its present strength bear.
 const COLD_LOAD: f64 = 1.4;
 /// The trial counts as crowded when its freest pod has this many times the load of the base's freest.
-const CROWDED: f64 = 1.9;
+const CROWDED: f64 = 2.5;
 /// Rates are smoothed over this time.
 const RATE_OVER: Duration = Duration::from_secs(2);
 /// How often an open forward is looked at again.
