--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,12 +1,12 @@
-//! Every decision of limewing: which pod a hit goes to, what counts as evidence, when to vote, when to give up.
+//! Every decision of limewing: which pod a hit goes to, what counts as evidence, when to vote or give up.
 //!
-//! How to call it: make one `sidecar::Sidecar` for each instance with its start terms, then give every event to
-//! `handle` and carry out the actions it returns, in order. The words of both sides are in `interface`. Nothing
+//! How to call it: make a `sidecar::Sidecar` for each instance from its start terms, then give all events to
+//! `handle` and carry out the actions it returns, in order. The words of both are in `interface`. Nothing
 //! else is read: the same events give the same actions.
 //!
 //! Inside, the parts (pods, desk, gate, judge, lister) talk only by notes in inboxes that one
 //! loop (`sidecar`) empties.
-//! A hit's way: gate (taken) -> desk (pick) -> gate (the five rules) -> forward -> gate (outcome) -> pod, desk,
+//! A hit's way: gate (taken) -> desk (pick) -> gate (five rules) -> forward -> gate (outcome) -> pod, desk,
 //! judge. `docs/design.md` tells what is the design's and what is ours.
 
 use crate::figures::Figures;
@@ -61,7 +61,7 @@
                     round.out.push(Action::Watch);
                 }
             }
-            // A broken or refused watch is asked for again, spread out so that all sidecars don't ask at once.
+            // A broken or refused watch is asked for again, spread out so that not all ask at once.
             Note::List(ListNews::Failed) => {
                 let wait = 0.3 + 0.7 * round.chance();
                 round.later(Duration::from_secs_f64(wait), To::Lister, Note::Watch);
@@ -151,7 +151,7 @@
                 (self.strikes, self.shuts, self.shut_until) = (0, 0, Duration::ZERO);
                 self.pace = Some(self.pace.map_or(took, |pace| pace * 0.9 + took * 0.1));
             }
-            // No connection, a reset, silence, or errors in a row: shut for a while, longer each time. An error is
+            // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is
             // no sign of speed: a pod that fails at once would otherwise draw all hits.
             Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
                 self.strikes += 1;
@@ -304,7 +304,7 @@
             return Err(Refusal::Exposed);
         }
         let counter = figures.counter(account.group);
-        // Hits near the window's far edge are left out: they fall out of it before the forwards made for them.
+        // Hits near the window's far edge are left out: they fall out before the forwards made for them.
         let sent = self.exposed.get(&(build, counter)).map_or(0, |w| w.since(round.ago(figures.cap_window)));
         let taken =
             self.taken.get(&counter).map_or(0, |w| w.since(round.ago(figures.cap_window.mul_f64(0.9))));
@@ -497,7 +497,7 @@
             cards.min_by(|a, b| self.cost(a, round).total_cmp(&self.cost(b, round))).map(|c| c.entry.pod)
         };
         let first = round.figures.line(open.group).repeat != Repeat::Mutating && open.tried.is_empty();
-        // A random share for a few pods queues where the many of the base, picked by load, do not: hits drawn for a
+        // A random share for a few pods queues where the base's many, picked by load, do not: hits drawn for a
         // crowded trial go to the base, so that clients don't wait and the judge compares like with like.
         let least = |side: bool| {
             let cards = self.cards.values().filter(|c| c.usable && on_trial(c) == side);
@@ -522,7 +522,7 @@
         card.entry.size * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
     }
 
-    /// What one more hit would bear at a pod: those ahead of it, at the pod's pace and present strength. An unknown
+    /// What one more hit would bear at a pod: those ahead, at the pod's pace and present strength. An unknown
     /// pace is taken to be the kind's: as the quickest of all, a new pod would be flooded while it is cold.
     fn cost(&self, card: &Card, round: &Round) -> f64 {
         let pace = card.pace.or(self.kinds.get(&card.entry.kind).copied()).unwrap_or(1.0);
@@ -579,7 +579,7 @@
         }
     }
 
-    /// A forward is out at a pod that went quiet: a copy where that is allowed, else it is called off and sent
+    /// A forward is out at a pod that went quiet: a copy where allowed, else it is called off and sent
     /// anew. At a pod that answers others a long wait means a heavy hit, and a copy would be as heavy.
     fn doubt(&mut self, hit: HitId, no: ForwardNo, pod: PodId, round: &mut Round) {
         let Some(open) = self.hits.get(&hit).filter(|o| o.out == 1 && !o.tried.contains(&pod)) else {
@@ -743,7 +743,7 @@
             || self.drags()
     }
 
-    /// Whether a sign shows on most of the trial's pods that have told enough, and on two unless there is but one:
+    /// Whether a sign shows on most of the trial's pods that told enough, and on two unless there is but one:
     /// one sick pod, or a few in a sick zone, do not speak for the build.
     fn shows(&self, enough: usize, sign: impl Fn(&ByPod) -> bool) -> bool {
         let told: Vec<bool> = self.new.pods.values().filter(|p| p.seen >= enough).map(sign).collect();
@@ -752,7 +752,7 @@
         2 * on > told.len() && on >= pods.min(2) && 2 * told.len() >= pods
     }
 
-    /// Slower by more than chance explains, on two pods or more, and only beside an earlier build that bears the
+    /// Slower by more than chance explains, on two pods or more, only beside an earlier build that bears the
     /// same load now and well: the last stage starts a whole cold fleet, whose queues would look like a slow
     /// build against times remembered from before, and under overload all times are queues.
     fn is_slow(&self) -> bool {
@@ -768,10 +768,10 @@
         calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
     }
 
-    /// The earlier build slows when the stage's own machines begin to take hits, in two stages running: a build
+    /// The earlier build slows when the stage's own machines begin to take hits, two stages running: a build
     /// that burdens something that all share. A slowdown from outside does not keep to these moments.
     fn drags(&self) -> bool {
-        // Times are shares of the usual mean, whose middle is about 0.7: the new build has to be slowed as well.
+        // Times are shares of the usual mean (its middle: about 0.7): the new build has to be slowed too.
         let both = median(self.new.times()) > Some(0.8);
         both && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.8
     }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -42,7 +42,7 @@
     pub keys_stay: bool,
     pub vote_life: Duration,
     pub vote_answer_within: Duration,
-    /// Hits a second of each customer that this sidecar's even part of the quota allows, and what one beyond earns.
+    /// Hits a second of each customer that this sidecar's part of the quota allows; what one beyond earns.
     pub quotas: Vec<f64>,
     pub over_quota_worth: f64,
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -91,8 +91,8 @@
     KeyStays,
 }
 
-/// What every part needs in a round: the time, the derived start terms, the inboxes, the due times, chance, and
-/// what goes out.
+/// What every part needs in a round: the time, the derived start terms, inboxes, due times, chance, and what
+/// goes out.
 pub struct Round {
     pub now: Duration,
     pub figures: Figures,
