--- a/src/choice.rs
+++ b/src/choice.rs
@@ -170,6 +170,11 @@
         self.shut_until = now + Duration::from_millis(250 << self.shuts);
     }
 
+    /// Whether a beat could change anything: hits are out here, or it is shut.
+    pub fn watches(&self) -> bool {
+        !self.open.is_empty() || !self.shut_until.is_zero()
+    }
+
     pub fn post_card(&mut self, round: &mut Round) {
         let (now, ready) = (round.now, self.entry.state == PodState::Ready);
         let shut = !self.shut_until.is_zero();
@@ -631,6 +636,9 @@
     loaded: bool,
     /// How far apart the two were in the stage before.
     last_step: f64,
+    /// Whether what was seen speaks against the build; looked at again when there is something new.
+    bad: bool,
+    fresh: bool,
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
@@ -655,13 +663,19 @@
                     _ => self.not_before = round.now + BEAT * 15,
                 }
             }
-            Note::Beat => self.vote(round),
+            Note::Beat => {
+                if std::mem::take(&mut self.fresh) {
+                    self.bad = self.is_bad();
+                }
+                self.vote(round);
+            }
             _ => {}
         }
     }
 
     /// Evidence is gathered afresh each stage.
     fn enter(&mut self, news: StageNews, now: Duration) {
+        self.fresh = true;
         let key = |n: StageNews| (n.build, n.stage, n.phase);
         if self.news.map(key) != Some(key(news)) {
             let next = self.news.is_some_and(|n| n.build != news.build);
@@ -677,6 +691,7 @@
     }
 
     fn sample(&mut self, build: BuildId) -> Option<&mut Sample> {
+        self.fresh = true;
         let news = self.news?;
         let sample = if build < news.build { &mut self.old } else { &mut self.new };
         (build <= news.build).then_some(sample)
@@ -721,7 +736,7 @@
         }
         let newest = self.trial_pods().filter_map(|p| p.started).max().unwrap_or(self.since).max(self.since);
         let short = self.new.all().seen < LEAST_SAMPLE || now < newest + LEAST_TIME;
-        if self.new.all().seen >= LEAST_SAMPLE && self.is_bad() {
+        if self.bad {
             return Verdict::Back;
         }
         match (news.phase, clock) {
@@ -732,6 +747,9 @@
     }
 
     fn is_bad(&self) -> bool {
+        if self.new.all().seen < LEAST_SAMPLE {
+            return false;
+        }
         let old = if self.old.all().seen >= LEAST_SAMPLE { &self.old } else { &self.before };
         let pairs = self.new.groups.iter().map(|(g, c)| (*c, old.groups.get(g).copied().unwrap_or_default()));
         let pairs: Vec<(Count, Count)> = pairs.chain([(self.new.all(), old.all())]).collect();
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -214,7 +214,9 @@
     #[case] old: (usize, usize, f64),
     #[case] want: Verdict,
 ) {
-    assert_eq!(judge(new, old).verdict(at(30.0), true), want);
+    let mut judge = judge(new, old);
+    judge.bad = judge.is_bad();
+    assert_eq!(judge.verdict(at(30.0), true), want);
 }
 
 #[rstest]
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -43,7 +43,8 @@
         if now >= self.next_beat {
             self.next_beat = now + BEAT;
             self.round.out.push(Action::Wake { at: self.next_beat, id: TimerId(0) });
-            let pods: Vec<PodId> = self.pods.keys().copied().collect();
+            let watching = self.pods.iter().filter(|(_, pod)| pod.watches());
+            let pods: Vec<PodId> = watching.map(|(id, _)| *id).collect();
             pods.into_iter().for_each(|pod| self.round.mail.put(To::Pod(pod), Note::Beat));
             self.round.tell([To::Gate, To::Desk, To::Judge], &Note::Beat);
             self.empty();
