--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 const CROWDED: f64 = 2.5;
 /// Rates are smoothed over this time.
 const RATE_OVER: Duration = Duration::from_secs(2);
+/// A pod's pace is the mean of about so many of its last answers.
+const PACE_OVER: usize = 10;
 /// How often an open forward is looked at again.
 const DOUBT_EVERY: Duration = Duration::from_millis(60);
 /// Further forwards for each hit taken, and the most that can be saved up.
@@ -90,7 +92,7 @@
     entry: PodEntry,
     open: BTreeMap<(HitId, ForwardNo), Duration>,
     last_answer: Duration,
-    pace: Option<f64>,
+    pace: Mean,
     strikes: u32,
     shuts: u32,
     shut_until: Duration,
@@ -99,7 +101,15 @@
 impl Pod {
     pub fn new(entry: PodEntry) -> Self {
         let (open, never) = (BTreeMap::new(), Duration::ZERO);
-        Self { entry, open, last_answer: never, pace: None, strikes: 0, shuts: 0, shut_until: never }
+        Self {
+            entry,
+            open,
+            last_answer: never,
+            pace: Mean::default(),
+            strikes: 0,
+            shuts: 0,
+            shut_until: never,
+        }
     }
 
     pub fn take(&mut self, note: Note, round: &mut Round) {
@@ -108,7 +118,8 @@
             Note::Listed(entry) => {
                 // A restart or another build under the same id: what was seen of it is void.
                 if entry.started != self.entry.started || entry.build != self.entry.build {
-                    (self.pace, self.strikes, self.shuts, self.shut_until) = (None, 0, 0, Duration::ZERO);
+                    (self.pace, self.strikes) = (Mean::default(), 0);
+                    (self.shuts, self.shut_until) = (0, Duration::ZERO);
                 }
                 self.entry = entry;
             }
@@ -128,7 +139,9 @@
                 let oldest = self.open.values().min().copied();
                 // With few hits open a heavy one explains the silence, with many it does not.
                 let few = 1.0 + 2.0 / self.open.len().max(1) as f64;
-                let usual = round.figures.tightest * (0.15 + 2.0 * self.pace.unwrap_or(0.3).max(0.05)) * few;
+                let usual = round.figures.tightest
+                    * (0.15 + 2.0 * if self.pace.of > 0 { self.pace.value.max(0.05) } else { 0.3 })
+                    * few;
                 let patience = Duration::from_secs_f64(usual);
                 let quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + patience);
                 match (self.shut_until.is_zero(), quiet) {
@@ -149,7 +162,7 @@
             Fate::Delivered => {
                 self.last_answer = now;
                 (self.strikes, self.shuts, self.shut_until) = (0, 0, Duration::ZERO);
-                self.pace = Some(self.pace.map_or(took, |pace| pace * 0.9 + took * 0.1));
+                self.pace.add(took, PACE_OVER);
             }
             // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is
             // no sign of speed: a pod that fails at once would otherwise draw all hits.
@@ -160,7 +173,7 @@
                     self.shut(now);
                 }
             }
-            Fate::TurnedAway => self.pace = self.pace.map(|pace| pace * 0.9 + 0.1),
+            Fate::TurnedAway => self.pace.add(1.0, PACE_OVER),
             Fate::Cancelled | Fate::Void => {}
         }
     }
@@ -497,9 +510,19 @@
         let Some(open) = self.hits.get(&hit) else { return };
         let on_trial = |c: &Card| trial == Some(c.entry.build);
         let fits = |c: &&Card| !open.refused.contains(&c.entry.pod) && !open.tried.contains(&c.entry.pod);
+        let costs: Vec<(f64, &Card)> = self
+            .cards
+            .values()
+            .filter(|c| c.ready)
+            .filter(fits)
+            .map(|card| {
+                let luck = -round.chance().max(1e-9).ln();
+                (self.cost(card, luck, round), card)
+            })
+            .collect();
         let cheapest = |wanted: &dyn Fn(&Card) -> bool| {
-            let cards = self.cards.values().filter(|c| wanted(c)).filter(fits);
-            cards.min_by(|a, b| self.cost(a, round).total_cmp(&self.cost(b, round))).map(|c| c.entry.pod)
+            let cards = costs.iter().filter(|(_, c)| wanted(c));
+            cards.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| c.entry.pod)
         };
         let first = round.figures.line(open.group).repeat != Repeat::Mutating && open.tried.is_empty();
         // A random share for a few pods queues where the base's many, picked by load, do not: hits drawn for a
@@ -513,7 +536,7 @@
             .or_else(|| cheapest(&|c| c.usable && on_trial(c) == want_trial))
             .or_else(|| cheapest(&|c| c.usable && on_trial(c) != want_trial && !open.no_trial))
             // Nothing healthy: a pod that is only quiet or shut is better than none.
-            .or_else(|| cheapest(&|c| c.ready && !on_trial(c) && open.out == 0));
+            .or_else(|| cheapest(&|c| !on_trial(c) && open.out == 0));
         match pick {
             Some(pod) => round.mail.put(To::Gate, Note::Ask { hit, pod }),
             None if open.out > 0 => {}
@@ -527,13 +550,18 @@
         card.entry.size * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
     }
 
-    /// What one more hit would bear at a pod: those ahead, at the pod's pace and present strength. An unknown
-    /// pace is taken to be the kind's: as the quickest of all, a new pod would be flooded while it is cold.
-    fn cost(&self, card: &Card, round: &Round) -> f64 {
-        let pace = card.pace.or(self.kinds.get(&card.entry.kind).copied()).unwrap_or(1.0);
+    /// What one more hit would bear at a pod: those ahead, at the pod's pace and present strength. Of the load
+    /// a sidecar knows only its own part, one in so many; chance stands for the rest (`luck`, 1 in the mean), so
+    /// that pods alike get hits in proportion to strength, and sidecars that rank alike don't herd. A pace known
+    /// from few answers leans on the kind's: a new pod would be flooded while cold, one lucky answer likewise.
+    fn cost(&self, card: &Card, luck: f64, round: &Round) -> f64 {
+        let kind = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
+        let known = card.pace.of.min(PACE_OVER) as f64;
+        let pace = (card.pace.value * known + kind * 3.0) / (known + 3.0);
         let strength = card.entry.size * round.figures.strength(card.entry.started, round.now);
         let far = if card.entry.zone == round.figures.zone { 1.0 } else { 1.1 };
-        (card.open as f64 + 1.0) * pace.max(0.02) * far / strength
+        let own = 1.0 / round.figures.sidecars;
+        (card.open as f64 + own + (1.0 - own) * luck) * pace.max(0.02) * far / strength
     }
 
     /// No pod may have it now: it waits while an answer could still be worth something.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -246,7 +246,7 @@
 fn a_pod_that_fails_at_once_is_shut_and_not_taken_for_quick() {
     let (mut pod, round) = (Pod::new(pod(0, 1)), round(1.0));
     (0..3).for_each(|_| pod.learn(&ended(Fate::Errored), &round));
-    assert!(pod.shut_until > round.now && pod.pace.is_none());
+    assert!(pod.shut_until > round.now && pod.pace.of == 0);
 }
 
 #[rstest]
@@ -265,8 +265,12 @@
 fn a_new_pod_of_unknown_pace_is_not_the_cheapest() {
     let (mut desk, round) = (Desk::default(), round(1.0));
     desk.kinds.insert(KindId(0), 0.3);
-    let card = |pace| Card { entry: pod(0, 1), ready: true, open: 0, pace, usable: true, wants_proof: false };
-    assert!(desk.cost(&card(None), &round) > desk.cost(&card(Some(0.2)), &round));
+    let card = |of| {
+        let pace = Mean { value: if of > 0 { 0.2 } else { 0.0 }, of };
+        Card { entry: pod(0, 1), ready: true, open: 0, pace, usable: true, wants_proof: false }
+    };
+    assert!(desk.cost(&card(0), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
+    assert!(desk.cost(&card(1), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
 }
 
 #[rstest]
@@ -296,7 +300,14 @@
         // The base's machines count as so weak that the whole share is the trial's.
         desk.kinds.insert(KindId(entry.pod.0 as u8), pace);
         let entry = PodEntry { kind: KindId(entry.pod.0 as u8), ..entry };
-        let card = Card { entry, ready: true, open, pace: Some(1.0), usable: true, wants_proof: false };
+        let card = Card {
+            entry,
+            ready: true,
+            open,
+            pace: Mean { value: 1.0, of: 10 },
+            usable: true,
+            wants_proof: false,
+        };
         desk.cards.insert(card.entry.pod, card);
     }
     let hit = Hit { id: HitId(0), group: GroupId(0), customer: None, key: None, due: at(9.0) };
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -3,7 +3,7 @@
 use crate::figures::Figures;
 use crate::inbox::Inboxes;
 use crate::interface::*;
-use crate::ledger::{median, DueTimes, Window};
+use crate::ledger::{median, DueTimes, Mean, Window};
 use nanorand::{Rng, WyRand};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -164,8 +164,8 @@
     pub entry: PodEntry,
     pub ready: bool,
     pub open: usize,
-    /// Recent time taken, as a share of the target latency; unknown before the first answer.
-    pub pace: Option<f64>,
+    /// Recent time taken, as a share of the target latency, and over how many answers.
+    pub pace: Mean,
     pub usable: bool,
     /// Shut, but due for a hit that shows whether it is back.
     pub wants_proof: bool,
