Judge by the votes needed: lighter samples where many must agree, wider margins where one decides

A fault must be spread over the trial's pods as chance would spread it; it no longer takes five outcomes of each. Time-outs count only beside an earlier build.

--- a/crates/wire/src/start.rs
+++ b/crates/wire/src/start.rs
@@ -26,6 +26,10 @@
     1.0
 }
 
+fn one_vote() -> u32 {
+    1
+}
+
 #[derive(Deserialize)]
 struct Domain {
     api_timeout_s: f64,
@@ -44,6 +48,8 @@
     stage_share: Vec<f64>,
     uncounted: f64,
     vote_ttl_s: f64,
+    #[serde(default = "one_vote")]
+    votes_to_revert: u32,
 }
 
 #[derive(Deserialize)]
@@ -214,6 +220,7 @@
             vote_life: span("domain.vote_ttl_s", o.domain.vote_ttl_s)?,
             vote_answer_within: span("domain.api_timeout_s", o.domain.api_timeout_s)?,
             flagged_share: o.domain.flag_share,
+            back_votes: o.domain.votes_to_revert,
         },
     };
     Ok(Start { terms, fields })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -638,13 +638,25 @@
     }
 }
 
-/// Whether `new` is worse than `old` by more than `margin` and more than chance explains; both (bad, seen).
-fn worse(new: (usize, usize), old: (usize, usize), margin: f64) -> bool {
+/// Whether `new` is worse than `old` by more than `margin` and `sigmas` of chance; both (bad, seen).
+fn worse(new: (usize, usize), old: (usize, usize), margin: f64, sigmas: f64) -> bool {
     let share =
         |(bad, seen): (usize, usize), more: f64| (bad as f64 + more) / (seen as f64 + 2.0 * more).max(1.0);
     let spread = |c: (usize, usize)| share(c, 0.5) * (1.0 - share(c, 0.5)) / (c.1 as f64).max(1.0);
     let noise = (spread(new) + spread(old)).sqrt();
-    new.0 >= 3 && share(new, 0.0) - share(old, 0.0) > margin + 1.5 * noise
+    new.0 >= 3 && share(new, 0.0) - share(old, 0.0) > margin + sigmas * noise
+}
+
+/// The design's least sample is for a vote that decides alone. Where many must agree each may be lighter, as
+/// together they have seen as much (not in proportion: what they see is alike).
+fn least_sample(figures: &Figures) -> usize {
+    ((LEAST_SAMPLE as f64 / figures.back_votes.sqrt()).ceil() as usize).max(4)
+}
+
+/// How far a sign must stand out of chance: of many sidecars that look at one sound build, the noise of as many
+/// as can send it back reaches about this.
+fn sigmas(figures: &Figures) -> f64 {
+    (2.0 * (figures.sidecars / figures.back_votes).ln()).sqrt().max(1.5)
 }
 
 /// Gathers evidence on the build on trial and votes.
@@ -676,7 +688,7 @@
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Listed(entry) => drop(self.pods.insert(entry.pod, entry)),
-            Note::Stage(news) => self.enter(news, round.now),
+            Note::Stage(news) => self.enter(news, round),
             Note::Ended(ended) => self.count(&ended, &round.figures),
             Note::Flagged { pod, group } => {
                 let build = self.pods.get(&pod).map(|p| p.build);
@@ -693,7 +705,7 @@
             }
             Note::Beat => {
                 if std::mem::take(&mut self.fresh) {
-                    self.bad = self.is_bad();
+                    self.bad = self.is_bad(&round.figures);
                 }
                 self.vote(round);
             }
@@ -702,17 +714,17 @@
     }
 
     /// Evidence is gathered afresh each stage.
-    fn enter(&mut self, news: StageNews, now: Duration) {
+    fn enter(&mut self, news: StageNews, round: &Round) {
         self.fresh = true;
         let key = |n: StageNews| (n.build, n.stage, n.phase);
         if self.news.map(key) != Some(key(news)) {
             let next = self.news.is_some_and(|n| n.build != news.build);
             let base = if next { &mut self.new } else { &mut self.old };
-            if base.all().seen >= LEAST_SAMPLE {
+            if base.all().seen >= least_sample(&round.figures) {
                 self.before = std::mem::take(base);
             }
             self.last_step = if next { 0.0 } else { self.step() };
-            (self.new, self.old, self.since) = (Sample::default(), Sample::default(), now);
+            (self.new, self.old, self.since) = (Sample::default(), Sample::default(), round.now);
             (self.beside, self.loaded) = Default::default();
         }
         self.news = Some(news);
@@ -743,13 +755,13 @@
         if fate == Fate::Delivered && (calm || (earlier && mean.of < 50)) {
             mean.add(took, 50);
         }
-        let took = (mean.of >= LEAST_SAMPLE).then(|| took / mean.value.max(0.001));
+        let took = (mean.of >= least_sample(figures)).then(|| took / mean.value.max(0.001));
         let time = took.filter(|_| fate == Fate::Delivered);
         self.loaded |= !earlier && entry.started > Some(self.since);
         self.beside[usize::from(self.loaded)].extend(time.filter(|_| earlier));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
-        sample.count(ended.group, ended.outcome.pod, matches!(fate, Fate::Errored | Fate::TimedOut), time);
+        sample.count(ended.group, ended.outcome.pod, fate, time);
     }
 
     fn trial_pods(&self) -> impl Iterator<Item = &PodEntry> {
@@ -757,69 +769,78 @@
         self.pods.values().filter(move |p| Some(p.build) == build && p.state == PodState::Ready)
     }
 
-    fn verdict(&self, now: Duration, clock: bool) -> Verdict {
+    fn verdict(&self, now: Duration, figures: &Figures) -> Verdict {
         let Some(news) = self.news else { return Verdict::Withhold };
         if !matches!(news.phase, Phase::OnTrial | Phase::Released) {
             return Verdict::Withhold;
         }
         let newest = self.trial_pods().filter_map(|p| p.started).max().unwrap_or(self.since).max(self.since);
-        let short = self.new.all().seen < LEAST_SAMPLE || now < newest + LEAST_TIME;
+        let short = self.new.all().seen < least_sample(figures) || now < newest + LEAST_TIME;
         if self.bad {
             return Verdict::Back;
         }
-        match (news.phase, clock) {
+        match (news.phase, figures.clock) {
             (Phase::OnTrial, false) if !short => Verdict::On,
             (Phase::OnTrial, true) if short && now < self.since + LONGEST_HOLD => Verdict::Hold,
             _ => Verdict::Withhold,
         }
     }
 
-    fn is_bad(&self) -> bool {
-        if self.new.all().seen < LEAST_SAMPLE {
+    fn is_bad(&self, figures: &Figures) -> bool {
+        let (least, sigmas) = (least_sample(figures), sigmas(figures));
+        if self.new.all().seen < least {
             return false;
         }
-        let old = if self.old.all().seen >= LEAST_SAMPLE { &self.old } else { &self.before };
+        let beside = self.old.all().seen >= least;
+        let old = if beside { &self.old } else { &self.before };
+        // With no earlier build beside it, nothing tells a build's time-outs from any trouble that came since.
+        let bad = |c: &Count| (if beside { c.bad } else { c.bad - c.timed_out }, c.seen);
         let pairs = self.new.groups.iter().map(|(g, c)| (*c, old.groups.get(g).copied().unwrap_or_default()));
         let pairs: Vec<(Count, Count)> = pairs.chain([(self.new.all(), old.all())]).collect();
-        let errs = pairs.iter().any(|(n, o)| worse((n.bad, n.seen), (o.bad, o.seen), ERROR_MARGIN));
-        let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01));
-        (errs && self.shows(5, |p| p.bad > 0))
-            || (wrong && self.shows(5, |p| p.flagged > 0))
-            || self.is_slow()
-            || self.drags()
-    }
-
-    /// Whether a sign shows on most of the trial's pods that told enough, and on two unless there is but one:
-    /// one sick pod, or a few in a sick zone, do not speak for the build.
-    fn shows(&self, enough: usize, sign: impl Fn(&ByPod) -> bool) -> bool {
-        let told: Vec<bool> = self.new.pods.values().filter(|p| p.seen >= enough).map(sign).collect();
-        let on = told.iter().filter(|s| **s).count();
-        let pods = self.trial_pods().count();
-        2 * on > told.len() && on >= pods.min(2) && 2 * told.len() >= pods
-    }
-
-    /// Slower by more than chance explains, on two pods or more, only beside an earlier build that bears the
-    /// same load now and well: the last stage starts a whole cold fleet, whose queues would look like a slow
-    /// build against times remembered from before, and under overload all times are queues.
-    fn is_slow(&self) -> bool {
+        let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, sigmas));
+        let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, sigmas));
+        (errs && self.is_even(|p| p.bad))
+            || (wrong && self.is_even(|p| p.flagged))
+            || self.is_slow(least, sigmas)
+            || self.drags(sigmas)
+    }
+
+    /// Whether a sign is spread over the trial's pods as chance would, and on two unless there is but one: one
+    /// sick pod, or a few in a sick zone, do not speak for the build. The squares of counts of a fault that is
+    /// the same everywhere add up to about the sum and its square over the pods. It asks nothing of a pod's own
+    /// sample, so that a light sidecar with one outcome a pod can tell too.
+    fn is_even(&self, sign: impl Fn(&ByPod) -> usize) -> bool {
+        let signs: Vec<f64> = self.new.pods.values().map(|p| sign(p) as f64).collect();
+        let (sum, squares) = (signs.iter().sum::<f64>(), signs.iter().map(|s| s * s).sum::<f64>());
+        let on = signs.iter().filter(|s| **s > 0.0).count();
+        on >= self.trial_pods().count().min(2) && squares < 1.6 * (sum + sum * sum / signs.len() as f64)
+    }
+
+    /// Slower by more than chance explains, also without its slowest pod, only beside an earlier build that
+    /// bears the same load now and well: the last stage starts a whole cold fleet, whose queues would look like
+    /// a slow build against times remembered from before, and under overload all times are queues.
+    fn is_slow(&self, least: usize, sigmas: f64) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
-        if new.len().min(old.len()) < LEAST_SAMPLE {
+        if new.len().min(old.len()) < least {
             return false;
         }
-        let noise = 2.5 * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
+        let noise = sigmas.max(2.5) * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
-        let slow = |p: &ByPod| median(p.times.clone()).is_some_and(|m| m > SLOW_MARGIN * usual);
-        let pods = self.new.pods.values().filter(|p| p.times.len() >= 5).count();
+        let mut pods: Vec<Vec<f64>> = self.new.pods.values().map(|p| p.times.clone()).collect();
+        pods.sort_by(|a, b| median(a.clone()).unwrap_or(0.0).total_cmp(&median(b.clone()).unwrap_or(0.0)));
+        pods.pop();
+        let others = median(pods.concat());
         let calm = usual < 2.0 && self.kinds.values().all(|mean| mean.value < 0.25);
-        calm && pods >= 2 && now > SLOW_MARGIN * usual * noise.exp() && self.shows(5, slow)
+        calm && now > SLOW_MARGIN * usual * noise.exp() && others > Some(SLOW_MARGIN * usual)
     }
 
     /// The earlier build slows when the stage's own machines begin to take hits, two stages running: a build
     /// that burdens something that all share. A slowdown from outside does not keep to these moments.
-    fn drags(&self) -> bool {
+    fn drags(&self, sigmas: f64) -> bool {
         // Times are shares of the usual mean (its middle: about 0.7): the new build has to be slowed too.
         let both = median(self.new.times()) > Some(0.8);
-        both && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > 0.8
+        let least = 0.8 * sigmas / 1.5;
+        both && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > least
     }
 
     fn step(&self) -> f64 {
@@ -832,7 +853,7 @@
         let (now, life) = (round.now, round.figures.vote_life);
         let patience = round.figures.vote_answer_within + BEAT * 25;
         self.asked = self.asked.filter(|asked| now < asked.at + patience);
-        let verdict = self.verdict(now, round.figures.clock);
+        let verdict = self.verdict(now, &round.figures);
         let here = |v: &Vote| v.build == news.build && v.stage == news.stage && now < v.at + life;
         let same = match self.standing.filter(here) {
             None => verdict == Verdict::Withhold,
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -42,6 +42,8 @@
     pub keys_stay: bool,
     pub vote_life: Duration,
     pub vote_answer_within: Duration,
+    /// Sidecars that it takes to send a build back.
+    pub back_votes: f64,
     /// Hits a second of each customer that this sidecar's part of the quota allows; what one beyond earns.
     pub quotas: Vec<f64>,
     pub over_quota_worth: f64,
@@ -85,6 +87,7 @@
             keys_stay: release.keys_stay,
             vote_life: release.vote_life,
             vote_answer_within: release.vote_answer_within,
+            back_votes: f64::from(release.back_votes.clamp(1, terms.sidecars.max(1))),
             quotas: terms
                 .customers
                 .iter()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,6 +76,8 @@
     pub vote_life: Duration,
     pub vote_answer_within: Duration,
     pub flagged_share: f64,
+    /// How many sidecars it takes to send a build back.
+    pub back_votes: u32,
 }
 
 #[derive(Clone, Debug)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -279,7 +279,9 @@
 #[derive(Default, Clone, Copy, Debug)]
 pub struct Count {
     pub seen: usize,
+    /// Errors, and time-outs among them.
     pub bad: usize,
+    pub timed_out: usize,
     pub flagged: usize,
 }
 
@@ -288,14 +290,17 @@
         self.groups.values().fold(Count::default(), |a, c| Count {
             seen: a.seen + c.seen,
             bad: a.bad + c.bad,
+            timed_out: a.timed_out + c.timed_out,
             flagged: a.flagged + c.flagged,
         })
     }
 
-    pub fn count(&mut self, group: GroupId, pod: PodId, bad: bool, time: Option<f64>) {
+    pub fn count(&mut self, group: GroupId, pod: PodId, fate: Fate, time: Option<f64>) {
+        let bad = matches!(fate, Fate::Errored | Fate::TimedOut);
         let (count, by_pod) = (self.groups.entry(group).or_default(), self.pods.entry(pod).or_default());
         (count.seen, by_pod.seen) = (count.seen + 1, by_pod.seen + 1);
         (count.bad, by_pod.bad) = (count.bad + usize::from(bad), by_pod.bad + usize::from(bad));
+        count.timed_out += usize::from(fate == Fate::TimedOut);
         by_pod.times.extend(time);
     }
 
