--- a/src/choice.rs
+++ b/src/choice.rs
@@ -195,6 +195,7 @@
             entry: self.entry.clone(),
             ready,
             open: self.open.len(),
+            age: self.open.values().map(|sent| now.saturating_sub(*sent).as_secs_f64()).sum(),
             pace: self.pace,
             usable: ready && !shut,
             wants_proof: ready && shut && now >= self.shut_until,
@@ -203,6 +204,12 @@
     }
 }
 
+/// What is known comes before what is to be decided: a sidecar that stood still finds answers and hits at once.
+pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
+    events.sort_by_key(|event| !matches!(event, Event::Outcome(_)));
+    events
+}
+
 /// Keeps the five rules: every forward and every final answer passes here.
 #[derive(Default)]
 pub struct Gate {
@@ -345,13 +352,15 @@
         round.tell([To::Pod(pod), To::Desk], &Note::Sent { hit, no, pod });
     }
 
-    fn end_forward(&mut self, outcome: Outcome, round: &mut Round) {
+    fn end_forward(&mut self, mut outcome: Outcome, round: &mut Round) {
         let Some(account) = self.accounts.get_mut(&outcome.hit) else { return };
         let Some(sent) = account.forwards.get_mut(usize::from(outcome.no.0)) else { return };
         if sent.fate.is_some() {
             return;
         }
         sent.fate = Some(outcome.fate);
+        // The time that this sidecar itself stood still is no sign of the pod's.
+        outcome.took = outcome.took.saturating_sub(round.late);
         let (pod, build, at) = (sent.pod, sent.build, sent.at);
         let was_open = !account.over;
         account.over |= outcome.over;
@@ -481,8 +490,13 @@
         if round.now < round.figures.since + RATE_OVER {
             return 0.0;
         }
-        let open: usize = self.cards.values().filter(|c| c.usable).map(|c| c.open).sum();
-        let wait = open as f64 / self.finished.now(round.now, RATE_OVER).max(5.0);
+        let usable = || self.cards.values().filter(|c| c.usable);
+        let open = usable().map(|c| c.open as f64).sum::<f64>();
+        let age = usable().map(|c| c.age).sum::<f64>() / open.max(1.0);
+        // A few open hits of a light sidecar are chance, and hits that came in a heap are still young: neither
+        // tells of a queue.
+        let by_count = (open - open.sqrt()) / self.finished.now(round.now, RATE_OVER).max(5.0);
+        let wait = by_count.min(2.0 * age);
         ((wait / round.figures.tightest - 0.45) / 0.6).clamp(0.0, 1.0)
     }
 
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -95,6 +95,8 @@
 /// goes out.
 pub struct Round {
     pub now: Duration,
+    /// How long past its beat this sidecar was called: it stood still.
+    pub late: Duration,
     pub figures: Figures,
     pub mail: Inboxes<To, Note>,
     pub due: DueTimes<(To, Note)>,
@@ -106,6 +108,7 @@
     pub fn new(now: Duration, terms: &StartTerms) -> Self {
         Self {
             now,
+            late: Duration::ZERO,
             figures: Figures::of(now, terms),
             mail: Inboxes::default(),
             due: DueTimes::default(),
@@ -164,6 +167,8 @@
     pub entry: PodEntry,
     pub ready: bool,
     pub open: usize,
+    /// Seconds that its open forwards have been out, together.
+    pub age: f64,
     /// Recent time taken, as a share of the target latency, and over how many answers.
     pub pace: Mean,
     pub usable: bool,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,6 +1,6 @@
 //! One sidecar: its parts, and the loop that empties their inboxes. The parts decide, in `choice`.
 
-use crate::choice::{Desk, Gate, Judge, Lister, Pod, BEAT};
+use crate::choice::{in_order, Desk, Gate, Judge, Lister, Pod, BEAT};
 use crate::interface::*;
 use crate::notes::{Note, Round, To};
 use std::collections::BTreeMap;
@@ -32,7 +32,8 @@
     /// Takes the events of one moment, in order, and tells what to do, in order.
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         self.round.now = now;
-        for event in events {
+        self.round.late = now.saturating_sub(self.next_beat);
+        for event in in_order(events) {
             self.round.deliver(event);
             self.empty();
         }
