--- a/src/choice.rs
+++ b/src/choice.rs
@@ -195,7 +195,6 @@
             entry: self.entry.clone(),
             ready,
             open: self.open.len(),
-            age: self.open.values().map(|sent| now.saturating_sub(*sent).as_secs_f64()).sum(),
             pace: self.pace,
             usable: ready && !shut,
             wants_proof: ready && shut && now >= self.shut_until,
@@ -431,6 +430,8 @@
     news: Option<StageNews>,
     spare: f64,
     finished: Rate,
+    /// What the last forwards took, as a share of the target latency.
+    recent: Mean,
     /// Mean time of delivered forwards by path group, in seconds.
     usual: BTreeMap<GroupId, f64>,
     /// Mean time of delivered forwards by machine kind, as a share of the target latency.
@@ -490,14 +491,11 @@
         if round.now < round.figures.since + RATE_OVER {
             return 0.0;
         }
-        let usable = || self.cards.values().filter(|c| c.usable);
-        let open = usable().map(|c| c.open as f64).sum::<f64>();
-        let age = usable().map(|c| c.age).sum::<f64>() / open.max(1.0);
-        // A few open hits of a light sidecar are chance, and hits that came in a heap are still young: neither
-        // tells of a queue.
+        let open = self.cards.values().filter(|c| c.usable).map(|c| c.open as f64).sum::<f64>();
+        // A few open hits of a light sidecar are chance; what its last hits took tells it more.
         let by_count = (open - open.sqrt()) / self.finished.now(round.now, RATE_OVER).max(5.0);
-        let wait = by_count.min(2.0 * age);
-        ((wait / round.figures.tightest - 0.45) / 0.6).clamp(0.0, 1.0)
+        let wait = (by_count / round.figures.tightest).max(self.recent.value);
+        ((wait - 0.45) / 0.6).clamp(0.0, 1.0)
     }
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
@@ -593,12 +591,18 @@
 
     fn end_forward(&mut self, ended: Ended, round: &mut Round) {
         let usual = self.usual(ended.group, round);
+        let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
+        match ended.outcome.fate {
+            Fate::Delivered => self.recent.add(share, PACE_OVER),
+            Fate::TimedOut | Fate::Cancelled => self.recent.add(share.min(2.0), PACE_OVER),
+            Fate::TurnedAway => self.recent.add(1.0, PACE_OVER),
+            _ => {}
+        }
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
             self.usual.insert(ended.group, usual * 0.95 + took * 0.05);
             if let Some(card) = self.cards.get(&ended.outcome.pod) {
-                let share = took / round.figures.line(ended.group).target.as_secs_f64();
                 let mean = self.kinds.entry(card.entry.kind).or_insert(share);
                 *mean = *mean * 0.98 + share * 0.02;
             }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -277,7 +277,7 @@
     desk.kinds.insert(KindId(0), 0.3);
     let card = |of| {
         let pace = Mean { value: if of > 0 { 0.2 } else { 0.0 }, of };
-        Card { entry: pod(0, 1), ready: true, open: 0, age: 0.0, pace, usable: true, wants_proof: false }
+        Card { entry: pod(0, 1), ready: true, open: 0, pace, usable: true, wants_proof: false }
     };
     assert!(desk.cost(&card(0), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
     assert!(desk.cost(&card(1), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -167,8 +167,6 @@
     pub entry: PodEntry,
     pub ready: bool,
     pub open: usize,
-    /// Seconds that its open forwards have been out, together.
-    pub age: f64,
     /// Recent time taken, as a share of the target latency, and over how many answers.
     pub pace: Mean,
     pub usable: bool,
