--- a/src/choice.rs
+++ b/src/choice.rs
@@ -430,8 +430,9 @@
     news: Option<StageNews>,
     spare: f64,
     finished: Rate,
-    /// What the last forwards took, as a share of the target latency.
-    recent: Mean,
+    /// What forwards took lately, in target latencies a second, and how many ended.
+    took: Rate,
+    ended: Rate,
     /// Mean time of delivered forwards by path group, in seconds.
     usual: BTreeMap<GroupId, f64>,
     /// Mean time of delivered forwards by machine kind, as a share of the target latency.
@@ -494,7 +495,9 @@
         let open = self.cards.values().filter(|c| c.usable).map(|c| c.open as f64).sum::<f64>();
         // A few open hits of a light sidecar are chance; what its last hits took tells it more.
         let by_count = (open - open.sqrt()) / self.finished.now(round.now, RATE_OVER).max(5.0);
-        let wait = (by_count / round.figures.tightest).max(self.recent.value);
+        // It fades, as nothing is learned while all is shed.
+        let by_time = self.took.now(round.now, RATE_OVER) / (self.ended.now(round.now, RATE_OVER) + 0.5);
+        let wait = (by_count / round.figures.tightest).max(by_time);
         ((wait - 0.45) / 0.6).clamp(0.0, 1.0)
     }
 
@@ -592,12 +595,9 @@
     fn end_forward(&mut self, ended: Ended, round: &mut Round) {
         let usual = self.usual(ended.group, round);
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
-        match ended.outcome.fate {
-            Fate::Delivered => self.recent.add(share, PACE_OVER),
-            Fate::TimedOut | Fate::Cancelled => self.recent.add(share.min(2.0), PACE_OVER),
-            Fate::TurnedAway => self.recent.add(1.0, PACE_OVER),
-            _ => {}
-        }
+        let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
+        self.took.put(share, round.now, RATE_OVER);
+        self.ended.add(round.now, RATE_OVER);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -100,7 +100,11 @@
 
 impl Rate {
     pub fn add(&mut self, now: Duration, over: Duration) {
-        self.per_s = self.now(now, over) + 1.0 / over.as_secs_f64();
+        self.put(1.0, now, over);
+    }
+
+    pub fn put(&mut self, amount: f64, now: Duration, over: Duration) {
+        self.per_s = self.now(now, over) + amount / over.as_secs_f64();
         self.at = now;
     }
 
