--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 const CROWDED: f64 = 2.5;
 /// Rates are smoothed over this time.
 const RATE_OVER: Duration = Duration::from_secs(2);
+/// The share of hits that may go to shut pods to see whether they are back.
+const PROOFS: f64 = 0.15;
 /// A pod's pace is the mean of about so many of its last answers.
 const PACE_OVER: usize = 10;
 /// How often an open forward is looked at again.
@@ -225,12 +227,13 @@
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Listed(entry) => {
-                self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry)).list(entry, round.now)
+                let luck = round.chance();
+                self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry)).list(entry, round.now, luck)
             }
             Note::Taken(hit) => self.open(hit, round),
-            Note::Ask { hit, pod } => match self.allow(hit, pod, round) {
-                Ok(()) => self.send(hit, pod, round),
-                Err(why) => round.mail.put(To::Desk, Note::Refused { hit, pod, why }),
+            Note::Ask { hit, pods } => match pods.iter().find(|pod| self.allow(hit, **pod, round).is_ok()) {
+                Some(pod) => self.send(hit, *pod, round),
+                None => round.mail.put(To::Desk, Note::Refused(hit)),
             },
             Note::Back(outcome) => self.end_forward(outcome, round),
             Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
@@ -295,7 +298,9 @@
         let fair = self.answered.now(now, RATE_OVER) / whole.max(0.01);
         let most = fair * place.entry.size * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
         let sent = place.sends.since(round.ago(figures.fall_within));
-        ((sent as f64) < most + 1.0).then_some(()).ok_or(Refusal::Cold)
+        // What is less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would
+        // together push the pod over; rounded down, light ones would never warm it.
+        ((sent + 1) as f64 <= most + place.luck).then_some(()).ok_or(Refusal::Cold)
     }
 
     /// The cap of a build on trial; none for builds that are not.
@@ -444,15 +449,8 @@
         match note {
             Note::Taken(hit) => self.arrive(hit, round),
             Note::Card(card) => drop(self.cards.insert(card.entry.pod, card)),
-            Note::Refused { hit, pod, why } => {
-                let Some(open) = self.hits.get_mut(&hit) else { return };
-                open.refused.push(pod);
-                open.no_trial |= why == Refusal::Exposed;
-                if why != Refusal::Over {
-                    self.place(hit, round);
-                } else if open.out == 0 {
-                    round.mail.put(To::Gate, Note::End(hit));
-                }
+            Note::Refused(hit) if self.hits.get(&hit).is_some_and(|open| open.out == 0) => {
+                self.wait(hit, round)
             }
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
@@ -524,22 +522,9 @@
         let draw = round.chance();
         let Some(open) = self.hits.get(&hit) else { return };
         let on_trial = |c: &Card| trial == Some(c.entry.build);
-        let fits = |c: &&Card| !open.refused.contains(&c.entry.pod) && !open.tried.contains(&c.entry.pod);
-        let costs: Vec<(f64, &Card)> = self
-            .cards
-            .values()
-            .filter(|c| c.ready)
-            .filter(fits)
-            .map(|card| {
-                let luck = -round.chance().max(1e-9).ln();
-                (self.cost(card, luck, round), card)
-            })
-            .collect();
-        let cheapest = |wanted: &dyn Fn(&Card) -> bool| {
-            let cards = costs.iter().filter(|(_, c)| wanted(c));
-            cards.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| c.entry.pod)
-        };
-        let first = round.figures.line(open.group).repeat != Repeat::Mutating && open.tried.is_empty();
+        let repeatable = round.figures.line(open.group).repeat != Repeat::Mutating;
+        // A light sidecar has few hits: most must not go to prove that what is shut still fails.
+        let proves = repeatable && open.tried.is_empty() && round.chance() < PROOFS;
         // A random share for a few pods queues where the base's many, picked by load, do not: hits drawn for a
         // crowded trial go to the base, so that clients don't wait and the judge compares like with like.
         let least = |side: bool| {
@@ -547,16 +532,24 @@
             cards.map(|c| (c.open as f64 + 1.0) / c.entry.size).fold(f64::MAX, f64::min)
         };
         let want_trial = !open.no_trial && draw < share && least(true) < CROWDED * least(false);
-        let pick = cheapest(&|c| first && c.wants_proof && !on_trial(c))
-            .or_else(|| cheapest(&|c| c.usable && on_trial(c) == want_trial))
-            .or_else(|| cheapest(&|c| c.usable && on_trial(c) != want_trial && !open.no_trial))
+        let turn = |c: &Card| match () {
+            _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
+            _ if proves && c.wants_proof && !on_trial(c) => Some(0),
+            _ if c.usable && on_trial(c) == want_trial => Some(1),
+            _ if c.usable && !open.no_trial => Some(2),
             // Nothing healthy: a pod that is only quiet or shut is better than none.
-            .or_else(|| cheapest(&|c| !on_trial(c) && open.out == 0));
-        match pick {
-            Some(pod) => round.mail.put(To::Gate, Note::Ask { hit, pod }),
-            None if open.out > 0 => {}
-            None => self.wait(hit, round),
+            _ if !on_trial(c) && open.out == 0 => Some(3),
+            _ => None,
+        };
+        let mut ranked = Vec::new();
+        for card in self.cards.values() {
+            if let Some(turn) = turn(card) {
+                ranked.push((turn, self.cost(card, -round.chance().max(1e-9).ln(), round), card.entry.pod));
+            }
         }
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let pods = ranked.into_iter().map(|(_, _, pod)| pod).collect();
+        round.mail.put(To::Gate, Note::Ask { hit, pods });
     }
 
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
@@ -582,7 +575,7 @@
     /// No pod may have it now: it waits while an answer could still be worth something.
     fn wait(&mut self, hit: HitId, round: &mut Round) {
         let Some(open) = self.hits.get_mut(&hit) else { return };
-        (open.no_trial, open.refused, open.tried) = (false, Vec::new(), Vec::new());
+        (open.no_trial, open.tried) = (false, Vec::new());
         let target = round.figures.line(open.group).target;
         let last = (open.arrived + target.mul_f64(0.7)).min(open.due.saturating_sub(BEAT * 3));
         if round.now < last {
@@ -623,7 +616,7 @@
         let again = ended.outcome.fate.never_ran() || line.repeat != Repeat::Mutating;
         if again && worth && round.now + BEAT < open.due && self.spare >= 1.0 {
             self.spare -= 1.0;
-            (open.no_trial, open.refused) = (true, Vec::new());
+            open.no_trial = true;
             self.place(hit, round);
         } else {
             round.mail.put(To::Gate, Note::End(hit));
@@ -650,7 +643,7 @@
         }
         self.spare -= 1.0;
         if let Some(open) = self.hits.get_mut(&hit) {
-            (open.no_trial, open.refused) = (true, Vec::new());
+            open.no_trial = true;
         }
         self.place(hit, round);
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -324,5 +324,5 @@
     desk.hits.insert(hit.id, OpenHit::of(&hit, round.now));
     desk.place(hit.id, &mut round);
     let asked = round.mail.take().map(|(_, note)| note);
-    assert!(matches!(asked, Some(Note::Ask { pod, .. }) if pod == want));
+    assert!(matches!(asked, Some(Note::Ask { pods, .. }) if pods[0] == want));
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -24,16 +24,12 @@
     List(ListNews),
     Listed(PodEntry),
     Taken(Hit),
-    /// Desk to gate: may this forward go?
+    /// Desk to gate: a forward to the first of these pods that the rules allow.
     Ask {
         hit: HitId,
-        pod: PodId,
-    },
-    Refused {
-        hit: HitId,
-        pod: PodId,
-        why: Refusal,
+        pods: Vec<PodId>,
     },
+    Refused(HitId),
     Sent {
         hit: HitId,
         no: ForwardNo,
@@ -226,17 +222,20 @@
     /// When this sidecar was told that it drains or is gone.
     pub ended: Option<Duration>,
     pub sends: Window,
+    /// This sidecar's luck with the parts of a forward that the pod may get, 0 to 1; drawn anew at each start.
+    pub luck: f64,
 }
 
 impl Place {
     pub fn of(entry: &PodEntry) -> Self {
-        Self { entry: entry.clone(), ended: None, sends: Window::default() }
+        Self { entry: entry.clone(), ended: None, sends: Window::default(), luck: 0.0 }
     }
 
-    pub fn list(&mut self, entry: PodEntry, now: Duration) {
+    pub fn list(&mut self, entry: PodEntry, now: Duration, luck: f64) {
         if entry.started != self.entry.started {
             self.sends.clear();
         }
+        self.luck = luck;
         self.ended = match entry.state {
             PodState::Ready => None,
             _ => self.ended.or(Some(now)),
@@ -252,14 +251,12 @@
     pub due: Duration,
     pub out: u32,
     pub tried: Vec<PodId>,
-    pub refused: Vec<PodId>,
     pub no_trial: bool,
 }
 
 impl OpenHit {
     pub fn of(hit: &Hit, arrived: Duration) -> Self {
-        let (tried, refused) = (Vec::new(), Vec::new());
-        Self { group: hit.group, arrived, due: hit.due, out: 0, tried, refused, no_trial: false }
+        Self { group: hit.group, arrived, due: hit.due, out: 0, tried: Vec::new(), no_trial: false }
     }
 }
 
