Where connections are paid for a sidecar uses the few pods that rank highest in a hash with its number

With 600 sidecars that each met all pods, new pods were out of connections and busy with handshakes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, step, Mean, Rate, Window};
+use crate::ledger::{median, mixed, step, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -36,6 +36,8 @@
 const RATE_OVER: Duration = Duration::from_secs(2);
 /// The share of hits that may go to shut pods to see whether they are back.
 const PROOFS: f64 = 0.15;
+/// Pods that an idle sidecar uses where it can't use all.
+const FEW_PODS: usize = 5;
 /// A pod's pace is the mean of about so many of its last answers.
 const PACE_OVER: usize = 10;
 /// How often an open forward is looked at again.
@@ -232,7 +234,7 @@
             }
             Note::Taken(hit) => self.open(hit, round),
             Note::Ask { hit, pods } => match pods.iter().find(|pod| self.allow(hit, **pod, round).is_ok()) {
-                Some(pod) => self.send(hit, *pod, round),
+                Some((pod, _)) => self.send(hit, *pod, round),
                 None => round.mail.put(To::Desk, Note::Refused(hit)),
             },
             Note::Back(outcome) => self.end_forward(outcome, round),
@@ -269,7 +271,7 @@
     }
 
     /// The five rules for one forward.
-    fn allow(&self, hit: HitId, pod: PodId, round: &Round) -> Result<(), Refusal> {
+    fn allow(&self, hit: HitId, (pod, part): (PodId, f64), round: &Round) -> Result<(), Refusal> {
         let (now, figures) = (round.now, &round.figures);
         let account = self.accounts.get(&hit).ok_or(Refusal::Over)?;
         let place = self.places.get(&pod).ok_or(Refusal::Drained)?;
@@ -281,13 +283,13 @@
         if place.ended.is_some_and(|told| now >= told + figures.grace) {
             return Err(Refusal::Drained);
         }
-        self.allow_cold(place, round)?;
+        self.allow_cold(place, part, round)?;
         self.allow_exposure(account, place.entry.build, round)
     }
 
     /// Rule 4, with no word between sidecars: each keeps a cold pod's load to what it gives warm strength, so
     /// that the sum does too, however unequal their traffic.
-    fn allow_cold(&self, place: &Place, round: &Round) -> Result<(), Refusal> {
+    fn allow_cold(&self, place: &Place, part: f64, round: &Round) -> Result<(), Refusal> {
         let (now, figures) = (round.now, &round.figures);
         let strength = figures.strength(place.entry.started, now);
         if strength >= 1.0 {
@@ -295,7 +297,8 @@
         }
         let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
         let whole: f64 = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
-        let fair = self.answered.now(now, RATE_OVER) / whole.max(0.01);
+        // What it uses but a part of gets so much more from it, and nothing from sidecars that use others.
+        let fair = self.answered.now(now, RATE_OVER) / (whole * part).max(0.01);
         let most = fair * place.entry.size * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
         let sent = place.sends.since(round.ago(figures.fall_within));
         // What is less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would
@@ -532,19 +535,23 @@
             cards.map(|c| (c.open as f64 + 1.0) / c.entry.size).fold(f64::MAX, f64::min)
         };
         let want_trial = !open.no_trial && draw < share && least(true) < CROWDED * least(false);
+        let (base, trial_part) = (self.used(trial, false, round), self.used(trial, true, round));
+        let among = |c: &Card| if on_trial(c) { &trial_part } else { &base };
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
             _ if proves && c.wants_proof && !on_trial(c) => Some(0),
-            _ if c.usable && on_trial(c) == want_trial => Some(1),
-            _ if c.usable && !open.no_trial => Some(2),
+            _ if c.usable && on_trial(c) == want_trial && among(c).0.contains(&c.entry.pod) => Some(1),
+            _ if c.usable && on_trial(c) == want_trial => Some(2),
+            _ if c.usable && !open.no_trial => Some(3),
             // Nothing healthy: a pod that is only quiet or shut is better than none.
-            _ if !on_trial(c) && open.out == 0 => Some(3),
+            _ if !on_trial(c) && open.out == 0 => Some(4),
             _ => None,
         };
         let mut ranked = Vec::new();
         for card in self.cards.values() {
             if let Some(turn) = turn(card) {
-                ranked.push((turn, self.cost(card, -round.chance().max(1e-9).ln(), round), card.entry.pod));
+                let cost = self.cost(card, -round.chance().max(1e-9).ln(), round);
+                ranked.push((turn, cost, (card.entry.pod, among(card).1)));
             }
         }
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -552,6 +559,26 @@
         round.mail.put(To::Gate, Note::Ask { hit, pods });
     }
 
+    /// The pods of the trial, or of the base, that this sidecar uses, and which part of them that is. Where
+    /// connections are paid for it can't use all: it uses those that rank highest in a hash of its own number
+    /// and theirs, of both sides alike, a few more than its open hits need. A pod that is shut makes room for
+    /// the next in rank; the rest of the set stays.
+    fn used(&self, trial: Option<BuildId>, side: bool, round: &Round) -> (Vec<PodId>, f64) {
+        let usable = || self.cards.values().filter(|c| c.usable);
+        let own = u64::from(round.figures.own_number);
+        let pods = usable().filter(|c| (trial == Some(c.entry.build)) == side).map(|c| c.entry.pod);
+        let mut pods: Vec<(u64, PodId)> = pods.map(|pod| (mixed(pod.0 ^ mixed(own + 1)), pod)).collect();
+        let (all, open) = (usable().count(), usable().map(|c| c.open).sum::<usize>());
+        let here = pods.len();
+        if round.figures.dear_connections {
+            let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
+            pods.sort_unstable_by(|a, b| b.cmp(a));
+            pods.truncate((most.ceil() as usize).max(2));
+        }
+        let part = pods.len() as f64 / here.max(1) as f64;
+        (pods.into_iter().map(|(_, pod)| pod).collect(), part)
+    }
+
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
     fn strength(&self, card: &Card, round: &Round) -> f64 {
         let pace = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -19,6 +19,8 @@
     StartTerms {
         seed: 7,
         sidecars: 2,
+        own_number: 1,
+        connection_price: 0.0,
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
         customers: Vec::new(),
@@ -94,7 +96,7 @@
 fn nothing_is_sent_after_the_end(#[case] now: f64, #[case] over: bool, #[case] want: Result<(), Refusal>) {
     let mut gate = gate(0, Phase::Released, 1.0);
     gate.accounts.get_mut(&HitId(0)).unwrap().over = over;
-    assert_eq!(gate.allow(HitId(0), PodId(0), &round(now)), want);
+    assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(now)), want);
 }
 
 #[rstest]
@@ -114,7 +116,7 @@
 ) {
     let mut gate = gate(of, Phase::Released, 1.0);
     gate.accounts.get_mut(&HitId(0)).unwrap().forwards.push(sent(pod(0, 1), 0.5, fate));
-    assert_eq!(gate.allow(HitId(0), PodId(to), &round(now)).is_ok(), allowed);
+    assert_eq!(gate.allow(HitId(0), (PodId(to), 1.0), &round(now)).is_ok(), allowed);
 }
 
 #[test]
@@ -131,7 +133,7 @@
 fn a_draining_pod_gets_nothing_after_the_grace(#[case] now: f64, #[case] want: Result<(), Refusal>) {
     let mut gate = gate(0, Phase::Released, 1.0);
     gate.places.get_mut(&PodId(0)).unwrap().ended = Some(at(1.0));
-    assert_eq!(gate.allow(HitId(0), PodId(0), &round(now)), want);
+    assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(now)), want);
 }
 
 #[rstest]
@@ -151,7 +153,7 @@
     let place = gate.places.get_mut(&PodId(0)).unwrap();
     place.entry.started = Some(at(started));
     (0..sent).for_each(|_| place.sends.note(at(8.9)));
-    assert_eq!(gate.allow(HitId(0), PodId(0), &round), want);
+    assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
 }
 
 #[rstest]
@@ -168,7 +170,7 @@
     let mut gate = gate(0, phase, cap);
     (0..10).for_each(|_| gate.taken.entry(0).or_default().note(at(1.0)));
     (0..before).for_each(|_| gate.exposed.entry((BuildId(2), 0)).or_default().note(at(1.0)));
-    assert_eq!(gate.allow(HitId(0), PodId(3), &round(1.5)), want);
+    assert_eq!(gate.allow(HitId(0), (PodId(3), 1.0), &round(1.5)), want);
 }
 
 #[test]
@@ -179,14 +181,17 @@
 
 #[test]
 fn a_guarded_stage_takes_repeatable_hits_only() {
-    assert_eq!(gate(1, Phase::OnTrial, 1.0).allow(HitId(0), PodId(3), &round(1.0)), Err(Refusal::Exposed));
+    assert_eq!(
+        gate(1, Phase::OnTrial, 1.0).allow(HitId(0), (PodId(3), 1.0), &round(1.0)),
+        Err(Refusal::Exposed)
+    );
 }
 
 #[test]
 fn a_key_that_met_the_new_build_stays_there() {
     let mut gate = gate(0, Phase::OnTrial, 1.0);
     gate.met.insert(KeyId(5), BuildId(2));
-    assert_eq!(gate.allow(HitId(0), PodId(0), &round(1.0)), Err(Refusal::KeyStays));
+    assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(1.0)), Err(Refusal::KeyStays));
 }
 
 /// A judge on build 2 with pods 3 and 5 on trial; each entry is (pod, errors, outcomes, time).
@@ -324,5 +329,5 @@
     desk.hits.insert(hit.id, OpenHit::of(&hit, round.now));
     desk.place(hit.id, &mut round);
     let asked = round.mail.take().map(|(_, note)| note);
-    assert!(matches!(asked, Some(Note::Ask { pods, .. }) if pods[0] == want));
+    assert!(matches!(asked, Some(Note::Ask { pods, .. }) if pods[0].0 == want));
 }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -18,6 +18,9 @@
     pub since: Duration,
     pub zone: ZoneId,
     pub sidecars: f64,
+    pub own_number: u32,
+    /// Connections are paid for.
+    pub dear_connections: bool,
     pub lines: Vec<Line>,
     /// The shortest target latency, in seconds.
     pub tightest: f64,
@@ -64,6 +67,8 @@
             since: now,
             zone: terms.zone,
             sidecars: f64::from(terms.sidecars.max(1)),
+            own_number: terms.own_number,
+            dear_connections: terms.connection_price > 0.0,
             lines: terms.groups.iter().map(line).collect(),
             tightest: targets.fold(f64::MAX, f64::min),
             on_request: terms.list_on_request,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,10 @@
 pub struct StartTerms {
     pub seed: u64,
     pub sidecars: u32,
+    /// This one's number among them.
+    pub own_number: u32,
+    /// What open connections cost.
+    pub connection_price: f64,
     pub zone: ZoneId,
     pub groups: Vec<PathGroup>,
     pub customers: Vec<Customer>,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -58,6 +58,14 @@
     }
 }
 
+/// A number that looks like chance but is always the same for the same one (splitmix64).
+pub fn mixed(number: u64) -> u64 {
+    let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
 /// The value that a share of all lie under.
 pub fn quantile(mut values: Vec<f64>, share: f64) -> Option<f64> {
     values.sort_by(f64::total_cmp);
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -24,10 +24,11 @@
     List(ListNews),
     Listed(PodEntry),
     Taken(Hit),
-    /// Desk to gate: a forward to the first of these pods that the rules allow.
+    /// Desk to gate: a forward to the first of these pods that the rules allow; with each, the part of its
+    /// build's pods that this sidecar uses.
     Ask {
         hit: HitId,
-        pods: Vec<PodId>,
+        pods: Vec<(PodId, f64)>,
     },
     Refused(HitId),
     Sent {
