--- a/src/choice.rs
+++ b/src/choice.rs
@@ -170,6 +170,7 @@
             }
             // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is
             // no sign of speed: a pod that fails at once would otherwise draw all hits.
+            Fate::TimedOut | Fate::Errored if ended.sour => {}
             Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
                 self.strikes += 1;
                 let limit = if matches!(ended.outcome.fate, Fate::Errored | Fate::TimedOut) { 3 } else { 1 };
@@ -223,6 +224,8 @@
     exposed: BTreeMap<(BuildId, usize), Window>,
     met: BTreeMap<KeyId, BuildId>,
     answered: Rate,
+    /// The share of each customer's forwards that errs or times out.
+    wrong: BTreeMap<CustomerId, Mean>,
 }
 
 impl Gate {
@@ -379,11 +382,28 @@
             }
         }
         let (hit, group, open) = (outcome.hit, account.group, was_open && !account.over);
-        let ended = Ended { outcome, group, build, sent: at, open };
+        let customer = account.customer;
+        let sour = customer.is_some_and(|customer| self.sours(customer, outcome.fate));
+        let ended = Ended { outcome, group, build, sent: at, open, customer, sour };
         round.tell([To::Pod(pod), To::Desk, To::Judge], &Note::Ended(ended));
         self.tidy(hit, round);
     }
 
+    /// Whether one customer's hits go wrong where the others' go well, on all pods and builds alike: then they
+    /// speak neither against a pod nor against a build. Hits that nobody can answer, or that wait for something
+    /// of that customer's own, look like this. Needs more than one customer.
+    fn sours(&mut self, customer: CustomerId, fate: Fate) -> bool {
+        if !fate.never_ran() && fate != Fate::Cancelled {
+            let wrong = matches!(fate, Fate::Errored | Fate::TimedOut);
+            self.wrong.entry(customer).or_default().add(f64::from(u8::from(wrong)), 30);
+        }
+        let others = self.wrong.iter().filter(|(c, mean)| **c != customer && mean.of >= 5);
+        let others: Vec<f64> = others.map(|(_, mean)| mean.value).collect();
+        let usual = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        let own = self.wrong.get(&customer).copied().unwrap_or_default();
+        !others.is_empty() && own.of >= 5 && own.value > 0.2 + 1.5 * usual
+    }
+
     /// A hit that is given up: bounced where a retry does no harm, errored elsewhere.
     fn answer(&mut self, hit: HitId, round: &mut Round) {
         let Some(account) = self.accounts.get_mut(&hit).filter(|a| !a.over && !a.streams) else { return };
@@ -438,6 +458,8 @@
     news: Option<StageNews>,
     spare: f64,
     finished: Rate,
+    /// The share of each customer's forwards that was answered within the target latency.
+    in_time: BTreeMap<CustomerId, Mean>,
     /// What forwards took lately, in target latencies a second, and how many ended.
     took: Rate,
     ended: Rate,
@@ -478,9 +500,15 @@
 
     fn arrive(&mut self, hit: Hit, round: &mut Round) {
         self.spare = (self.spare + SPARE_PER_HIT).min(SPARE_MOST);
-        let shed = self.overload(round) * 2.0 * round.figures.line(hit.group).cheapness;
+        // What will hardly be answered in time is cheap too: hits of one customer that wait at every pod hold
+        // the places of the others'. A few go on, to see when it ends.
+        let share = |of: &Mean| if of.of < 5 { 1.0 } else { of.value };
+        let usual = self.in_time.values().map(share).sum::<f64>() / self.in_time.len().max(1) as f64;
+        let own = hit.customer.and_then(|c| self.in_time.get(&c)).map_or(1.0, share);
+        let hope = (own / usual.max(0.05)).clamp(0.05, 1.0);
+        let shed = self.overload(round) * 2.0 * round.figures.line(hit.group).cheapness / hope;
         self.hits.insert(hit.id, OpenHit::of(&hit, round.now));
-        if shed > 0.0 && round.chance() < shed {
+        if shed > 0.0 && round.chance() < shed.min(0.97) {
             round.mail.put(To::Gate, Note::End(hit.id));
         } else {
             self.place(hit.id, round);
@@ -615,6 +643,10 @@
     fn end_forward(&mut self, ended: Ended, round: &mut Round) {
         let usual = self.usual(ended.group, round);
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
+        if let Some(customer) = ended.customer.filter(|_| !ended.outcome.fate.never_ran()) {
+            let in_time = ended.outcome.fate == Fate::Delivered && share <= 1.0;
+            self.in_time.entry(customer).or_default().add(f64::from(u8::from(in_time)), 30);
+        }
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
         self.took.put(share, round.now, RATE_OVER);
         self.ended.add(round.now, RATE_OVER);
@@ -777,8 +809,8 @@
 
     fn count(&mut self, ended: &Ended, figures: &Figures) {
         let fate = ended.outcome.fate;
-        let told = fate.never_ran() || fate == Fate::Cancelled;
-        if told || ended.sent < self.since {
+        let untold = fate.never_ran() || fate == Fate::Cancelled || ended.sour;
+        if untold || ended.sent < self.since {
             return;
         }
         // A cold pod's time is told as the least it would have been on a warm one.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -254,7 +254,15 @@
 fn ended(fate: Fate) -> Ended {
     let (hit, no, pod, took) = (HitId(0), ForwardNo(0), PodId(0), at(0.002));
     let outcome = Outcome { hit, no, pod, fate, took, over: false, load: LoadReport::default() };
-    Ended { outcome, group: GroupId(0), build: BuildId(1), sent: at(1.0), open: true }
+    Ended {
+        outcome,
+        group: GroupId(0),
+        build: BuildId(1),
+        sent: at(1.0),
+        open: true,
+        customer: None,
+        sour: false,
+    }
 }
 
 #[test]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -75,6 +75,9 @@
     pub sent: Duration,
     /// The hit still waits for its final answer.
     pub open: bool,
+    pub customer: Option<CustomerId>,
+    /// Its customer's hits go wrong where others' go well.
+    pub sour: bool,
 }
 
 /// Why the gate turned a forward down.
@@ -174,6 +177,7 @@
 /// The gate's account of one hit.
 pub struct Account {
     pub group: GroupId,
+    pub customer: Option<CustomerId>,
     pub key: Option<KeyId>,
     pub due: Duration,
     pub forwards: Vec<Sent>,
@@ -183,8 +187,8 @@
 
 impl Account {
     pub fn of(hit: &Hit) -> Self {
-        let (group, key, due) = (hit.group, hit.key, hit.due);
-        Self { group, key, due, forwards: Vec::new(), over: false, streams: false }
+        let (group, customer, key, due) = (hit.group, hit.customer, hit.key, hit.due);
+        Self { group, customer, key, due, forwards: Vec::new(), over: false, streams: false }
     }
 
     pub fn still_out(&self) -> Vec<ForwardNo> {
