--- a/src/choice.rs
+++ b/src/choice.rs
@@ -383,7 +383,8 @@
         }
         let (hit, group, open) = (outcome.hit, account.group, was_open && !account.over);
         let customer = account.customer;
-        let sour = customer.is_some_and(|customer| self.sours(customer, outcome.fate));
+        let learn = !outcome.fate.never_ran() && self.cap(build, &round.figures).is_none();
+        let sour = customer.is_some_and(|customer| self.sours(customer, outcome.fate, learn));
         let ended = Ended { outcome, group, build, sent: at, open, customer, sour };
         round.tell([To::Pod(pod), To::Desk, To::Judge], &Note::Ended(ended));
         self.tidy(hit, round);
@@ -391,17 +392,17 @@
 
     /// Whether one customer's hits go wrong where the others' go well, on all pods and builds alike: then they
     /// speak neither against a pod nor against a build. Hits that nobody can answer, or that wait for something
-    /// of that customer's own, look like this. Needs more than one customer.
-    fn sours(&mut self, customer: CustomerId, fate: Fate) -> bool {
-        if !fate.never_ran() && fate != Fate::Cancelled {
+    /// of that customer's own, look like this. Learned off builds not on trial, and of more than one customer.
+    fn sours(&mut self, customer: CustomerId, fate: Fate, learn: bool) -> bool {
+        if learn && fate != Fate::Cancelled {
             let wrong = matches!(fate, Fate::Errored | Fate::TimedOut);
             self.wrong.entry(customer).or_default().add(f64::from(u8::from(wrong)), 30);
         }
-        let others = self.wrong.iter().filter(|(c, mean)| **c != customer && mean.of >= 5);
+        let others = self.wrong.iter().filter(|(c, mean)| **c != customer && mean.of >= 15);
         let others: Vec<f64> = others.map(|(_, mean)| mean.value).collect();
         let usual = others.iter().sum::<f64>() / others.len().max(1) as f64;
         let own = self.wrong.get(&customer).copied().unwrap_or_default();
-        !others.is_empty() && own.of >= 5 && own.value > 0.2 + 1.5 * usual
+        !others.is_empty() && own.of >= 15 && own.value > 0.2 + 1.5 * usual
     }
 
     /// A hit that is given up: bounced where a retry does no harm, errored elsewhere.
