--- a/src/choice.rs
+++ b/src/choice.rs
@@ -480,7 +480,7 @@
             }
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
-                open.out += 1;
+                (open.out, open.at) = (open.out + 1, Some(pod));
                 if round.figures.line(open.group).repeat != Repeat::Mutating {
                     round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
                 }
@@ -501,13 +501,8 @@
 
     fn arrive(&mut self, hit: Hit, round: &mut Round) {
         self.spare = (self.spare + SPARE_PER_HIT).min(SPARE_MOST);
-        // What will hardly be answered in time is cheap too: hits of one customer that wait at every pod hold
-        // the places of the others'. A few go on, to see when it ends.
-        let share = |of: &Mean| if of.of < 5 { 1.0 } else { of.value };
-        let usual = self.in_time.values().map(share).sum::<f64>() / self.in_time.len().max(1) as f64;
-        let own = hit.customer.and_then(|c| self.in_time.get(&c)).map_or(1.0, share);
-        let hope = (own / usual.max(0.05)).clamp(0.05, 1.0);
-        let shed = self.overload(round) * 2.0 * round.figures.line(hit.group).cheapness / hope;
+        let shed =
+            self.overload(round) * 2.0 * round.figures.line(hit.group).cheapness / self.hope(hit.customer);
         self.hits.insert(hit.id, OpenHit::of(&hit, round.now));
         if shed > 0.0 && round.chance() < shed.min(0.97) {
             round.mail.put(To::Gate, Note::End(hit.id));
@@ -516,13 +511,25 @@
         }
     }
 
+    /// A customer's chance to be answered in time, against the others': what has little is cheap too, as one
+    /// customer's hits that wait at every pod hold the places of all. Not 0: a few go on, to see when it ends.
+    fn hope(&self, customer: Option<CustomerId>) -> f64 {
+        let share = |of: &Mean| if of.of < 5 { 1.0 } else { of.value };
+        let usual = self.in_time.values().map(share).sum::<f64>() / self.in_time.len().max(1) as f64;
+        let own = customer.and_then(|c| self.in_time.get(&c)).map_or(1.0, share);
+        (own / usual.max(0.05)).clamp(0.05, 1.0)
+    }
+
     /// How far the wait ahead of a new hit, by Little's law, is past what the target latency bears: 0 to 1.
     fn overload(&self, round: &Round) -> f64 {
         // Before the first answers there is no rate to go by.
         if round.now < round.figures.since + RATE_OVER {
             return 0.0;
         }
-        let open = self.cards.values().filter(|c| c.usable).map(|c| c.open as f64).sum::<f64>();
+        // Where a customer waits for something of its own, its hits tell nothing of the pods.
+        let out = self.hits.values().filter(|h| h.out > 0 && self.hope(h.customer) > 0.5);
+        let at = |h: &OpenHit| h.at.and_then(|pod| self.cards.get(&pod));
+        let open = out.filter(|h| at(h).is_some_and(|c| c.usable)).count() as f64;
         // A few open hits of a light sidecar are chance; what its last hits took tells it more.
         let by_count = (open - open.sqrt()) / self.finished.now(round.now, RATE_OVER).max(5.0);
         // It fades, as nothing is learned while all is shed.
@@ -646,11 +653,13 @@
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
         if let Some(customer) = ended.customer.filter(|_| !ended.outcome.fate.never_ran()) {
             let in_time = ended.outcome.fate == Fate::Delivered && share <= 1.0;
-            self.in_time.entry(customer).or_default().add(f64::from(u8::from(in_time)), 30);
+            self.in_time.entry(customer).or_default().add(f64::from(u8::from(in_time)), PACE_OVER);
         }
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
-        self.took.put(share, round.now, RATE_OVER);
-        self.ended.add(round.now, RATE_OVER);
+        if self.hope(ended.customer) > 0.5 {
+            self.took.put(share, round.now, RATE_OVER);
+            self.ended.add(round.now, RATE_OVER);
+        }
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -252,6 +252,9 @@
 /// The desk's record of an open hit.
 pub struct OpenHit {
     pub group: GroupId,
+    pub customer: Option<CustomerId>,
+    /// Where its last forward went.
+    pub at: Option<PodId>,
     pub arrived: Duration,
     pub due: Duration,
     pub out: u32,
@@ -261,7 +264,8 @@
 
 impl OpenHit {
     pub fn of(hit: &Hit, arrived: Duration) -> Self {
-        Self { group: hit.group, arrived, due: hit.due, out: 0, tried: Vec::new(), no_trial: false }
+        let (group, customer) = (hit.group, hit.customer);
+        Self { group, customer, at: None, arrived, due: hit.due, out: 0, tried: Vec::new(), no_trial: false }
     }
 }
 
