--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 const CROWDED: f64 = 2.5;
 /// Rates are smoothed over this time.
 const RATE_OVER: Duration = Duration::from_secs(2);
+/// The most that is turned away by chance, so that what goes on tells when it ends.
+const MOST_SHED: f64 = 0.9;
 /// The share of hits that may go to shut pods to see whether they are back.
 const PROOFS: f64 = 0.15;
 /// Pods that an idle sidecar uses where it can't use all.
@@ -459,11 +461,8 @@
     news: Option<StageNews>,
     spare: f64,
     finished: Rate,
-    /// The share of each customer's forwards that was answered within the target latency.
-    in_time: BTreeMap<CustomerId, Mean>,
-    /// What forwards took lately, in target latencies a second, and how many ended.
-    took: Rate,
-    ended: Rate,
+    /// What each customer's forwards took lately, in target latencies a second, and how many ended.
+    lanes: BTreeMap<Option<CustomerId>, (Rate, Rate)>,
     /// Mean time of delivered forwards by path group, in seconds.
     usual: BTreeMap<GroupId, f64>,
     /// Mean time of delivered forwards by machine kind, as a share of the target latency.
@@ -501,40 +500,36 @@
 
     fn arrive(&mut self, hit: Hit, round: &mut Round) {
         self.spare = (self.spare + SPARE_PER_HIT).min(SPARE_MOST);
-        let shed =
-            self.overload(round) * 2.0 * round.figures.line(hit.group).cheapness / self.hope(hit.customer);
+        let shed = self.overload(hit.customer, round) * 2.0 * round.figures.line(hit.group).cheapness;
         self.hits.insert(hit.id, OpenHit::of(&hit, round.now));
-        if shed > 0.0 && round.chance() < shed.min(0.97) {
+        if shed > 0.0 && round.chance() < shed.min(MOST_SHED) {
             round.mail.put(To::Gate, Note::End(hit.id));
         } else {
             self.place(hit.id, round);
         }
     }
 
-    /// A customer's chance to be answered in time, against the others': what has little is cheap too, as one
-    /// customer's hits that wait at every pod hold the places of all. Not 0: a few go on, to see when it ends.
-    fn hope(&self, customer: Option<CustomerId>) -> f64 {
-        let share = |of: &Mean| if of.of < 5 { 1.0 } else { of.value };
-        let usual = self.in_time.values().map(share).sum::<f64>() / self.in_time.len().max(1) as f64;
-        let own = customer.and_then(|c| self.in_time.get(&c)).map_or(1.0, share);
-        (own / usual.max(0.05)).clamp(0.05, 1.0)
+    /// What a customer's forwards took lately, in target latencies. It fades, as nothing is learned while all is
+    /// shed. Read for each customer by itself: hits that wait for something of their own at every pod, and hold
+    /// the places of all, go first, and those who wait no more once they are gone are let in again.
+    fn slowness(&self, customer: Option<CustomerId>, now: Duration) -> f64 {
+        let none = Default::default();
+        let (took, ended) = self.lanes.get(&customer).unwrap_or(&none);
+        took.now(now, RATE_OVER) / (ended.now(now, RATE_OVER) + 0.5)
     }
 
     /// How far the wait ahead of a new hit, by Little's law, is past what the target latency bears: 0 to 1.
-    fn overload(&self, round: &Round) -> f64 {
+    fn overload(&self, customer: Option<CustomerId>, round: &Round) -> f64 {
         // Before the first answers there is no rate to go by.
         if round.now < round.figures.since + RATE_OVER {
             return 0.0;
         }
-        // Where a customer waits for something of its own, its hits tell nothing of the pods.
-        let out = self.hits.values().filter(|h| h.out > 0 && self.hope(h.customer) > 0.5);
+        let out = self.hits.values().filter(|h| h.out > 0 && self.slowness(h.customer, round.now) < 1.0);
         let at = |h: &OpenHit| h.at.and_then(|pod| self.cards.get(&pod));
         let open = out.filter(|h| at(h).is_some_and(|c| c.usable)).count() as f64;
         // A few open hits of a light sidecar are chance; what its last hits took tells it more.
         let by_count = (open - open.sqrt()) / self.finished.now(round.now, RATE_OVER).max(5.0);
-        // It fades, as nothing is learned while all is shed.
-        let by_time = self.took.now(round.now, RATE_OVER) / (self.ended.now(round.now, RATE_OVER) + 0.5);
-        let wait = (by_count / round.figures.tightest).max(by_time);
+        let wait = (by_count / round.figures.tightest).max(self.slowness(customer, round.now));
         ((wait - 0.45) / 0.6).clamp(0.0, 1.0)
     }
 
@@ -651,15 +646,10 @@
     fn end_forward(&mut self, ended: Ended, round: &mut Round) {
         let usual = self.usual(ended.group, round);
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
-        if let Some(customer) = ended.customer.filter(|_| !ended.outcome.fate.never_ran()) {
-            let in_time = ended.outcome.fate == Fate::Delivered && share <= 1.0;
-            self.in_time.entry(customer).or_default().add(f64::from(u8::from(in_time)), PACE_OVER);
-        }
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
-        if self.hope(ended.customer) > 0.5 {
-            self.took.put(share, round.now, RATE_OVER);
-            self.ended.add(round.now, RATE_OVER);
-        }
+        let (took, count) = self.lanes.entry(ended.customer).or_default();
+        took.put(share, round.now, RATE_OVER);
+        count.add(round.now, RATE_OVER);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
