--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, mixed, step, Mean, Rate, Window};
+use crate::ledger::{median, mixed, step, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -37,7 +37,7 @@
 /// The most that is turned away by chance, so that what goes on tells when it ends.
 const MOST_SHED: f64 = 0.9;
 /// What is known of a customer's hits fades over this time when none end.
-const FADES: Duration = Duration::from_secs(5);
+const FADES: Duration = Duration::from_secs(4);
 /// The share of hits that may go to shut pods to see whether they are back.
 const PROOFS: f64 = 0.15;
 /// Pods that an idle sidecar uses where it can't use all.
@@ -463,8 +463,8 @@
     news: Option<StageNews>,
     spare: f64,
     finished: Rate,
-    /// What each customer's last forwards took, in target latencies, and when the last ended.
-    lanes: BTreeMap<Option<CustomerId>, (Mean, Duration)>,
+    /// What each customer's last forwards took, in target latencies.
+    lanes: BTreeMap<Option<CustomerId>, Fading>,
     /// Mean time of delivered forwards by path group, in seconds.
     usual: BTreeMap<GroupId, f64>,
     /// Mean time of delivered forwards by machine kind, as a share of the target latency.
@@ -515,8 +515,7 @@
     /// shed. Read for each customer by itself: hits that wait for something of their own at every pod, and hold
     /// the places of all, go first, and those who wait no more once they are gone are let in again.
     fn slowness(&self, customer: Option<CustomerId>, now: Duration) -> f64 {
-        let Some((took, last)) = self.lanes.get(&customer) else { return 0.0 };
-        took.value * (-(now.saturating_sub(*last).as_secs_f64()) / FADES.as_secs_f64()).exp()
+        self.lanes.get(&customer).map_or(0.0, |took| took.read(now, FADES, 0.5))
     }
 
     /// How far the wait ahead of a new hit, by Little's law, is past what the target latency bears: 0 to 1.
@@ -648,9 +647,7 @@
         let usual = self.usual(ended.group, round);
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
-        let (took, last) = self.lanes.entry(ended.customer).or_default();
-        took.add(share, PACE_OVER);
-        *last = round.now;
+        self.lanes.entry(ended.customer).or_default().add(share, round.now, FADES, 5.0);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -99,6 +99,32 @@
     }
 }
 
+/// A mean of about the last so many values that also loses its weight with time.
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    value: f64,
+    weight: f64,
+    at: Duration,
+}
+
+impl Fading {
+    fn weight(&self, now: Duration, over: Duration) -> f64 {
+        self.weight * (-(now.saturating_sub(self.at)).as_secs_f64() / over.as_secs_f64()).exp()
+    }
+
+    pub fn add(&mut self, value: f64, now: Duration, over: Duration, last: f64) {
+        let weight = self.weight(now, over).min(last - 1.0);
+        self.value = (self.value * weight + value) / (weight + 1.0);
+        (self.weight, self.at) = (weight + 1.0, now);
+    }
+
+    /// The mean, leaning to 0 by so many values.
+    pub fn read(&self, now: Duration, over: Duration, lean: f64) -> f64 {
+        let weight = self.weight(now, over);
+        self.value * weight / (weight + lean).max(1e-9)
+    }
+}
+
 /// A rate in events a second, smoothed over about `over`.
 #[derive(Clone, Copy, Default)]
 pub struct Rate {
@@ -108,11 +134,7 @@
 
 impl Rate {
     pub fn add(&mut self, now: Duration, over: Duration) {
-        self.put(1.0, now, over);
-    }
-
-    pub fn put(&mut self, amount: f64, now: Duration, over: Duration) {
-        self.per_s = self.now(now, over) + amount / over.as_secs_f64();
+        self.per_s = self.now(now, over) + 1.0 / over.as_secs_f64();
         self.at = now;
     }
 
