--- a/src/choice.rs
+++ b/src/choice.rs
@@ -647,7 +647,9 @@
         let usual = self.usual(ended.group, round);
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
-        self.lanes.entry(ended.customer).or_default().add(share, round.now, FADES, 5.0);
+        // Few outcomes, or a light sidecar would still shed long after; a busy one reads half a second of them.
+        let last = (self.finished.now(round.now, RATE_OVER) * 0.5).max(5.0);
+        self.lanes.entry(ended.customer).or_default().add(share, round.now, FADES, last);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
