--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, mixed, step, Fading, Mean, Rate, Window};
+use crate::ledger::{median, mixed, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -741,11 +741,6 @@
     before: Sample,
     /// Mean time by machine kind while no build is on trial, as a share of the target latency.
     kinds: BTreeMap<KindId, Mean>,
-    /// Times of the earlier build in this stage, before and after its own machines took hits.
-    beside: [Vec<f64>; 2],
-    loaded: bool,
-    /// How far apart the two were in the stage before.
-    last_step: f64,
     /// Whether what was seen speaks against the build; looked at again when there is something new.
     bad: bool,
     fresh: bool,
@@ -793,9 +788,7 @@
             if base.all().seen >= least_sample(&round.figures) {
                 self.before = std::mem::take(base);
             }
-            self.last_step = if next { 0.0 } else { self.step() };
             (self.new, self.old, self.since) = (Sample::default(), Sample::default(), round.now);
-            (self.beside, self.loaded) = Default::default();
         }
         self.news = Some(news);
     }
@@ -827,8 +820,6 @@
         }
         let took = (mean.of >= least_sample(figures)).then(|| took / mean.value.max(0.001));
         let time = took.filter(|_| fate == Fate::Delivered);
-        self.loaded |= !earlier && entry.started > Some(self.since);
-        self.beside[usize::from(self.loaded)].extend(time.filter(|_| earlier));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
         sample.count(ended.group, ended.outcome.pod, fate, time);
@@ -872,7 +863,6 @@
         (errs && self.is_even(|p| p.bad))
             || (wrong && self.is_even(|p| p.flagged))
             || self.is_slow(least, sigmas)
-            || self.drags(sigmas)
     }
 
     /// Whether a sign is spread over the trial's pods as chance would, and on two unless there is but one: one
@@ -904,19 +894,6 @@
         calm && now > SLOW_MARGIN * usual * noise.exp() && others > Some(SLOW_MARGIN * usual)
     }
 
-    /// The earlier build slows when the stage's own machines begin to take hits, two stages running: a build
-    /// that burdens something that all share. A slowdown from outside does not keep to these moments.
-    fn drags(&self, sigmas: f64) -> bool {
-        // Times are shares of the usual mean (its middle: about 0.7): the new build has to be slowed too.
-        let both = median(self.new.times()) > Some(0.8);
-        let least = 0.8 * sigmas / 1.5;
-        both && self.last_step.min(self.step()) > 0.1 && self.last_step + self.step() > least
-    }
-
-    fn step(&self) -> f64 {
-        step(&self.beside[0], &self.beside[1], 3 * LEAST_SAMPLE)
-    }
-
     /// Calls only on a changed verdict or a lapsing vote.
     fn vote(&mut self, round: &mut Round) {
         let Some(news) = self.news else { return };
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -76,15 +76,6 @@
     quantile(values, 0.5)
 }
 
-/// The logarithm of one middle value over another's; 0 while either has too few.
-pub fn step(before: &[f64], after: &[f64], least: usize) -> f64 {
-    if before.len().min(after.len()) < least {
-        return 0.0;
-    }
-    let middle = |values: &[f64]| median(values.to_vec()).unwrap_or(1.0).max(0.001);
-    (middle(after) / middle(before)).ln()
-}
-
 /// A mean that forgets: of all values at first, then of about the last so many.
 #[derive(Clone, Copy, Default)]
 pub struct Mean {
