--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{median, mixed, Fading, Mean, Rate, Window};
+use crate::ledger::{by_rank, excess, median, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -99,25 +99,12 @@
 pub struct Pod {
     entry: PodEntry,
     open: BTreeMap<(HitId, ForwardNo), Duration>,
-    last_answer: Duration,
-    pace: Mean,
-    strikes: u32,
-    shuts: u32,
-    shut_until: Duration,
+    health: Health,
 }
 
 impl Pod {
     pub fn new(entry: PodEntry) -> Self {
-        let (open, never) = (BTreeMap::new(), Duration::ZERO);
-        Self {
-            entry,
-            open,
-            last_answer: never,
-            pace: Mean::default(),
-            strikes: 0,
-            shuts: 0,
-            shut_until: never,
-        }
+        Self { entry, open: BTreeMap::new(), health: Health::default() }
     }
 
     pub fn take(&mut self, note: Note, round: &mut Round) {
@@ -126,15 +113,14 @@
             Note::Listed(entry) => {
                 // A restart or another build under the same id: what was seen of it is void.
                 if entry.started != self.entry.started || entry.build != self.entry.build {
-                    (self.pace, self.strikes) = (Mean::default(), 0);
-                    (self.shuts, self.shut_until) = (0, Duration::ZERO);
+                    self.health = Health::default();
                 }
                 self.entry = entry;
             }
             Note::Sent { hit, no, .. } => {
                 self.open.insert((hit, no), now);
                 // A proof is out: the next one only after a longer wait.
-                if !self.shut_until.is_zero() {
+                if !self.health.shut_until.is_zero() {
                     self.shut(now);
                 }
             }
@@ -147,12 +133,10 @@
                 let oldest = self.open.values().min().copied();
                 // With few hits open a heavy one explains the silence, with many it does not.
                 let few = 1.0 + 2.0 / self.open.len().max(1) as f64;
-                let usual = round.figures.tightest
-                    * (0.15 + 2.0 * if self.pace.of > 0 { self.pace.value.max(0.05) } else { 0.3 })
-                    * few;
-                let patience = Duration::from_secs_f64(usual);
-                let quiet = oldest.is_some_and(|sent| now > sent.max(self.last_answer) + patience);
-                match (self.shut_until.is_zero(), quiet) {
+                let pace = if self.health.pace.of > 0 { self.health.pace.value.max(0.05) } else { 0.3 };
+                let patience = Duration::from_secs_f64(round.figures.tightest * (0.15 + 2.0 * pace) * few);
+                let quiet = oldest.is_some_and(|sent| now > sent.max(self.health.last_answer) + patience);
+                match (self.health.shut_until.is_zero(), quiet) {
                     (true, true) => self.shut(now),
                     (true, false) => return,
                     _ => {}
@@ -168,45 +152,44 @@
         let took = ended.outcome.took.as_secs_f64() / aim;
         match ended.outcome.fate {
             Fate::Delivered => {
-                self.last_answer = now;
-                (self.strikes, self.shuts, self.shut_until) = (0, 0, Duration::ZERO);
-                self.pace.add(took, PACE_OVER);
+                self.health.pace.add(took, PACE_OVER);
+                self.health = Health { last_answer: now, pace: self.health.pace, ..Health::default() };
             }
             // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is
             // no sign of speed: a pod that fails at once would otherwise draw all hits.
             Fate::TimedOut | Fate::Errored if ended.sour => {}
             Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
-                self.strikes += 1;
+                self.health.strikes += 1;
                 let limit = if matches!(ended.outcome.fate, Fate::Errored | Fate::TimedOut) { 3 } else { 1 };
-                if self.strikes >= limit {
+                if self.health.strikes >= limit {
                     self.shut(now);
                 }
             }
-            Fate::TurnedAway => self.pace.add(1.0, PACE_OVER),
+            Fate::TurnedAway => self.health.pace.add(1.0, PACE_OVER),
             Fate::Cancelled | Fate::Void => {}
         }
     }
 
     fn shut(&mut self, now: Duration) {
-        self.shuts = (self.shuts + 1).min(4);
-        self.shut_until = now + Duration::from_millis(250 << self.shuts);
+        self.health.shuts = (self.health.shuts + 1).min(4);
+        self.health.shut_until = now + Duration::from_millis(250 << self.health.shuts);
     }
 
     /// Whether a beat could change anything: hits are out here, or it is shut.
     pub fn watches(&self) -> bool {
-        !self.open.is_empty() || !self.shut_until.is_zero()
+        !self.open.is_empty() || !self.health.shut_until.is_zero()
     }
 
     pub fn post_card(&mut self, round: &mut Round) {
         let (now, ready) = (round.now, self.entry.state == PodState::Ready);
-        let shut = !self.shut_until.is_zero();
+        let shut = !self.health.shut_until.is_zero();
         let card = Card {
             entry: self.entry.clone(),
             ready,
             open: self.open.len(),
-            pace: self.pace,
+            pace: self.health.pace,
             usable: ready && !shut,
-            wants_proof: ready && shut && now >= self.shut_until,
+            wants_proof: ready && shut && now >= self.health.shut_until,
         };
         round.mail.put(To::Desk, Note::Card(card));
     }
@@ -313,16 +296,9 @@
         ((sent + 1) as f64 <= most + place.luck).then_some(()).ok_or(Refusal::Cold)
     }
 
-    /// The cap of a build on trial; none for builds that are not.
     fn cap(&self, build: BuildId, figures: &Figures) -> Option<(f64, u8)> {
-        let unannounced = Some((figures.caps[0], 0));
-        let Some(news) = self.news else {
-            let lowest = self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min();
-            return if lowest.is_some_and(|l| build > l) { unannounced } else { None };
-        };
-        let settled = build < news.build || (build == news.build && news.phase == Phase::Released);
-        let told = if build == news.build { Some((news.cap, news.stage.0)) } else { unannounced };
-        told.filter(|_| !settled)
+        let lowest = self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min();
+        cap(build, lowest, self.news, figures)
     }
 
     /// Rule 5. A lower cap is kept from the moment it is told, without the grace.
@@ -355,12 +331,10 @@
         let (Some(account), Some(place)) = (self.accounts.get_mut(&hit), self.places.get_mut(&pod)) else {
             return;
         };
-        let (no, group, entry) = (ForwardNo(account.forwards.len() as u16), account.group, &place.entry);
-        let (build, zone, cell) = (entry.build, entry.zone, entry.cell);
-        account.forwards.push(Sent { pod, build, zone, cell, at: round.now, fate: None });
+        let (no, build) = (account.sent(&place.entry, round.now), place.entry.build);
         place.sends.note(round.now);
         place.sends.forget(round.ago(round.figures.fall_within));
-        let counter = round.figures.counter(group);
+        let counter = round.figures.counter(account.group);
         self.exposed.entry((build, counter)).or_default().note(round.now);
         round.out.push(Action::Forward { hit, pod, within: Duration::ZERO });
         round.tell([To::Pod(pod), To::Desk], &Note::Sent { hit, no, pod });
@@ -439,6 +413,22 @@
     }
 }
 
+/// The cap and stage of a build on trial; none for builds that are not. One without news of it counts as in the
+/// first stage, unless nothing older runs.
+fn cap(
+    build: BuildId,
+    lowest: Option<BuildId>,
+    news: Option<StageNews>,
+    figures: &Figures,
+) -> Option<(f64, u8)> {
+    match news {
+        None if lowest.is_none_or(|l| build <= l) => None,
+        Some(n) if build < n.build || (build == n.build && n.phase == Phase::Released) => None,
+        Some(n) if build == n.build => Some((n.cap, n.stage.0)),
+        _ => Some((figures.caps[0], 0)),
+    }
+}
+
 /// Rule 2: a second effect is possible only where an earlier forward may have run.
 fn allow_repeat(account: &Account, to: &PodEntry, round: &Round) -> Result<(), Refusal> {
     if !round.figures.second_copies && account.forwards.iter().any(|f| f.fate.is_none()) {
@@ -535,19 +525,15 @@
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
     fn trial_share(&self, round: &Round) -> (Option<BuildId>, f64) {
-        let first_cap = round.figures.caps[0];
-        let ready = || self.cards.values().filter(|c| c.ready);
-        let Some(build) = ready().map(|c| c.entry.build).max() else { return (None, 0.0) };
-        let (stage, cap) = match self.news {
-            Some(n) if build > n.build => (0, first_cap),
-            Some(n) if build == n.build && n.phase != Phase::Released => (usize::from(n.stage.0), n.cap),
-            None if ready().any(|c| c.entry.build < build) => (0, first_cap),
-            _ => return (None, 0.0),
+        let builds = || self.cards.values().filter(|c| c.ready).map(|c| c.entry.build);
+        let Some(build) = builds().max() else { return (None, 0.0) };
+        let Some((cap, stage)) = cap(build, builds().min(), self.news, &round.figures) else {
+            return (None, 0.0);
         };
         let usable = || self.cards.values().filter(|c| c.usable);
         let whole: f64 = usable().map(|c| self.strength(c, round)).sum();
         let new: f64 = usable().filter(|c| c.entry.build == build).map(|c| self.strength(c, round)).sum();
-        let told = round.figures.stage_shares.get(stage).copied().unwrap_or(1.0);
+        let told = round.figures.stage_shares.get(usize::from(stage)).copied().unwrap_or(1.0);
         (Some(build), (new / whole.max(1e-9)).min(told).min(cap))
     }
 
@@ -596,18 +582,15 @@
     /// the next in rank; the rest of the set stays.
     fn used(&self, trial: Option<BuildId>, side: bool, round: &Round) -> (Vec<PodId>, f64) {
         let usable = || self.cards.values().filter(|c| c.usable);
-        let own = u64::from(round.figures.own_number);
-        let pods = usable().filter(|c| (trial == Some(c.entry.build)) == side).map(|c| c.entry.pod);
-        let mut pods: Vec<(u64, PodId)> = pods.map(|pod| (mixed(pod.0 ^ mixed(own + 1)), pod)).collect();
-        let (all, open) = (usable().count(), usable().map(|c| c.open).sum::<usize>());
-        let here = pods.len();
+        let here = usable().filter(|c| (trial == Some(c.entry.build)) == side).map(|c| c.entry.pod);
+        let mut pods = by_rank(u64::from(round.figures.own_number), here, |pod| pod.0);
+        let (all, open, here) = (usable().count(), usable().map(|c| c.open).sum::<usize>(), pods.len());
         if round.figures.dear_connections {
             let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
-            pods.sort_unstable_by(|a, b| b.cmp(a));
             pods.truncate((most.ceil() as usize).max(2));
         }
         let part = pods.len() as f64 / here.max(1) as f64;
-        (pods.into_iter().map(|(_, pod)| pod).collect(), part)
+        (pods, part)
     }
 
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
@@ -710,11 +693,8 @@
 
 /// Whether `new` is worse than `old` by more than `margin` and `sigmas` of chance; both (bad, seen).
 fn worse(new: (usize, usize), old: (usize, usize), margin: f64, sigmas: f64) -> bool {
-    let share =
-        |(bad, seen): (usize, usize), more: f64| (bad as f64 + more) / (seen as f64 + 2.0 * more).max(1.0);
-    let spread = |c: (usize, usize)| share(c, 0.5) * (1.0 - share(c, 0.5)) / (c.1 as f64).max(1.0);
-    let noise = (spread(new) + spread(old)).sqrt();
-    new.0 >= 3 && share(new, 0.0) - share(old, 0.0) > margin + sigmas * noise
+    let (more, noise) = excess(new, old);
+    new.0 >= 3 && more > margin + sigmas * noise
 }
 
 /// The design's least sample is for a vote that decides alone. Where many must agree each may be lighter, as
@@ -866,14 +846,12 @@
     }
 
     /// Whether a sign is spread over the trial's pods as chance would, and on two unless there is but one: one
-    /// sick pod, or a few in a sick zone, do not speak for the build. The squares of counts of a fault that is
-    /// the same everywhere add up to about the sum and its square over the pods. It asks nothing of a pod's own
-    /// sample, so that a light sidecar with one outcome a pod can tell too.
+    /// sick pod, or a few in a sick zone, do not speak for the build. It asks nothing of a pod's own sample, so
+    /// that a light sidecar with one outcome a pod can tell too.
     fn is_even(&self, sign: impl Fn(&ByPod) -> usize) -> bool {
         let signs: Vec<f64> = self.new.pods.values().map(|p| sign(p) as f64).collect();
-        let (sum, squares) = (signs.iter().sum::<f64>(), signs.iter().map(|s| s * s).sum::<f64>());
         let on = signs.iter().filter(|s| **s > 0.0).count();
-        on >= self.trial_pods().count().min(2) && squares < 1.6 * (sum + sum * sum / signs.len() as f64)
+        on >= self.trial_pods().count().min(2) && unevenness(&signs) < 1.6
     }
 
     /// Slower by more than chance explains, also without its slowest pod, only beside an earlier build that
@@ -886,10 +864,7 @@
         }
         let noise = sigmas.max(2.5) * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
-        let mut pods: Vec<Vec<f64>> = self.new.pods.values().map(|p| p.times.clone()).collect();
-        pods.sort_by(|a, b| median(a.clone()).unwrap_or(0.0).total_cmp(&median(b.clone()).unwrap_or(0.0)));
-        pods.pop();
-        let others = median(pods.concat());
+        let others = median(self.new.times_without_slowest());
         let calm = usual < 2.0 && self.kinds.values().all(|mean| mean.value < 0.25);
         calm && now > SLOW_MARGIN * usual * noise.exp() && others > Some(SLOW_MARGIN * usual)
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -269,7 +269,7 @@
 fn a_pod_that_fails_at_once_is_shut_and_not_taken_for_quick() {
     let (mut pod, round) = (Pod::new(pod(0, 1)), round(1.0));
     (0..3).for_each(|_| pod.learn(&ended(Fate::Errored), &round));
-    assert!(pod.shut_until > round.now && pod.pace.of == 0);
+    assert!(pod.health.shut_until > round.now && pod.health.pace.of == 0);
 }
 
 #[rstest]
@@ -281,7 +281,7 @@
     pod.open.insert((HitId(0), ForwardNo(0)), at(1.0));
     pod.take(Note::Beat, &mut round);
     fate.into_iter().for_each(|fate| pod.take(Note::Ended(ended(fate)), &mut round));
-    assert_eq!(!pod.shut_until.is_zero(), shut);
+    assert_eq!(!pod.health.shut_until.is_zero(), shut);
 }
 
 #[test]
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -66,6 +66,27 @@
     z ^ (z >> 31)
 }
 
+/// All ids, highest first in a hash of each with `own`: the order moves little when some come and go.
+pub fn by_rank<T: Copy + Ord>(own: u64, ids: impl Iterator<Item = T>, number: impl Fn(T) -> u64) -> Vec<T> {
+    let mut ranked: Vec<(u64, T)> = ids.map(|id| (mixed(number(id) ^ mixed(own + 1)), id)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, id)| id).collect()
+}
+
+/// How much larger one share of (bad, seen) is than another, and the noise in that.
+pub fn excess(new: (usize, usize), old: (usize, usize)) -> (f64, f64) {
+    let share =
+        |(bad, seen): (usize, usize), more: f64| (bad as f64 + more) / (seen as f64 + 2.0 * more).max(1.0);
+    let spread = |c: (usize, usize)| share(c, 0.5) * (1.0 - share(c, 0.5)) / (c.1 as f64).max(1.0);
+    (share(new, 0.0) - share(old, 0.0), (spread(new) + spread(old)).sqrt())
+}
+
+/// The sum of the squares of counts over what chance would make of it, were all alike: about 1 if they are.
+pub fn unevenness(counts: &[f64]) -> f64 {
+    let (sum, squares) = (counts.iter().sum::<f64>(), counts.iter().map(|c| c * c).sum::<f64>());
+    squares / (sum + sum * sum / counts.len().max(1) as f64).max(1e-9)
+}
+
 /// The value that a share of all lie under.
 pub fn quantile(mut values: Vec<f64>, share: f64) -> Option<f64> {
     values.sort_by(f64::total_cmp);
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -191,6 +191,13 @@
         Self { group, customer, key, due, forwards: Vec::new(), over: false, streams: false }
     }
 
+    /// Puts a forward on record and tells its number.
+    pub fn sent(&mut self, to: &PodEntry, at: Duration) -> ForwardNo {
+        let (pod, build, zone, cell) = (to.pod, to.build, to.zone, to.cell);
+        self.forwards.push(Sent { pod, build, zone, cell, at, fate: None });
+        ForwardNo(self.forwards.len() as u16 - 1)
+    }
+
     pub fn still_out(&self) -> Vec<ForwardNo> {
         let numbered = (0u16..).zip(&self.forwards);
         numbered.filter(|(_, f)| f.fate.is_none()).map(|(n, _)| ForwardNo(n)).collect()
@@ -249,6 +256,18 @@
     }
 }
 
+/// What a pod has seen of itself since its start.
+#[derive(Default)]
+pub struct Health {
+    pub last_answer: Duration,
+    /// Recent time taken, as a share of the target latency.
+    pub pace: Mean,
+    pub strikes: u32,
+    pub shuts: u32,
+    /// Shut, and not proven again before this; zero while it is open.
+    pub shut_until: Duration,
+}
+
 /// The desk's record of an open hit.
 pub struct OpenHit {
     pub group: GroupId,
@@ -318,6 +337,14 @@
         self.pods.entry(pod).or_default().flagged += 1;
     }
 
+    /// All times but those of the pod whose middle one is the longest.
+    pub fn times_without_slowest(&self) -> Vec<f64> {
+        let mut pods: Vec<&Vec<f64>> = self.pods.values().map(|p| &p.times).collect();
+        pods.sort_by(|a, b| median(a.to_vec()).unwrap_or(0.0).total_cmp(&median(b.to_vec()).unwrap_or(0.0)));
+        pods.pop();
+        pods.into_iter().flatten().copied().collect()
+    }
+
     pub fn times(&self) -> Vec<f64> {
         self.pods.values().flat_map(|p| &p.times).copied().collect()
     }
