--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,6 @@
 const SLOW_MARGIN: f64 = 1.5;
 /// A cold pod gets at most this multiple of the load that warm pods of its present strength bear.
 const COLD_LOAD: f64 = 1.4;
-/// The trial counts as crowded when its freest pod has this many times the load of the base's freest.
-const CROWDED: f64 = 2.5;
 /// Rates are smoothed over this time.
 const RATE_OVER: Duration = Duration::from_secs(2);
 /// The most that is turned away by chance, so that what goes on tells when it ends.
@@ -545,13 +543,7 @@
         let repeatable = round.figures.line(open.group).repeat != Repeat::Mutating;
         // A light sidecar has few hits: most must not go to prove that what is shut still fails.
         let proves = repeatable && open.tried.is_empty() && round.chance() < PROOFS;
-        // A random share for a few pods queues where the base's many, picked by load, do not: hits drawn for a
-        // crowded trial go to the base, so that clients don't wait and the judge compares like with like.
-        let least = |side: bool| {
-            let cards = self.cards.values().filter(|c| c.usable && on_trial(c) == side);
-            cards.map(|c| (c.open as f64 + 1.0) / c.entry.size).fold(f64::MAX, f64::min)
-        };
-        let want_trial = !open.no_trial && draw < share && least(true) < CROWDED * least(false);
+        let want_trial = !open.no_trial && draw < share;
         let (base, trial_part) = (self.used(trial, false, round), self.used(trial, true, round));
         let among = |c: &Card| if on_trial(c) { &trial_part } else { &base };
         let turn = |c: &Card| match () {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -295,31 +295,3 @@
     assert!(desk.cost(&card(0), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
     assert!(desk.cost(&card(1), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
 }
-
-#[rstest]
-#[case::free(1, PodId(3))]
-#[case::crowded(9, PodId(0))]
-fn a_crowded_trial_leaves_its_hits_to_the_base(#[case] open: usize, #[case] want: PodId) {
-    let (mut desk, mut round) =
-        (Desk { news: Some(news(Phase::OnTrial, 1.0)), ..Desk::default() }, round(1.0));
-    round.figures.stage_shares = vec![1.0];
-    for (entry, open, pace) in [(pod(0, 1), 1, 9000.0), (pod(3, 2), open, 1.0)] {
-        // The base's machines count as so weak that the whole share is the trial's.
-        desk.kinds.insert(KindId(entry.pod.0 as u8), pace);
-        let entry = PodEntry { kind: KindId(entry.pod.0 as u8), ..entry };
-        let card = Card {
-            entry,
-            ready: true,
-            open,
-            pace: Mean { value: 1.0, of: 10 },
-            usable: true,
-            wants_proof: false,
-        };
-        desk.cards.insert(card.entry.pod, card);
-    }
-    let hit = Hit { id: HitId(0), group: GroupId(0), customer: None, key: None, due: at(9.0) };
-    desk.hits.insert(hit.id, OpenHit::of(&hit, round.now));
-    desk.place(hit.id, &mut round);
-    let asked = round.mail.take().map(|(_, note)| note);
-    assert!(matches!(asked, Some(Note::Ask { pods, .. }) if pods[0].0 == want));
-}
