--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{by_rank, excess, median, unevenness, Mean, Rate, Recent, Window};
+use crate::ledger::{by_rank, excess, median, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -452,7 +452,7 @@
     spare: f64,
     finished: Rate,
     /// What each customer's last forwards took, in target latencies.
-    lanes: BTreeMap<Option<CustomerId>, Recent>,
+    lanes: BTreeMap<Option<CustomerId>, Fading>,
     /// Mean time of delivered forwards by path group, in seconds.
     usual: BTreeMap<GroupId, f64>,
     /// Mean time of delivered forwards by machine kind, as a share of the target latency.
@@ -503,8 +503,7 @@
     /// shed. Read for each customer by itself: hits that wait for something of their own at every pod, and hold
     /// the places of all, go first, and those who wait no more once they are gone are let in again.
     fn slowness(&self, customer: Option<CustomerId>, now: Duration) -> f64 {
-        // The middle one, told as the mean that goes with it: answers that get lost take for ever, but only some do.
-        self.lanes.get(&customer).map_or(0.0, |took| 1.44 * took.middle(now.saturating_sub(FADES)))
+        self.lanes.get(&customer).map_or(0.0, |took| took.read(now, FADES, 0.5))
     }
 
     /// How far the wait ahead of a new hit, by Little's law, is past what the target latency bears: 0 to 1.
@@ -513,9 +512,7 @@
         if round.now < round.figures.since + RATE_OVER {
             return 0.0;
         }
-        let young = |h: &&OpenHit| round.now < h.arrived + round.figures.line(h.group).target;
         let out = self.hits.values().filter(|h| h.out > 0 && self.slowness(h.customer, round.now) < 1.0);
-        let out = out.filter(young);
         let at = |h: &OpenHit| h.at.and_then(|pod| self.cards.get(&pod));
         let open = out.filter(|h| at(h).is_some_and(|c| c.usable)).count() as f64;
         // A few open hits of a light sidecar are chance; what its last hits took tells it more.
@@ -626,8 +623,8 @@
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
         // Few outcomes, or a light sidecar would still shed long after; a busy one reads half a second of them.
-        let last = (self.finished.now(round.now, RATE_OVER) * 0.5).max(5.0) as usize;
-        self.lanes.entry(ended.customer).or_default().add(share, round.now, last);
+        let last = (self.finished.now(round.now, RATE_OVER) * 0.5).max(5.0);
+        self.lanes.entry(ended.customer).or_default().add(share, round.now, FADES, last);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             let took = ended.outcome.took.as_secs_f64();
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -111,22 +111,29 @@
     }
 }
 
-/// The last values of a short time.
-#[derive(Clone, Default)]
-pub struct Recent {
-    values: VecDeque<(Duration, f64)>,
+/// A mean of about the last so many values that also loses its weight with time.
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    value: f64,
+    weight: f64,
+    at: Duration,
 }
 
-impl Recent {
-    pub fn add(&mut self, value: f64, now: Duration, last: usize) {
-        self.values.push_back((now, value));
-        self.values.drain(..self.values.len().saturating_sub(last));
+impl Fading {
+    fn weight(&self, now: Duration, over: Duration) -> f64 {
+        self.weight * (-(now.saturating_sub(self.at)).as_secs_f64() / over.as_secs_f64()).exp()
+    }
+
+    pub fn add(&mut self, value: f64, now: Duration, over: Duration, last: f64) {
+        let weight = self.weight(now, over).min(last - 1.0);
+        self.value = (self.value * weight + value) / (weight + 1.0);
+        (self.weight, self.at) = (weight + 1.0, now);
     }
 
-    /// The middle value of those since `from`; 0 if there are none.
-    pub fn middle(&self, from: Duration) -> f64 {
-        let known = self.values.iter().filter(|(at, _)| *at >= from).map(|(_, value)| *value);
-        median(known.collect()).unwrap_or(0.0)
+    /// The mean, leaning to 0 by so many values.
+    pub fn read(&self, now: Duration, over: Duration, lean: f64) -> f64 {
+        let weight = self.weight(now, over);
+        self.value * weight / (weight + lean).max(1e-9)
     }
 }
 
