--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,13 +1,10 @@
 //! Every decision of limewing: which pod a hit goes to, what counts as evidence, when to vote or give up.
 //!
 //! How to call it: make a `sidecar::Sidecar` for each instance from its start terms, then give all events to
-//! `handle` and carry out the actions it returns, in order. The words of both are in `interface`. Nothing
-//! else is read: the same events give the same actions.
-//!
-//! Inside, the parts (pods, desk, gate, judge, lister) talk only by notes in inboxes that one
-//! loop (`sidecar`) empties.
-//! A hit's way: gate (taken) -> desk (pick) -> gate (five rules) -> forward -> gate (outcome) -> pod, desk,
-//! judge. `docs/design.md` tells what is the design's and what is ours.
+//! `handle` and carry out the actions it returns, in order. The words of both are in `interface`. The parts
+//! (pods, desk, gate, judge, lister) talk only by notes in inboxes that one loop (`sidecar`) empties. A hit's
+//! way: gate (taken) -> desk (pick) -> gate (five rules) -> forward -> gate (outcome) -> pod, desk, judge.
+//! `docs/design.md` tells what is the design's and what is ours.
 
 use crate::figures::Figures;
 use crate::interface::*;
@@ -19,8 +16,7 @@
 #[cfg(test)]
 mod tests;
 
-/// How often the one periodic timer fires.
-pub const BEAT: Duration = Duration::from_millis(20);
+pub const BEAT: Duration = Duration::from_millis(20); // how often the one periodic timer fires
 /// Evidence: the design's least sample and least time, and how long a stage may be held for it.
 const LEAST_SAMPLE: usize = 20;
 const LEAST_TIME: Duration = Duration::from_secs(3);
@@ -28,24 +24,15 @@
 /// The design's margins for a vote back: error points over the earlier build, and times its median latency.
 const ERROR_MARGIN: f64 = 0.05;
 const SLOW_MARGIN: f64 = 1.5;
-/// A cold pod gets at most this multiple of the load that warm pods of its present strength bear.
-const COLD_LOAD: f64 = 1.4;
-/// Rates are smoothed over this time.
-const RATE_OVER: Duration = Duration::from_secs(2);
-/// The most that is turned away by chance, so that what goes on tells when it ends.
-const MOST_SHED: f64 = 0.9;
-/// What is known of a customer's hits fades over this time when none end.
-const FADES: Duration = Duration::from_secs(4);
-/// The share of hits that may go to shut pods to see whether they are back.
-const PROOFS: f64 = 0.15;
-/// Pods that an idle sidecar uses where it can't use all.
-const FEW_PODS: usize = 5;
-/// A pod's pace is the mean of about so many of its last answers.
-const PACE_OVER: usize = 10;
-/// How often an open forward is looked at again.
-const DOUBT_EVERY: Duration = Duration::from_millis(60);
-/// Further forwards for each hit taken, and the most that can be saved up.
-const SPARE_PER_HIT: f64 = 0.15;
+const COLD_LOAD: f64 = 1.4; // a cold pod's load against that of warm ones of its present strength, at most
+const RATE_OVER: Duration = Duration::from_secs(2); // rates are smoothed over this
+const MOST_SHED: f64 = 0.9; // turned away by chance at most, so that what goes on tells when it ends
+const FADES: Duration = Duration::from_secs(4); // what is known of a customer's hits, when none end
+const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
+const FEW_PODS: usize = 5; // that an idle sidecar uses where it can't use all
+const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
+const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
+const SPARE_PER_HIT: f64 = 0.15; // further forwards for each hit taken, and the most that can be saved up
 const SPARE_MOST: f64 = 20.0;
 
 /// Watches the list and tells pods, gate and judge what changed.
@@ -61,9 +48,8 @@
             Note::List(ListNews::Change(rows)) => rows.into_iter().for_each(|row| self.tell(row, round)),
             Note::List(ListNews::Whole(rows) | ListNews::Remembered(rows)) => {
                 let gone = self.held.values().filter(|old| rows.iter().all(|row| row.pod != old.pod));
-                let gone: Vec<PodEntry> =
-                    gone.map(|old| PodEntry { state: PodState::Gone, ..old.clone() }).collect();
-                gone.into_iter().chain(rows).for_each(|row| self.tell(row, round));
+                let gone = gone.map(|old| PodEntry { state: PodState::Gone, ..old.clone() });
+                gone.collect::<Vec<_>>().into_iter().chain(rows).for_each(|row| self.tell(row, round));
                 if round.figures.on_request && !self.watched {
                     self.watched = true;
                     round.out.push(Action::Watch);
@@ -146,22 +132,20 @@
     }
 
     fn learn(&mut self, ended: &Ended, round: &Round) {
-        let (now, aim) = (round.now, round.figures.line(ended.group).target.as_secs_f64());
-        let took = ended.outcome.took.as_secs_f64() / aim;
+        let now = round.now;
+        let took = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
         match ended.outcome.fate {
             Fate::Delivered => {
                 self.health.pace.add(took, PACE_OVER);
                 self.health = Health { last_answer: now, pace: self.health.pace, ..Health::default() };
             }
-            // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is
-            // no sign of speed: a pod that fails at once would otherwise draw all hits.
+            // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is no
+            // sign of speed: a pod that fails at once would otherwise draw all hits.
             Fate::TimedOut | Fate::Errored if ended.sour => {}
             Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
                 self.health.strikes += 1;
                 let limit = if matches!(ended.outcome.fate, Fate::Errored | Fate::TimedOut) { 3 } else { 1 };
-                if self.health.strikes >= limit {
-                    self.shut(now);
-                }
+                (self.health.strikes >= limit).then(|| self.shut(now));
             }
             Fate::TurnedAway => self.health.pace.add(1.0, PACE_OVER),
             Fate::Cancelled | Fate::Void => {}
@@ -193,7 +177,8 @@
     }
 }
 
-/// What is known comes before what is to be decided: a sidecar that stood still finds answers and hits at once.
+/// What is known comes before what is to be decided: a sidecar that stood still finds answers and hits at
+/// once.
 pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
     events.sort_by_key(|event| !matches!(event, Event::Outcome(_)));
     events
@@ -209,8 +194,7 @@
     exposed: BTreeMap<(BuildId, usize), Window>,
     met: BTreeMap<KeyId, BuildId>,
     answered: Rate,
-    /// The share of each customer's forwards that errs or times out.
-    wrong: BTreeMap<CustomerId, Mean>,
+    wrong: BTreeMap<CustomerId, Mean>, // the share of each one's forwards that errs or times out
 }
 
 impl Gate {
@@ -232,13 +216,7 @@
                 let open = self.accounts.get(&hit).is_some_and(|a| !a.streams);
                 round.out.extend((open && round.figures.may_cancel).then_some(Action::Cancel { hit, no }));
             }
-            Note::Over(hit) => {
-                if let Some(account) = self.accounts.get_mut(&hit) {
-                    account.over = true;
-                    self.tidy(hit, round);
-                    round.mail.put(To::Desk, Note::Over(hit));
-                }
-            }
+            Note::Over(hit) if self.accounts.contains_key(&hit) => self.close(hit, round),
             Note::Stage(news) => self.news = Some(news),
             Note::Beat => {
                 let from = round.ago(round.figures.cap_window);
@@ -252,8 +230,7 @@
         if usize::from(hit.group.0) >= round.figures.lines.len() || self.accounts.contains_key(&hit.id) {
             return;
         }
-        let counter = round.figures.counter(hit.group);
-        self.taken.entry(counter).or_default().note(round.now);
+        self.taken.entry(round.figures.counter(hit.group)).or_default().note(round.now);
         self.accounts.insert(hit.id, Account::of(&hit));
         round.mail.put(To::Desk, Note::Taken(hit));
     }
@@ -264,13 +241,11 @@
         let account = self.accounts.get(&hit).ok_or(Refusal::Over)?;
         let place = self.places.get(&pod).ok_or(Refusal::Drained)?;
         let spent = account.forwards.len() >= figures.max_forwards;
-        if account.over || account.streams || now >= account.due || spent {
-            return Err(Refusal::Over);
-        }
+        let open = !account.over && !account.streams && now < account.due && !spent;
+        open.then_some(()).ok_or(Refusal::Over)?;
         allow_repeat(account, &place.entry, round)?;
-        if place.ended.is_some_and(|told| now >= told + figures.grace) {
-            return Err(Refusal::Drained);
-        }
+        let drained = place.ended.is_some_and(|told| now >= told + figures.grace);
+        (!drained).then_some(()).ok_or(Refusal::Drained)?;
         self.allow_cold(place, part, round)?;
         self.allow_exposure(account, place.entry.build, round)
     }
@@ -289,8 +264,8 @@
         let fair = self.answered.now(now, RATE_OVER) / (whole * part).max(0.01);
         let most = fair * place.entry.size * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
         let sent = place.sends.since(round.ago(figures.fall_within));
-        // What is less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would
-        // together push the pod over; rounded down, light ones would never warm it.
+        // Less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would push
+        // the pod over together; rounded down, light ones would never warm it.
         ((sent + 1) as f64 <= most + place.luck).then_some(()).ok_or(Refusal::Cold)
     }
 
@@ -309,26 +284,23 @@
                 return Err(Refusal::KeyStays);
             }
         }
-        let Some((cap, stage)) = self.cap(build, figures) else {
-            return Ok(());
-        };
+        let Some((cap, stage)) = self.cap(build, figures) else { return Ok(()) };
         let repeatable = figures.line(account.group).repeat == Repeat::Repeatable;
         if cap <= 0.0 || (stage < figures.guarded_stages && !repeatable) {
             return Err(Refusal::Exposed);
         }
         let counter = figures.counter(account.group);
         // Hits near the window's far edge are left out: they fall out before the forwards made for them.
-        let sent = self.exposed.get(&(build, counter)).map_or(0, |w| w.since(round.ago(figures.cap_window)));
-        let taken =
-            self.taken.get(&counter).map_or(0, |w| w.since(round.ago(figures.cap_window.mul_f64(0.9))));
+        let since = |w: Option<&Window>, span| w.map_or(0, |w| w.since(round.ago(span)));
+        let sent = since(self.exposed.get(&(build, counter)), figures.cap_window);
+        let taken = since(self.taken.get(&counter), figures.cap_window.mul_f64(0.9));
         let fits = (sent + 1) as f64 <= figures.cap_free + cap * taken as f64;
         fits.then_some(()).ok_or(Refusal::Exposed)
     }
 
     fn send(&mut self, hit: HitId, pod: PodId, round: &mut Round) {
-        let (Some(account), Some(place)) = (self.accounts.get_mut(&hit), self.places.get_mut(&pod)) else {
-            return;
-        };
+        let found = (self.accounts.get_mut(&hit), self.places.get_mut(&pod));
+        let (Some(account), Some(place)) = found else { return };
         let (no, build) = (account.sent(&place.entry, round.now), place.entry.build);
         place.sends.note(round.now);
         place.sends.forget(round.ago(round.figures.fall_within));
@@ -366,9 +338,8 @@
         self.tidy(hit, round);
     }
 
-    /// Whether one customer's hits go wrong where the others' go well, on all pods and builds alike: then they
-    /// speak neither against a pod nor against a build. Hits that nobody can answer, or that wait for something
-    /// of that customer's own, look like this. Learned off builds not on trial, and of more than one customer.
+    /// Whether one customer's hits go wrong where the others' go well, on builds that are not on trial: then
+    /// they speak neither against a pod nor against a build, as hits that nobody can answer.
     fn sours(&mut self, customer: CustomerId, fate: Fate, learn: bool) -> bool {
         if learn && fate != Fate::Cancelled {
             let wrong = matches!(fate, Fate::Errored | Fate::TimedOut);
@@ -383,8 +354,7 @@
 
     /// A hit that is given up: bounced where a retry does no harm, errored elsewhere.
     fn answer(&mut self, hit: HitId, round: &mut Round) {
-        let Some(account) = self.accounts.get_mut(&hit).filter(|a| !a.over && !a.streams) else { return };
-        account.over = true;
+        let Some(account) = self.accounts.get(&hit).filter(|a| !a.over && !a.streams) else { return };
         let ran = account.forwards.iter().any(Sent::may_have_run);
         let harmless = match round.figures.line(account.group).repeat {
             Repeat::Repeatable => true,
@@ -395,6 +365,11 @@
             true => Action::Bounce { hit, retry_after: round.figures.retry_after },
             false => Action::Fail { hit },
         });
+        self.close(hit, round);
+    }
+
+    fn close(&mut self, hit: HitId, round: &mut Round) {
+        self.accounts.entry(hit).and_modify(|account| account.over = true);
         self.tidy(hit, round);
         round.mail.put(To::Desk, Note::Over(hit));
     }
@@ -411,8 +386,8 @@
     }
 }
 
-/// The cap and stage of a build on trial; none for builds that are not. One without news of it counts as in the
-/// first stage, unless nothing older runs.
+/// The cap and stage of a build on trial; none for builds that are not. One without news of it counts as in
+/// the first stage, unless nothing older runs.
 fn cap(
     build: BuildId,
     lowest: Option<BuildId>,
@@ -451,12 +426,9 @@
     news: Option<StageNews>,
     spare: f64,
     finished: Rate,
-    /// What each customer's last forwards took, in target latencies.
-    lanes: BTreeMap<Option<CustomerId>, Fading>,
-    /// Mean time of delivered forwards by path group, in seconds.
-    usual: BTreeMap<GroupId, f64>,
-    /// Mean time of delivered forwards by machine kind, as a share of the target latency.
-    kinds: BTreeMap<KindId, f64>,
+    lanes: BTreeMap<Option<CustomerId>, Fading>, // what each customer's last forwards took, in targets
+    usual: BTreeMap<GroupId, f64>,               // mean time of delivered forwards, in seconds
+    kinds: BTreeMap<KindId, f64>,                // the same by machine kind, in target latencies
 }
 
 impl Desk {
@@ -464,9 +436,7 @@
         match note {
             Note::Taken(hit) => self.arrive(hit, round),
             Note::Card(card) => drop(self.cards.insert(card.entry.pod, card)),
-            Note::Refused(hit) if self.hits.get(&hit).is_some_and(|open| open.out == 0) => {
-                self.wait(hit, round)
-            }
+            Note::Refused(hit) => self.wait(hit, round),
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
                 (open.out, open.at) = (open.out + 1, Some(pod));
@@ -499,9 +469,9 @@
         }
     }
 
-    /// What a customer's forwards took lately, in target latencies. It fades, as nothing is learned while all is
-    /// shed. Read for each customer by itself: hits that wait for something of their own at every pod, and hold
-    /// the places of all, go first, and those who wait no more once they are gone are let in again.
+    /// What a customer's forwards took lately, in target latencies; it fades, as nothing is learned while all
+    /// is shed. By customer: hits that wait for something of their own at every pod, and hold the places of
+    /// all, go first.
     fn slowness(&self, customer: Option<CustomerId>, now: Duration) -> f64 {
         self.lanes.get(&customer).map_or(0.0, |took| took.read(now, FADES, 0.5))
     }
@@ -525,9 +495,8 @@
     fn trial_share(&self, round: &Round) -> (Option<BuildId>, f64) {
         let builds = || self.cards.values().filter(|c| c.ready).map(|c| c.entry.build);
         let Some(build) = builds().max() else { return (None, 0.0) };
-        let Some((cap, stage)) = cap(build, builds().min(), self.news, &round.figures) else {
-            return (None, 0.0);
-        };
+        let cap = cap(build, builds().min(), self.news, &round.figures);
+        let Some((cap, stage)) = cap else { return (None, 0.0) };
         let usable = || self.cards.values().filter(|c| c.usable);
         let whole: f64 = usable().map(|c| self.strength(c, round)).sum();
         let new: f64 = usable().filter(|c| c.entry.build == build).map(|c| self.strength(c, round)).sum();
@@ -570,8 +539,7 @@
 
     /// The pods of the trial, or of the base, that this sidecar uses, and which part of them that is. Where
     /// connections are paid for it can't use all: it uses those that rank highest in a hash of its own number
-    /// and theirs, of both sides alike, a few more than its open hits need. A pod that is shut makes room for
-    /// the next in rank; the rest of the set stays.
+    /// and theirs, a few more than its open hits need. A pod that is shut makes room for the next in rank.
     fn used(&self, trial: Option<BuildId>, side: bool, round: &Round) -> (Vec<PodId>, f64) {
         let usable = || self.cards.values().filter(|c| c.usable);
         let here = usable().filter(|c| (trial == Some(c.entry.build)) == side).map(|c| c.entry.pod);
@@ -591,10 +559,10 @@
         card.entry.size * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
     }
 
-    /// What one more hit would bear at a pod: those ahead, at the pod's pace and present strength. Of the load
-    /// a sidecar knows only its own part, one in so many; chance stands for the rest (`luck`, 1 in the mean), so
-    /// that pods alike get hits in proportion to strength, and sidecars that rank alike don't herd. A pace known
-    /// from few answers leans on the kind's: a new pod would be flooded while cold, one lucky answer likewise.
+    /// What one more hit would bear at a pod, at its pace and present strength. Of the load a sidecar knows
+    /// its own part only, one in so many; chance stands for the rest (`luck`, 1 in the mean): pods alike get
+    /// hits in proportion to strength, and sidecars that rank alike don't herd. A pace known from few answers
+    /// leans on the kind's: a new pod would be flooded while cold.
     fn cost(&self, card: &Card, luck: f64, round: &Round) -> f64 {
         let kind = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
         let known = card.pace.of.min(PACE_OVER) as f64;
@@ -607,7 +575,7 @@
 
     /// No pod may have it now: it waits while an answer could still be worth something.
     fn wait(&mut self, hit: HitId, round: &mut Round) {
-        let Some(open) = self.hits.get_mut(&hit) else { return };
+        let Some(open) = self.hits.get_mut(&hit).filter(|open| open.out == 0) else { return };
         (open.no_trial, open.tried) = (false, Vec::new());
         let target = round.figures.line(open.group).target;
         let last = (open.arrived + target.mul_f64(0.7)).min(open.due.saturating_sub(BEAT * 3));
@@ -622,7 +590,8 @@
         let usual = self.usual(ended.group, round);
         let share = ended.outcome.took.as_secs_f64() / round.figures.line(ended.group).target.as_secs_f64();
         let share = if ended.outcome.fate == Fate::TurnedAway { 1.0 } else { share.min(2.0) };
-        // Few outcomes, or a light sidecar would still shed long after; a busy one reads half a second of them.
+        // Few outcomes, or a light sidecar would still shed long after; a busy one reads half a second of
+        // them.
         let last = (self.finished.now(round.now, RATE_OVER) * 0.5).max(5.0);
         self.lanes.entry(ended.customer).or_default().add(share, round.now, FADES, last);
         if ended.outcome.fate == Fate::Delivered {
@@ -657,29 +626,24 @@
         }
     }
 
-    /// A forward is out at a pod that went quiet: a copy where allowed, else it is called off and sent
-    /// anew. At a pod that answers others a long wait means a heavy hit, and a copy would be as heavy.
+    /// A forward is out at a pod that went quiet: a copy where allowed, else it is called off and sent anew.
+    /// At a pod that answers others a long wait means a heavy hit, and a copy would be as heavy.
     fn doubt(&mut self, hit: HitId, no: ForwardNo, pod: PodId, round: &mut Round) {
-        let Some(open) = self.hits.get(&hit).filter(|o| o.out == 1 && !o.tried.contains(&pod)) else {
-            return;
-        };
+        let doubtful = |o: &&OpenHit| o.out == 1 && !o.tried.contains(&pod);
+        let Some(open) = self.hits.get(&hit).filter(doubtful) else { return };
         let usual = Duration::from_secs_f64(self.usual(open.group, round));
         if round.now + usual >= open.arrived + round.figures.line(open.group).useful {
             return;
         }
         if self.cards.get(&pod).is_some_and(|c| c.usable) || self.spare < 1.0 {
             round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
-            return;
-        }
-        if !round.figures.second_copies {
+        } else if !round.figures.second_copies {
             round.mail.put(To::Gate, Note::Call(hit, no));
-            return;
-        }
-        self.spare -= 1.0;
-        if let Some(open) = self.hits.get_mut(&hit) {
-            open.no_trial = true;
+        } else {
+            self.spare -= 1.0;
+            self.hits.entry(hit).and_modify(|open| open.no_trial = true);
+            self.place(hit, round);
         }
-        self.place(hit, round);
     }
 }
 
@@ -689,14 +653,14 @@
     new.0 >= 3 && more > margin + sigmas * noise
 }
 
-/// The design's least sample is for a vote that decides alone. Where many must agree each may be lighter, as
-/// together they have seen as much (not in proportion: what they see is alike).
+/// The design's least sample is for a vote that decides alone. Where many must agree each may be lighter,
+/// though not in proportion: what they see is alike.
 fn least_sample(figures: &Figures) -> usize {
     ((LEAST_SAMPLE as f64 / figures.back_votes.sqrt()).ceil() as usize).max(4)
 }
 
-/// How far a sign must stand out of chance: of many sidecars that look at one sound build, the noise of as many
-/// as can send it back reaches about this.
+/// How far a sign must stand out of chance: of many sidecars that look at one sound build, the noise of as
+/// many as can send it back reaches about this.
 fn sigmas(figures: &Figures) -> f64 {
     (2.0 * (figures.sidecars / figures.back_votes).ln()).sqrt().max(1.5)
 }
@@ -709,13 +673,10 @@
     pods: BTreeMap<PodId, PodEntry>,
     new: Sample,
     old: Sample,
-    /// Figures of the earlier build from before this stage.
-    before: Sample,
-    /// Mean time by machine kind while no build is on trial, as a share of the target latency.
-    kinds: BTreeMap<KindId, Mean>,
-    /// Whether what was seen speaks against the build; looked at again when there is something new.
-    bad: bool,
-    fresh: bool,
+    before: Sample,                // of the earlier build, from before this stage
+    kinds: BTreeMap<KindId, Mean>, // mean time while no build is on trial, in target latencies
+    bad: bool,                     // whether what was seen speaks against the build,
+    fresh: bool,                   // looked at again when there is something new
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
@@ -728,10 +689,8 @@
             Note::Stage(news) => self.enter(news, round),
             Note::Ended(ended) => self.count(&ended, &round.figures),
             Note::Flagged { pod, group } => {
-                let build = self.pods.get(&pod).map(|p| p.build);
-                if let Some(sample) = build.and_then(|build| self.sample(build)) {
-                    sample.flag(group, pod);
-                }
+                let Some(build) = self.pods.get(&pod).map(|p| p.build) else { return };
+                self.sample(build).into_iter().for_each(|sample| sample.flag(group, pod));
             }
             Note::VoteAnswered(answer) => {
                 let Some(asked) = self.asked.take() else { return };
@@ -781,8 +740,8 @@
         // A cold pod's time is told as the least it would have been on a warm one.
         let Some(entry) = self.pods.get(&ended.outcome.pod) else { return };
         let strength = figures.strength(entry.started, ended.sent);
-        let took =
-            ended.outcome.took.as_secs_f64() / figures.line(ended.group).target.as_secs_f64() * strength;
+        let target = figures.line(ended.group).target.as_secs_f64();
+        let took = ended.outcome.took.as_secs_f64() / target * strength;
         // Like is compared with like: the machines on trial may be of a slower kind.
         let calm = self.news.is_none_or(|n| n.phase != Phase::OnTrial);
         let earlier = self.news.is_some_and(|n| ended.build < n.build);
@@ -790,8 +749,8 @@
         if fate == Fate::Delivered && (calm || (earlier && mean.of < 50)) {
             mean.add(took, 50);
         }
-        let took = (mean.of >= least_sample(figures)).then(|| took / mean.value.max(0.001));
-        let time = took.filter(|_| fate == Fate::Delivered);
+        let known = fate == Fate::Delivered && mean.of >= least_sample(figures);
+        let time = known.then(|| took / mean.value.max(0.001));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
         sample.count(ended.group, ended.outcome.pod, fate, time);
@@ -821,44 +780,39 @@
 
     fn is_bad(&self, figures: &Figures) -> bool {
         let (least, sigmas) = (least_sample(figures), sigmas(figures));
-        if self.new.all().seen < least {
-            return false;
-        }
         let beside = self.old.all().seen >= least;
         let old = if beside { &self.old } else { &self.before };
-        // With no earlier build beside it, nothing tells a build's time-outs from any trouble that came since.
+        // With no earlier build beside it, nothing tells a build's time-outs from any trouble that came
+        // since.
         let bad = |c: &Count| (if beside { c.bad } else { c.bad - c.timed_out }, c.seen);
         let pairs = self.new.groups.iter().map(|(g, c)| (*c, old.groups.get(g).copied().unwrap_or_default()));
         let pairs: Vec<(Count, Count)> = pairs.chain([(self.new.all(), old.all())]).collect();
         let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, sigmas));
         let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, sigmas));
-        (errs && self.is_even(|p| p.bad))
-            || (wrong && self.is_even(|p| p.flagged))
-            || self.is_slow(least, sigmas)
+        let faulty = (errs && self.is_even(|p| p.bad)) || (wrong && self.is_even(|p| p.flagged));
+        self.new.all().seen >= least && (faulty || self.is_slow(least, sigmas))
     }
 
-    /// Whether a sign is spread over the trial's pods as chance would, and on two unless there is but one: one
-    /// sick pod, or a few in a sick zone, do not speak for the build. It asks nothing of a pod's own sample, so
-    /// that a light sidecar with one outcome a pod can tell too.
+    /// Whether a sign is spread over the trial's pods as chance would, and on two unless there is but one:
+    /// one sick pod, or a few in a sick zone, do not speak for the build. A light sidecar with one outcome a
+    /// pod can tell too.
     fn is_even(&self, sign: impl Fn(&ByPod) -> usize) -> bool {
         let signs: Vec<f64> = self.new.pods.values().map(|p| sign(p) as f64).collect();
         let on = signs.iter().filter(|s| **s > 0.0).count();
         on >= self.trial_pods().count().min(2) && unevenness(&signs) < 1.6
     }
 
-    /// Slower by more than chance explains, also without its slowest pod, only beside an earlier build that
-    /// bears the same load now and well: the last stage starts a whole cold fleet, whose queues would look like
-    /// a slow build against times remembered from before, and under overload all times are queues.
+    /// Slower by more than chance explains, also without its slowest pod, beside an earlier build that bears
+    /// the same load now and well: a cold fleet of the last stage queues, and under overload all times are
+    /// queues.
     fn is_slow(&self, least: usize, sigmas: f64) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
-        if new.len().min(old.len()) < least {
-            return false;
-        }
+        let enough = new.len().min(old.len()) >= least;
         let noise = sigmas.max(2.5) * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
         let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
         let others = median(self.new.times_without_slowest());
         let calm = usual < 2.0 && self.kinds.values().all(|mean| mean.value < 0.25);
-        calm && now > SLOW_MARGIN * usual * noise.exp() && others > Some(SLOW_MARGIN * usual)
+        enough && calm && now > SLOW_MARGIN * usual * noise.exp() && others > Some(SLOW_MARGIN * usual)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
@@ -871,16 +825,14 @@
         let here = |v: &Vote| v.build == news.build && v.stage == news.stage && now < v.at + life;
         let same = match self.standing.filter(here) {
             None => verdict == Verdict::Withhold,
-            Some(v) => {
-                v.verdict == verdict && (verdict == Verdict::Withhold || now < v.at + life.mul_f64(0.6))
-            }
+            Some(v) if v.verdict == Verdict::Withhold => verdict == Verdict::Withhold,
+            Some(v) => v.verdict == verdict && now < v.at + life.mul_f64(0.6),
         };
         if same || self.asked.is_some() || now < self.not_before {
             return;
         }
-        let (build, stage) = (news.build, news.stage);
+        let (build, stage, new, old) = (news.build, news.stage, &self.new, &self.old);
         if verdict == Verdict::Back {
-            let (new, old) = (&self.new, &self.old);
             round.out.push(Action::Log(format!("back: {build:?} {stage:?}: {new} against {old}")));
         }
         self.asked = Some(Vote { verdict, build, stage, at: now });
