--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,10 +50,8 @@
                 let gone = self.held.values().filter(|old| rows.iter().all(|row| row.pod != old.pod));
                 let gone = gone.map(|old| PodEntry { state: PodState::Gone, ..old.clone() });
                 gone.collect::<Vec<_>>().into_iter().chain(rows).for_each(|row| self.tell(row, round));
-                if round.figures.on_request && !self.watched {
-                    self.watched = true;
-                    round.out.push(Action::Watch);
-                }
+                let first = round.figures.on_request && !std::mem::replace(&mut self.watched, true);
+                round.out.extend(first.then_some(Action::Watch));
             }
             // A broken or refused watch is asked for again, spread out so that not all ask at once.
             Note::List(ListNews::Failed) => {
@@ -66,13 +64,6 @@
     }
 
     fn tell(&mut self, mut row: PodEntry, round: &mut Round) {
-        let known = self.held.get(&row.pod);
-        // A start that nobody dated: a pod that is new to a watched list may be cold.
-        if row.started.is_none() && self.watched && known.is_none_or(|k| k.state == PodState::Gone) {
-            row.started = Some(round.now);
-        } else if row.started.is_none() {
-            row.started = known.filter(|k| k.build == row.build).and_then(|k| k.started);
-        }
         row.size = row.size.max(0.01);
         self.held.insert(row.pod, row.clone());
         round.tell([To::Gate, To::Pod(row.pod), To::Judge], &Note::Listed(row));
@@ -104,9 +95,7 @@
             Note::Sent { hit, no, .. } => {
                 self.open.insert((hit, no), now);
                 // A proof is out: the next one only after a longer wait.
-                if !self.health.shut_until.is_zero() {
-                    self.shut(now);
-                }
+                (!self.health.shut_until.is_zero()).then(|| self.shut(now));
             }
             Note::Ended(ended) => {
                 self.open.remove(&(ended.outcome.hit, ended.outcome.no));
@@ -212,9 +201,8 @@
             Note::Back(outcome) => self.end_forward(outcome, round),
             Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
             Note::End(hit) => self.answer(hit, round),
-            Note::Call(hit, no) => {
-                let open = self.accounts.get(&hit).is_some_and(|a| !a.streams);
-                round.out.extend((open && round.figures.may_cancel).then_some(Action::Cancel { hit, no }));
+            Note::Call(hit, no) if round.figures.may_cancel && self.accounts.contains_key(&hit) => {
+                round.out.push(Action::Cancel { hit, no })
             }
             Note::Over(hit) if self.accounts.contains_key(&hit) => self.close(hit, round),
             Note::Stage(news) => self.news = Some(news),
@@ -255,9 +243,6 @@
     fn allow_cold(&self, place: &Place, part: f64, round: &Round) -> Result<(), Refusal> {
         let (now, figures) = (round.now, &round.figures);
         let strength = figures.strength(place.entry.started, now);
-        if strength >= 1.0 {
-            return Ok(());
-        }
         let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
         let whole: f64 = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
         // What it uses but a part of gets so much more from it, and nothing from sidecars that use others.
@@ -266,7 +251,8 @@
         let sent = place.sends.since(round.ago(figures.fall_within));
         // Less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would push
         // the pod over together; rounded down, light ones would never warm it.
-        ((sent + 1) as f64 <= most + place.luck).then_some(()).ok_or(Refusal::Cold)
+        let fits = strength >= 1.0 || (sent + 1) as f64 <= most + place.luck;
+        fits.then_some(()).ok_or(Refusal::Cold)
     }
 
     fn cap(&self, build: BuildId, figures: &Figures) -> Option<(f64, u8)> {
@@ -277,25 +263,20 @@
     /// Rule 5. A lower cap is kept from the moment it is told, without the grace.
     fn allow_exposure(&self, account: &Account, build: BuildId, round: &Round) -> Result<(), Refusal> {
         let figures = &round.figures;
-        if let Some(news) = self.news.filter(|n| figures.keys_stay && build < n.build) {
-            let stays = matches!(news.phase, Phase::OnTrial | Phase::Released);
-            let met = account.key.and_then(|key| self.met.get(&key));
-            if stays && met.is_some_and(|met| *met > build) {
-                return Err(Refusal::KeyStays);
-            }
-        }
+        let newer = self.news.filter(|n| figures.keys_stay && build < n.build);
+        let stays = newer.is_some_and(|n| matches!(n.phase, Phase::OnTrial | Phase::Released));
+        let met = account.key.and_then(|key| self.met.get(&key)).is_some_and(|met| *met > build);
+        (!stays || !met).then_some(()).ok_or(Refusal::KeyStays)?;
         let Some((cap, stage)) = self.cap(build, figures) else { return Ok(()) };
         let repeatable = figures.line(account.group).repeat == Repeat::Repeatable;
-        if cap <= 0.0 || (stage < figures.guarded_stages && !repeatable) {
-            return Err(Refusal::Exposed);
-        }
+        let open = cap > 0.0 && (stage >= figures.guarded_stages || repeatable);
         let counter = figures.counter(account.group);
         // Hits near the window's far edge are left out: they fall out before the forwards made for them.
         let since = |w: Option<&Window>, span| w.map_or(0, |w| w.since(round.ago(span)));
         let sent = since(self.exposed.get(&(build, counter)), figures.cap_window);
         let taken = since(self.taken.get(&counter), figures.cap_window.mul_f64(0.9));
         let fits = (sent + 1) as f64 <= figures.cap_free + cap * taken as f64;
-        fits.then_some(()).ok_or(Refusal::Exposed)
+        (open && fits).then_some(()).ok_or(Refusal::Exposed)
     }
 
     fn send(&mut self, hit: HitId, pod: PodId, round: &mut Round) {
@@ -345,8 +326,8 @@
             let wrong = matches!(fate, Fate::Errored | Fate::TimedOut);
             self.wrong.entry(customer).or_default().add(f64::from(u8::from(wrong)), 30);
         }
-        let others = self.wrong.iter().filter(|(c, mean)| **c != customer && mean.of >= 15);
-        let others: Vec<f64> = others.map(|(_, mean)| mean.value).collect();
+        let known = |(c, mean): &(&CustomerId, &Mean)| **c != customer && mean.of >= 15;
+        let others: Vec<f64> = self.wrong.iter().filter(known).map(|(_, mean)| mean.value).collect();
         let usual = others.iter().sum::<f64>() / others.len().max(1) as f64;
         let own = self.wrong.get(&customer).copied().unwrap_or_default();
         !others.is_empty() && own.of >= 15 && own.value > 0.2 + 1.5 * usual
@@ -427,8 +408,8 @@
     spare: f64,
     finished: Rate,
     lanes: BTreeMap<Option<CustomerId>, Fading>, // what each customer's last forwards took, in targets
-    usual: BTreeMap<GroupId, f64>,               // mean time of delivered forwards, in seconds
-    kinds: BTreeMap<KindId, f64>,                // the same by machine kind, in target latencies
+    usual: BTreeMap<GroupId, Mean>,              // mean time of delivered forwards, in seconds
+    kinds: BTreeMap<KindId, Mean>,               // the same by machine kind, in target latencies
 }
 
 impl Desk {
@@ -440,9 +421,7 @@
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
                 (open.out, open.at) = (open.out + 1, Some(pod));
-                if round.figures.line(open.group).repeat != Repeat::Mutating {
-                    round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
-                }
+                round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
             }
             Note::Ended(ended) => self.end_forward(ended, round),
             Note::Doubt(hit, no, pod) => self.doubt(hit, no, pod, round),
@@ -455,7 +434,7 @@
 
     fn usual(&self, group: GroupId, round: &Round) -> f64 {
         let unknown = 0.2 * round.figures.line(group).target.as_secs_f64();
-        self.usual.get(&group).copied().unwrap_or(unknown)
+        self.usual.get(&group).map_or(unknown, |mean| mean.value)
     }
 
     fn arrive(&mut self, hit: Hit, round: &mut Round) {
@@ -509,9 +488,9 @@
         let draw = round.chance();
         let Some(open) = self.hits.get(&hit) else { return };
         let on_trial = |c: &Card| trial == Some(c.entry.build);
-        let repeatable = round.figures.line(open.group).repeat != Repeat::Mutating;
+        let harmless = round.figures.line(open.group).repeat != Repeat::Mutating;
         // A light sidecar has few hits: most must not go to prove that what is shut still fails.
-        let proves = repeatable && open.tried.is_empty() && round.chance() < PROOFS;
+        let proves = harmless && open.tried.is_empty() && round.chance() < PROOFS;
         let want_trial = !open.no_trial && draw < share;
         let (base, trial_part) = (self.used(trial, false, round), self.used(trial, true, round));
         let among = |c: &Card| if on_trial(c) { &trial_part } else { &base };
@@ -525,13 +504,11 @@
             _ if !on_trial(c) && open.out == 0 => Some(4),
             _ => None,
         };
-        let mut ranked = Vec::new();
-        for card in self.cards.values() {
-            if let Some(turn) = turn(card) {
-                let cost = self.cost(card, -round.chance().max(1e-9).ln(), round);
-                ranked.push((turn, cost, (card.entry.pod, among(card).1)));
-            }
-        }
+        let mut priced = |card: &Card| {
+            let cost = self.cost(card, -round.chance().max(1e-9).ln(), round);
+            turn(card).map(|turn| (turn, cost, (card.entry.pod, among(card).1)))
+        };
+        let mut ranked: Vec<_> = self.cards.values().filter_map(&mut priced).collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let pods = ranked.into_iter().map(|(_, _, pod)| pod).collect();
         round.mail.put(To::Gate, Note::Ask { hit, pods });
@@ -555,7 +532,7 @@
 
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
     fn strength(&self, card: &Card, round: &Round) -> f64 {
-        let pace = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
+        let pace = self.kinds.get(&card.entry.kind).map_or(1.0, |mean| mean.value);
         card.entry.size * round.figures.strength(card.entry.started, round.now) / pace.max(0.01)
     }
 
@@ -564,7 +541,7 @@
     /// hits in proportion to strength, and sidecars that rank alike don't herd. A pace known from few answers
     /// leans on the kind's: a new pod would be flooded while cold.
     fn cost(&self, card: &Card, luck: f64, round: &Round) -> f64 {
-        let kind = self.kinds.get(&card.entry.kind).copied().unwrap_or(1.0);
+        let kind = self.kinds.get(&card.entry.kind).map_or(1.0, |mean| mean.value);
         let known = card.pace.of.min(PACE_OVER) as f64;
         let pace = (card.pace.value * known + kind * 3.0) / (known + 3.0);
         let strength = card.entry.size * round.figures.strength(card.entry.started, round.now);
@@ -596,17 +573,14 @@
         self.lanes.entry(ended.customer).or_default().add(share, round.now, FADES, last);
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
-            let took = ended.outcome.took.as_secs_f64();
-            self.usual.insert(ended.group, usual * 0.95 + took * 0.05);
+            self.usual.entry(ended.group).or_default().add(ended.outcome.took.as_secs_f64(), 20);
             if let Some(card) = self.cards.get(&ended.outcome.pod) {
-                let mean = self.kinds.entry(card.entry.kind).or_insert(share);
-                *mean = *mean * 0.98 + share * 0.02;
+                self.kinds.entry(card.entry.kind).or_default().add(share, 50);
             }
         }
         let hit = ended.outcome.hit;
         if !ended.open {
             self.hits.remove(&hit);
-            return;
         }
         let Some(open) = self.hits.get_mut(&hit) else { return };
         open.out = open.out.saturating_sub(1);
@@ -629,7 +603,8 @@
     /// A forward is out at a pod that went quiet: a copy where allowed, else it is called off and sent anew.
     /// At a pod that answers others a long wait means a heavy hit, and a copy would be as heavy.
     fn doubt(&mut self, hit: HitId, no: ForwardNo, pod: PodId, round: &mut Round) {
-        let doubtful = |o: &&OpenHit| o.out == 1 && !o.tried.contains(&pod);
+        let mutating = |o: &OpenHit| round.figures.line(o.group).repeat == Repeat::Mutating;
+        let doubtful = |o: &&OpenHit| o.out == 1 && !o.tried.contains(&pod) && !mutating(o);
         let Some(open) = self.hits.get(&hit).filter(doubtful) else { return };
         let usual = Duration::from_secs_f64(self.usual(open.group, round));
         if round.now + usual >= open.arrived + round.figures.line(open.group).useful {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -287,7 +287,7 @@
 #[test]
 fn a_new_pod_of_unknown_pace_is_not_the_cheapest() {
     let (mut desk, round) = (Desk::default(), round(1.0));
-    desk.kinds.insert(KindId(0), 0.3);
+    desk.kinds.insert(KindId(0), Mean { value: 0.3, of: 50 });
     let card = |of| {
         let pace = Mean { value: if of > 0 { 0.2 } else { 0.0 }, of };
         Card { entry: pod(0, 1), ready: true, open: 0, pace, usable: true, wants_proof: false }
