--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -295,3 +295,148 @@
     assert!(desk.cost(&card(0), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
     assert!(desk.cost(&card(1), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
 }
+
+#[rstest]
+#[case::decides_alone(2.0, 1.0, 20, 1.5)]
+#[case::one_of_many_decides(45.0, 1.0, 20, 2.76)]
+#[case::many_must_agree(600.0, 30.0, 4, 2.45)]
+fn evidence_goes_by_the_votes_needed(
+    #[case] sidecars: f64,
+    #[case] back_votes: f64,
+    #[case] least: usize,
+    #[case] far: f64,
+) {
+    let figures = Figures { sidecars, back_votes, ..round(0.0).figures };
+    assert_eq!(least_sample(&figures), least);
+    assert!((sigmas(&figures) - far).abs() < 0.01);
+}
+
+#[rstest]
+#[case::one_error_a_pod(&[1, 1, 1, 0, 0, 0], true)]
+#[case::a_sick_pod(&[9, 0, 0, 0, 0, 0], false)]
+#[case::two_sick_pods(&[9, 8, 0, 0, 0, 0], false)]
+#[case::everywhere(&[5, 7, 4, 6, 8, 5], true)]
+fn a_fault_of_the_build_is_spread_over_its_pods(#[case] errors: &[usize], #[case] want: bool) {
+    let parts: Vec<_> = (10..).zip(errors).map(|(pod, errors)| (pod, *errors, 10, 0.1)).collect();
+    assert_eq!(judge(&parts, (0, 100, 0.1)).is_even(|p| p.bad), want);
+}
+
+#[test]
+fn time_outs_with_no_earlier_build_beside_speak_against_none() {
+    let mut judge = judge(&[], (0, 0, 0.1));
+    for n in 0..40 {
+        judge.new.count(GroupId(0), PodId(n % 5), Fate::TimedOut, None);
+    }
+    judge.before.count(GroupId(0), PodId(9), Fate::Delivered, None);
+    assert!(!judge.is_bad(&round(9.0).figures));
+}
+
+/// Hundreds of sidecars with a tenth of a forward each for a cold pod: a tenth of them may send one.
+#[rstest]
+#[case::unlucky(0.5, Err(Refusal::Cold))]
+#[case::lucky(0.95, Ok(()))]
+fn less_than_a_forward_to_a_cold_pod_is_granted_by_chance(
+    #[case] luck: f64,
+    #[case] want: Result<(), Refusal>,
+) {
+    let (mut gate, round) = (gate(0, Phase::Released, 1.0), round(8.0));
+    gate.answered.add(at(8.0), RATE_OVER);
+    let place = gate.places.get_mut(&PodId(0)).unwrap();
+    (place.entry.started, place.luck) = (Some(at(7.9)), luck);
+    assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
+}
+
+#[rstest]
+#[case::errs_alone(0.8, 0.0, true)]
+#[case::all_err(0.8, 0.7, false)]
+#[case::sound(0.1, 0.0, false)]
+fn one_customers_errors_are_its_own_where_others_fare_well(
+    #[case] own: f64,
+    #[case] other: f64,
+    #[case] want: bool,
+) {
+    let mut gate = gate(0, Phase::Released, 1.0);
+    for (customer, value) in [(0, own), (1, other)] {
+        gate.wrong.insert(CustomerId(customer), Mean { value, of: 30 });
+    }
+    assert_eq!(gate.sours(CustomerId(0), Fate::Errored, false), want);
+}
+
+#[test]
+fn errors_of_a_customers_own_shut_no_pod() {
+    let (mut pod, round) = (Pod::new(pod(0, 1)), round(1.0));
+    (0..9).for_each(|_| pod.learn(&Ended { sour: true, ..ended(Fate::Errored) }, &round));
+    assert!(pod.health.shut_until.is_zero());
+}
+
+fn card(entry: PodEntry) -> Card {
+    let pace = Mean { value: 0.2, of: 10 };
+    Card { entry, ready: true, open: 0, pace, usable: true, wants_proof: false }
+}
+
+/// A desk with so many pods alike, and hit 0 of customer 0.
+fn desk(pods: u64) -> Desk {
+    let mut desk = Desk::default();
+    desk.cards.extend((0..pods).map(|id| (PodId(id), card(pod(id, 1)))));
+    let customer = Some(CustomerId(0));
+    let hit = Hit { id: HitId(0), group: GroupId(0), customer, key: None, due: at(9.0) };
+    desk.hits.insert(hit.id, OpenHit::of(&hit, at(5.0)));
+    desk
+}
+
+#[test]
+fn pods_alike_get_hits_alike() {
+    let (mut desk, mut round) = (desk(5), round(5.0));
+    let mut firsts = BTreeMap::new();
+    for _ in 0..500 {
+        desk.place(HitId(0), &mut round);
+        let Some((_, Note::Ask { pods, .. })) = round.mail.take() else { panic!("no pod asked for") };
+        *firsts.entry(pods[0].0).or_insert(0) += 1;
+    }
+    assert!(firsts.len() == 5 && firsts.values().all(|n| (50..200).contains(n)), "{firsts:?}");
+}
+
+#[test]
+fn the_few_pods_in_use_stay_when_one_is_shut() {
+    let (mut desk, mut round) = (desk(40), round(5.0));
+    round.figures.dear_connections = true;
+    let (before, part) = desk.used(None, false, &round);
+    assert!(before.len() == FEW_PODS && (part - 0.125).abs() < 1e-9);
+    desk.cards.get_mut(&before[0]).unwrap().usable = false;
+    let (after, _) = desk.used(None, false, &round);
+    assert_eq!(after[..4], before[1..]);
+}
+
+#[rstest]
+#[case::one_open_hit(1, 0.1, 0, 0.0)]
+#[case::many_open_hits(60, 0.1, 0, 1.0)]
+#[case::late_answers(0, 1.5, 0, 1.0)]
+#[case::another_customers_late_answers(0, 1.5, 1, 0.0)]
+fn overload_is_told_by_more_open_hits_than_chance_or_by_late_answers(
+    #[case] open: u64,
+    #[case] took: f64,
+    #[case] of: u32,
+    #[case] want: f64,
+) {
+    let (mut desk, mut round) = (desk(3), round(5.0));
+    for n in 1..=open {
+        let hit = Hit { id: HitId(n), group: GroupId(0), customer: None, key: None, due: at(9.0) };
+        desk.hits.insert(hit.id, OpenHit { out: 1, at: Some(PodId(0)), ..OpenHit::of(&hit, at(4.9)) });
+    }
+    for _ in 0..5 {
+        desk.lanes.entry(Some(CustomerId(of))).or_default().add(took, at(5.0), FADES, 5.0);
+    }
+    round.now = at(5.1);
+    assert_eq!(desk.overload(Some(CustomerId(0)), &round), want);
+}
+
+#[test]
+fn outcomes_are_read_before_hits_that_came_meanwhile() {
+    let hit = Hit { id: HitId(1), group: GroupId(0), customer: None, key: None, due: at(9.0) };
+    let events = in_order(vec![
+        Event::Hit(hit),
+        Event::Left(HitId(2)),
+        Event::Outcome(ended(Fate::Delivered).outcome),
+    ]);
+    assert!(matches!(events[..], [Event::Outcome(_), Event::Hit(_), Event::Left(_)]));
+}
