--- a/crates/wire/src/start.rs
+++ b/crates/wire/src/start.rs
@@ -21,8 +21,6 @@
     stats: Stats,
     #[serde(default)]
     me: u32,
-    #[serde(default)]
-    prices: Prices,
     zone: u16,
 }
 
@@ -90,12 +88,6 @@
     quota_per_s: f64,
 }
 
-#[derive(Deserialize, Default)]
-struct Prices {
-    #[serde(default)]
-    connection: f64,
-}
-
 #[derive(Deserialize)]
 struct Rules {
     answer_slack_s: f64,
@@ -199,7 +191,6 @@
         seed,
         sidecars: o.balancers,
         own_number: o.me,
-        connection_price: o.prices.connection,
         zone: ZoneId(o.zone),
         groups: o.profiles.iter().map(path_group).collect::<Result<_, _>>()?,
         customers: o.realms.iter().map(|r| Customer { quota_per_s: r.quota_per_s }).collect(),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,7 @@
 const MOST_SHED: f64 = 0.9; // turned away by chance at most, so that what goes on tells when it ends
 const FADES: Duration = Duration::from_secs(4); // what is known of a customer's hits, when none end
 const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
-const FEW_PODS: usize = 5; // that an idle sidecar uses where it can't use all
+const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
 const SPARE_PER_HIT: f64 = 0.15; // further forwards for each hit taken, and the most that can be saved up
@@ -514,18 +514,17 @@
         round.mail.put(To::Gate, Note::Ask { hit, pods });
     }
 
-    /// The pods of the trial, or of the base, that this sidecar uses, and which part of them that is. Where
-    /// connections are paid for it can't use all: it uses those that rank highest in a hash of its own number
-    /// and theirs, a few more than its open hits need. A pod that is shut makes room for the next in rank.
+    /// The pods of the trial, or of the base, that this sidecar uses, and which part of them that is: those
+    /// that rank highest in a hash of its own number and theirs, a few more than its open hits need. With
+    /// few hits it can't learn what hundreds of pods are like, nor keep connections to them. A pod that is
+    /// shut makes room for the next in rank.
     fn used(&self, trial: Option<BuildId>, side: bool, round: &Round) -> (Vec<PodId>, f64) {
         let usable = || self.cards.values().filter(|c| c.usable);
         let here = usable().filter(|c| (trial == Some(c.entry.build)) == side).map(|c| c.entry.pod);
         let mut pods = by_rank(u64::from(round.figures.own_number), here, |pod| pod.0);
         let (all, open, here) = (usable().count(), usable().map(|c| c.open).sum::<usize>(), pods.len());
-        if !side || round.figures.dear_connections {
-            let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
-            pods.truncate((most.ceil() as usize).max(2));
-        }
+        let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
+        pods.truncate((most.ceil() as usize).max(2));
         let part = pods.len() as f64 / here.max(1) as f64;
         (pods, part)
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -20,7 +20,6 @@
         seed: 7,
         sidecars: 2,
         own_number: 1,
-        connection_price: 0.0,
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
         customers: Vec::new(),
@@ -398,8 +397,7 @@
 
 #[test]
 fn the_few_pods_in_use_stay_when_one_is_shut() {
-    let (mut desk, mut round) = (desk(40), round(5.0));
-    round.figures.dear_connections = true;
+    let (mut desk, round) = (desk(40), round(5.0));
     let (before, part) = desk.used(None, false, &round);
     assert!(before.len() == FEW_PODS && (part - 0.125).abs() < 1e-9);
     desk.cards.get_mut(&before[0]).unwrap().usable = false;
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -19,8 +19,6 @@
     pub zone: ZoneId,
     pub sidecars: f64,
     pub own_number: u32,
-    /// Connections are paid for.
-    pub dear_connections: bool,
     pub lines: Vec<Line>,
     /// The shortest target latency, in seconds.
     pub tightest: f64,
@@ -68,7 +66,6 @@
             zone: terms.zone,
             sidecars: f64::from(terms.sidecars.max(1)),
             own_number: terms.own_number,
-            dear_connections: terms.connection_price > 0.0,
             lines: terms.groups.iter().map(line).collect(),
             tightest: targets.fold(f64::MAX, f64::min),
             on_request: terms.list_on_request,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,8 +98,6 @@
     pub sidecars: u32,
     /// This one's number among them.
     pub own_number: u32,
-    /// What open connections cost.
-    pub connection_price: f64,
     pub zone: ZoneId,
     pub groups: Vec<PathGroup>,
     pub customers: Vec<Customer>,
