--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,8 +32,7 @@
 const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
-const SPARE_PER_HIT: f64 = 0.15; // further forwards for each hit taken, and the most that can be saved up
-const SPARE_MOST: f64 = 20.0;
+const SPARE: (f64, f64) = (0.15, 20.0); // further forwards for each hit taken, and the most saved up
 
 /// Watches the list and tells pods, gate and judge what changed.
 #[derive(Default)]
@@ -433,12 +432,12 @@
     }
 
     fn usual(&self, group: GroupId, round: &Round) -> f64 {
-        let unknown = 0.2 * round.figures.line(group).target.as_secs_f64();
-        self.usual.get(&group).map_or(unknown, |mean| mean.value)
+        let target = round.figures.line(group).target.as_secs_f64();
+        self.usual.get(&group).map_or(0.2 * target, |mean| mean.value)
     }
 
     fn arrive(&mut self, hit: Hit, round: &mut Round) {
-        self.spare = (self.spare + SPARE_PER_HIT).min(SPARE_MOST);
+        self.spare = (self.spare + SPARE.0).min(SPARE.1);
         let shed = self.overload(hit.customer, round) * 2.0 * round.figures.line(hit.group).cheapness;
         self.hits.insert(hit.id, OpenHit::of(&hit, round.now));
         if shed > 0.0 && round.chance() < shed.min(MOST_SHED) {
@@ -675,7 +674,7 @@
             }
             Note::Beat => {
                 if std::mem::take(&mut self.fresh) {
-                    self.bad = self.is_bad(&round.figures);
+                    self.bad = self.is_bad(round.now, &round.figures);
                 }
                 self.vote(round);
             }
@@ -716,7 +715,7 @@
         let strength = figures.strength(entry.started, ended.sent);
         let target = figures.line(ended.group).target.as_secs_f64();
         let took = ended.outcome.took.as_secs_f64() / target * strength;
-        // Like is compared with like: the machines on trial may be of a slower kind.
+        // The machines on trial may be of a slower kind.
         let calm = self.news.is_none_or(|n| n.phase != Phase::OnTrial);
         let earlier = self.news.is_some_and(|n| ended.build < n.build);
         let mean = self.kinds.entry(entry.kind).or_default();
@@ -735,13 +734,18 @@
         self.pods.values().filter(move |p| Some(p.build) == build && p.state == PodState::Ready)
     }
 
+    /// The newest machine has run for the least time: before, a cold last stage's queues look like slowness.
+    fn settled(&self, now: Duration) -> bool {
+        let newest = self.trial_pods().filter_map(|p| p.started).max().unwrap_or(self.since);
+        now >= newest.max(self.since) + LEAST_TIME
+    }
+
     fn verdict(&self, now: Duration, figures: &Figures) -> Verdict {
         let Some(news) = self.news else { return Verdict::Withhold };
         if !matches!(news.phase, Phase::OnTrial | Phase::Released) {
             return Verdict::Withhold;
         }
-        let newest = self.trial_pods().filter_map(|p| p.started).max().unwrap_or(self.since).max(self.since);
-        let short = self.new.all().seen < least_sample(figures) || now < newest + LEAST_TIME;
+        let short = self.new.all().seen < least_sample(figures) || !self.settled(now);
         if self.bad {
             return Verdict::Back;
         }
@@ -752,7 +756,7 @@
         }
     }
 
-    fn is_bad(&self, figures: &Figures) -> bool {
+    fn is_bad(&self, now: Duration, figures: &Figures) -> bool {
         let (least, sigmas) = (least_sample(figures), sigmas(figures));
         let beside = self.old.all().seen >= least;
         let old = if beside { &self.old } else { &self.before };
@@ -764,7 +768,7 @@
         let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, sigmas));
         let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, sigmas));
         let faulty = (errs && self.is_even(|p| p.bad)) || (wrong && self.is_even(|p| p.flagged));
-        self.new.all().seen >= least && (faulty || self.is_slow(least, sigmas))
+        self.new.all().seen >= least && (faulty || (self.settled(now) && self.is_slow(least, sigmas)))
     }
 
     /// Whether a sign is spread over the trial's pods as chance would, and on two unless there is but one:
@@ -777,8 +781,7 @@
     }
 
     /// Slower by more than chance explains, also without its slowest pod, beside an earlier build that bears
-    /// the same load now and well: a cold fleet of the last stage queues, and under overload all times are
-    /// queues.
+    /// the same load now and well: under overload, or in a cold fleet of the last stage, all times are queues.
     fn is_slow(&self, least: usize, sigmas: f64) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
         let enough = new.len().min(old.len()) >= least;
@@ -806,9 +809,8 @@
             return;
         }
         let (build, stage, new, old) = (news.build, news.stage, &self.new, &self.old);
-        if verdict == Verdict::Back {
-            round.out.push(Action::Log(format!("back: {build:?} {stage:?}: {new} against {old}")));
-        }
+        let log = || Action::Log(format!("back: {build:?} {stage:?}: {new} against {old}"));
+        round.out.extend((verdict == Verdict::Back).then(log));
         self.asked = Some(Vote { verdict, build, stage, at: now });
         round.out.push(Action::Vote { verdict, build, stage });
     }
