--- /dev/null
+++ b/crates/standins/src/day/services.rs
@@ -0,0 +1,351 @@
+//! The node list (a subset of Consul's health API with blocking queries) and the installer's sockets.
+
+use super::pods::sidecar_of;
+use super::{Day, DayTrouble, Due, End};
+use crate::installer::{Step, Verdict};
+use crate::script::Trouble;
+use bytes::BytesMut;
+use limewing_account::record::{Entry, Phase, PodNo, SidecarNo};
+use limewing_net::body::{write_chunk, Framing};
+use limewing_net::http::{write_response, RequestHead};
+use limewing_net::message::Requests;
+use limewing_net::sockets::SocketId;
+use serde::Deserialize;
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The service that the pods register as.
+pub const SERVICE: &str = "order-node";
+
+pub struct ListState {
+    pub list_at: SocketAddr,
+    pub installer_at: SocketAddr,
+    index: u64,
+    body: Vec<u8>,
+    ready: Vec<PodNo>,
+    draining: Vec<PodNo>,
+    /// Sidecars that were told a list with pods in it.
+    pub told: BTreeSet<SidecarNo>,
+    pub show: bool,
+}
+
+/// A list as it will be told once its lag is over.
+pub struct Published {
+    body: Vec<u8>,
+    ready: Vec<PodNo>,
+    draining: Vec<PodNo>,
+}
+
+pub struct ListLink {
+    requests: Requests,
+    sidecar: Option<SidecarNo>,
+    /// Waits for an index other than this; with the number of the query.
+    waits: Option<u64>,
+    asked: u64,
+}
+
+impl Default for ListLink {
+    fn default() -> Self {
+        Self { requests: Requests::new(1024), sidecar: None, waits: None, asked: 0 }
+    }
+}
+
+pub struct VoteLink(Requests);
+
+impl Default for VoteLink {
+    fn default() -> Self {
+        Self(Requests::new(16 * 1024))
+    }
+}
+
+pub struct NewsLink {
+    sidecar: SidecarNo,
+}
+
+#[derive(Deserialize)]
+struct Vote {
+    build: u16,
+    stage: u8,
+    verdict: String,
+}
+
+impl ListState {
+    pub fn new(list_at: SocketAddr, installer_at: SocketAddr) -> Self {
+        let (body, ready, draining) = (b"[]".to_vec(), Vec::new(), Vec::new());
+        Self { list_at, installer_at, index: 1, body, ready, draining, told: BTreeSet::new(), show: false }
+    }
+}
+
+impl Day<'_> {
+    /// The fleet changed: the list tells it after its lag.
+    pub(super) fn publish_later(&mut self) {
+        let up = || self.pods.iter().filter(|(_, pod)| pod.up);
+        let entries = up().map(|(number, pod)| {
+            let status = if pod.draining { "critical" } else { "passing" };
+            json!({
+                "Node": {"Node": format!("node-{}", pod.place.0), "Datacenter": self.script.fleet.zones[pod.zone]},
+                "Service": {
+                    "ID": format!("{SERVICE}-{}", number.0),
+                    "Service": SERVICE,
+                    "Address": pod.address.ip().to_string(),
+                    "Port": pod.address.port(),
+                    "Meta": {
+                        "build": pod.build.to_string(),
+                        "started": format!("{:.3}", pod.started),
+                        "cell": pod.cell.to_string(),
+                        "kind": "plain",
+                    },
+                    "Weights": {"Passing": self.script.fleet.cores, "Warning": 1},
+                },
+                "Checks": [{"CheckID": format!("_service_maintenance:{SERVICE}-{}", number.0), "Status": status}],
+            })
+        });
+        let body = serde_json::to_vec(&entries.collect::<Vec<_>>()).unwrap_or_default();
+        let ready = up().filter(|(_, pod)| !pod.draining).map(|(number, _)| *number).collect();
+        let draining = up().filter(|(_, pod)| pod.draining).map(|(number, _)| *number).collect();
+        let published = Published { body, ready, draining };
+        if !self.on {
+            return self.publish(published);
+        }
+        let more = self.present.values().find_map(|trouble| match trouble {
+            Trouble::ListLags(more) => Some(Duration::from(*more)),
+            _ => None,
+        });
+        let lag = Duration::from(self.script.fleet.list_lag) + more.unwrap_or_default();
+        self.wheel.arm(self.now + lag, Due::Publish(Box::new(published)));
+    }
+
+    pub(super) fn publish(&mut self, published: Published) {
+        let Published { body, ready, draining } = published;
+        (self.list.body, self.list.ready, self.list.draining) = (body, ready, draining);
+        self.list.index += 1;
+        let waiting =
+            self.ends.iter().filter(|(_, end)| matches!(end, End::List(link) if link.waits.is_some()));
+        let mut waiting: Vec<SocketId> = waiting.map(|(id, _)| *id).collect();
+        waiting.sort_unstable();
+        waiting.into_iter().for_each(|id| self.tell_list(id));
+    }
+
+    pub(super) fn list_read(&mut self, id: SocketId) {
+        if self.sockets.ended(id) {
+            return self.drop_end(id);
+        }
+        let Some(End::List(link)) = self.ends.get_mut(&id) else { return };
+        if link.waits.is_some() {
+            return;
+        }
+        let Some(input) = self.sockets.input(id) else { return };
+        let head = match link.requests.take(input, false) {
+            Ok(Some((head, _))) => head,
+            Ok(None) => return self.sockets.read_on(id),
+            Err(_) => return self.drop_end(id),
+        };
+        link.sidecar = sidecar_of(head.fields.text("user-agent"));
+        if link.sidecar.is_some_and(|sidecar| self.is_cut_off(sidecar)) {
+            return;
+        }
+        if !head.target.starts_with(&format!("/v1/health/service/{SERVICE}?")) {
+            return self.plain(id, 404, b"");
+        }
+        let query = |name: &str| {
+            let rest =
+                head.target.split(['?', '&']).find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+            rest.map(str::to_owned)
+        };
+        let known = query("index").and_then(|index| index.parse::<u64>().ok()).unwrap_or(0);
+        let wait =
+            query("wait").and_then(|wait| wait.strip_suffix("ms")?.parse::<u64>().ok()).unwrap_or(300_000);
+        let Some(End::List(link)) = self.ends.get_mut(&id) else { return };
+        link.waits = Some(known);
+        link.asked += 1;
+        if known != self.list.index {
+            self.tell_list(id);
+        } else {
+            let asked = link.asked;
+            self.wheel.arm(self.now + Duration::from_millis(wait), Due::ListAnswer(id, asked));
+        }
+    }
+
+    /// A blocking query has waited as long as it may: it is answered with what is.
+    pub(super) fn list_wait_over(&mut self, id: SocketId, asked: u64) {
+        let waits = matches!(self.ends.get(&id), Some(End::List(link)) if link.waits.is_some() && link.asked == asked);
+        if waits {
+            self.tell_list(id);
+        }
+    }
+
+    fn tell_list(&mut self, id: SocketId) {
+        let Some(End::List(link)) = self.ends.get_mut(&id) else { return };
+        let Some(sidecar) = link.sidecar else { return self.drop_end(id) };
+        link.waits = None;
+        if self.is_cut_off(sidecar) {
+            return;
+        }
+        let (ready, draining) = (self.list.ready.clone(), self.list.draining.clone());
+        if !ready.is_empty() {
+            self.list.told.insert(sidecar);
+        }
+        self.note(Entry::ListTold { sidecar, ready, draining });
+        let index = self.list.index.to_string();
+        let fields = [("x-consul-index", &index[..]), ("content-type", "application/json")];
+        let mut out = BytesMut::new();
+        let fields = fields.iter().map(|(name, value)| (name.as_bytes(), value.as_bytes()));
+        write_response(&mut out, 200, fields, Framing::Length(self.list.body.len() as u64), true);
+        out.extend_from_slice(&self.list.body);
+        self.sockets.send(id, &out);
+        self.list_read(id);
+    }
+
+    fn plain(&mut self, id: SocketId, status: u16, body: &[u8]) {
+        let mut out = BytesMut::new();
+        write_response(&mut out, status, [].into_iter(), Framing::Length(body.len() as u64), true);
+        out.extend_from_slice(body);
+        self.sockets.send(id, &out);
+    }
+
+    fn close_service(&mut self, fits: impl Fn(&End) -> bool) {
+        let ends = self.ends.iter().filter(|(_, end)| fits(end));
+        let mut ends: Vec<SocketId> = ends.map(|(id, _)| *id).collect();
+        ends.sort_unstable();
+        ends.into_iter().for_each(|id| self.drop_end(id));
+    }
+
+    pub(super) fn list_down(&mut self) {
+        self.close_service(|end| matches!(end, End::List(_) | End::ListListener));
+    }
+
+    pub(super) fn list_up(&mut self) -> Result<(), DayTrouble> {
+        let (listener, _) = self.sockets.listen(self.list.list_at)?;
+        self.ends.insert(listener, End::ListListener);
+        Ok(())
+    }
+
+    pub(super) fn installer_down(&mut self) {
+        self.close_service(|end| matches!(end, End::Installer(_) | End::News(_) | End::InstallerListener));
+    }
+
+    pub(super) fn installer_up(&mut self) -> Result<(), DayTrouble> {
+        let (listener, _) = self.sockets.listen(self.list.installer_at)?;
+        self.ends.insert(listener, End::InstallerListener);
+        Ok(())
+    }
+
+    pub(super) fn installer_read(&mut self, id: SocketId) {
+        if self.sockets.ended(id) {
+            return self.drop_end(id);
+        }
+        let Some(End::Installer(link)) = self.ends.get_mut(&id) else { return };
+        let Some(input) = self.sockets.input(id) else { return };
+        let (head, body) = match link.0.take(input, false) {
+            Ok(Some(request)) => request,
+            Ok(None) => return self.sockets.read_on(id),
+            Err(_) => return self.drop_end(id),
+        };
+        let Some(sidecar) = sidecar_of(head.fields.text("user-agent")) else {
+            return self.plain(id, 400, b"");
+        };
+        if self.is_cut_off(sidecar) {
+            return;
+        }
+        match (&head.method[..], &head.target[..]) {
+            ("GET", "/v1/stages") => self.open_news(id, sidecar, &head),
+            ("POST", "/v1/votes") => self.vote(id, sidecar, &body),
+            _ => self.plain(id, 404, b""),
+        }
+    }
+
+    fn open_news(&mut self, id: SocketId, sidecar: SidecarNo, _: &RequestHead) {
+        let mut out = BytesMut::new();
+        let fields = [(&b"content-type"[..], &b"text/event-stream"[..])];
+        write_response(&mut out, 200, fields.into_iter(), Framing::Chunked, true);
+        self.sockets.send(id, &out);
+        self.ends.insert(id, End::News(NewsLink { sidecar }));
+        self.tell_stage(id);
+    }
+
+    fn stage_json(&self) -> serde_json::Value {
+        let state = self.installer.state();
+        let phase = match state.phase {
+            Phase::OnTrial => "on_trial",
+            Phase::GoingBack => "going_back",
+            Phase::Released => "released",
+            Phase::Withdrawn => "withdrawn",
+        };
+        let age = self.now.saturating_sub(state.since).as_millis() as u64;
+        json!({"build": state.build, "stage": state.stage, "phase": phase, "cap": state.cap, "age_ms": age})
+    }
+
+    fn note_stage_told(&mut self, sidecar: SidecarNo) {
+        let state = self.installer.state();
+        let (build, stage, phase, cap) = (state.build, state.stage, state.phase, state.cap);
+        self.note(Entry::StageTold { sidecar, build, stage, phase, cap });
+    }
+
+    fn tell_stage(&mut self, id: SocketId) {
+        let Some(End::News(NewsLink { sidecar })) = self.ends.get(&id) else { return };
+        let sidecar = *sidecar;
+        if self.is_cut_off(sidecar) {
+            return;
+        }
+        self.note_stage_told(sidecar);
+        let event = format!("event: stage\ndata: {}\n\n", self.stage_json());
+        let mut out = BytesMut::new();
+        write_chunk(&mut out, event.as_bytes());
+        self.sockets.send(id, &out);
+    }
+
+    pub(super) fn tell_all(&mut self) {
+        let news = self.ends.iter().filter(|(_, end)| matches!(end, End::News(_)));
+        let mut news: Vec<SocketId> = news.map(|(id, _)| *id).collect();
+        news.sort_unstable();
+        news.into_iter().for_each(|id| self.tell_stage(id));
+    }
+
+    pub(super) fn tell_all_again(&mut self) {
+        self.tell_all();
+        let every = super::span(self.script.fleet.told_every, 2.0).max(Duration::from_millis(100));
+        self.wheel.arm(self.now + every, Due::TellAll);
+    }
+
+    fn vote(&mut self, id: SocketId, sidecar: SidecarNo, body: &[u8]) {
+        let Ok(vote) = serde_json::from_slice::<Vote>(body) else { return self.plain(id, 400, b"") };
+        let verdict = match &vote.verdict[..] {
+            "on" => Verdict::On,
+            "hold" => Verdict::Hold,
+            "back" => Verdict::Back,
+            "withhold" => Verdict::Withhold,
+            _ => return self.plain(id, 400, b""),
+        };
+        let counted = self.installer.vote(sidecar, vote.build, vote.stage, verdict, self.now);
+        let answer = if counted { "counted" } else { "moot" };
+        let (build, stage, verdict) = (vote.build, vote.stage, vote.verdict);
+        self.note(Entry::Voted { sidecar, build, stage, verdict, answer: answer.to_owned() });
+        self.note_stage_told(sidecar);
+        let reply = json!({"answer": answer, "stage": self.stage_json()});
+        self.plain(id, 200, reply.to_string().as_bytes());
+    }
+
+    pub(super) fn tick(&mut self) -> Result<(), DayTrouble> {
+        self.wheel.arm(self.now + super::TICK, Due::Tick);
+        let still = |t: &Trouble| matches!(t, Trouble::InstallerDown | Trouble::InstallerStandsStill);
+        if self.is_present(still) {
+            return Ok(());
+        }
+        let pods = &self.pods;
+        let runs = |place, build| pods.values().any(|pod| pod.place == place && pod.build == build && pod.up);
+        for step in self.installer.tick(self.now, runs) {
+            match step {
+                Step::Start { place, build } => self.start_pod(place, build, true)?,
+                Step::DrainOthers { place, build } => self.drain_others(place, build),
+                Step::Tell => {
+                    let state = self.installer.state();
+                    self.note(Entry::Stage { build: state.build, stage: state.stage, phase: state.phase });
+                    self.tell_all();
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/script.rs
@@ -0,0 +1,317 @@
+//! A day as its file says: the fleet, the hits, the releases, and what goes wrong when. JSON; spans in seconds.
+
+use limewing_account::record;
+use limewing_settings::{Checked, Limits, Misfit, PathGroup, Reach, Releases, Repeat, Rules, Seconds};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct DayScript {
+    pub name: String,
+    pub seed: u64,
+    /// Hits come for so long; then what is open is settled.
+    pub lasts: Seconds,
+    pub hits_per_s: f64,
+    pub fleet: FleetScript,
+    /// The zone of each sidecar.
+    pub sidecars: Vec<String>,
+    pub groups: Vec<GroupScript>,
+    #[serde(default)]
+    pub customers: Vec<CustomerScript>,
+    pub clients: ClientScript,
+    pub limits: Limits,
+    pub rules: Rules,
+    pub releases: Releases,
+    #[serde(default)]
+    pub offers: Vec<Offer>,
+    #[serde(default)]
+    pub troubles: Vec<TroubleAt>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetScript {
+    pub zones: Vec<String>,
+    pub pods: usize,
+    pub cores: usize,
+    /// Hits that may wait at a pod.
+    pub waiting: usize,
+    /// Pods of a cell are neighbours that share a memory of marks.
+    #[serde(default = "four")]
+    pub cell: usize,
+    /// How long a new pod takes to run.
+    pub starts_within: Seconds,
+    /// How late the node list is.
+    pub list_lag: Seconds,
+    /// A pod that drains goes after this.
+    pub drains_for: Seconds,
+    /// Stage news is told again every so often.
+    #[serde(default)]
+    pub told_every: Option<Seconds>,
+}
+
+fn four() -> usize {
+    4
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct GroupScript {
+    pub group: PathGroup,
+    /// Part of all hits.
+    pub share: f64,
+    /// Mean work on a warm core.
+    pub work: Seconds,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerScript {
+    pub name: String,
+    pub quota_per_s: f64,
+    pub share: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ClientScript {
+    pub retries: u16,
+    /// Mean wait before a retry.
+    pub wait: Seconds,
+    /// A try waits for this part of the client timeout at the least.
+    pub patience_from: f64,
+    /// The part of wrong answers that is reported.
+    #[serde(default)]
+    pub reports: f64,
+    /// The part of tries whose client goes before the answer.
+    #[serde(default)]
+    pub leaves: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Offer {
+    pub at: Seconds,
+    pub build: u16,
+    /// Work takes so many times as long as on the first build.
+    #[serde(default = "one")]
+    pub slow: f64,
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// A share of its hits errs; of one path group only, or of a pod that has run for a while.
+    Errors {
+        share: f64,
+        #[serde(default)]
+        group: Option<String>,
+        #[serde(default)]
+        after: Option<Seconds>,
+    },
+    /// A share of its answers is wrong, and looks right.
+    Wrong { share: f64 },
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TroubleAt {
+    pub at: Seconds,
+    /// How long it lasts.
+    #[serde(rename = "for", default)]
+    pub lasts: Option<Seconds>,
+    pub what: Trouble,
+}
+
+/// What goes wrong. Pods are named by their place in the fleet.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Trouble {
+    /// The process dies; another one starts at its place when the trouble ends.
+    PodsKilled(Vec<usize>),
+    /// Takes connections and bytes, and never answers: what comes is lost.
+    PodsSilent(Vec<usize>),
+    /// Begins nothing until the trouble ends; then goes on.
+    PodsHung(Vec<usize>),
+    PodsSlow {
+        places: Vec<usize>,
+        factor: f64,
+    },
+    /// A share of the pods' answers is cut off half way.
+    HalfAnswers {
+        places: Vec<usize>,
+        share: f64,
+    },
+    /// Pods close each connection after one answer, as the next hit may already be on its way.
+    PodsClose(Vec<usize>),
+    /// Nothing passes between a zone and the rest; list and installer stand in the first zone.
+    ZoneCut(String),
+    /// SIGKILL; started again when the trouble ends.
+    SidecarKilled(usize),
+    /// SIGTERM; started again when the trouble ends.
+    SidecarLeaves(usize),
+    /// SIGSTOP until the trouble ends.
+    SidecarStopped(usize),
+    ListLags(Seconds),
+    ListDown,
+    /// No news, no steps, votes unanswered.
+    InstallerDown,
+    /// No steps; news and votes go on.
+    InstallerStandsStill,
+    /// So many times the hits.
+    Overload(f64),
+    /// One customer sends so many more hits a second, which err at every pod.
+    Worthless {
+        customer: String,
+        per_s: f64,
+    },
+}
+
+impl DayScript {
+    pub fn terms(&self) -> record::Terms {
+        let groups = self.groups.iter().map(|GroupScript { group, .. }| record::Group {
+            name: group.name.clone(),
+            repeat: match group.repeat {
+                Repeat::Repeatable => record::Repeat::Repeatable,
+                Repeat::Mutating => record::Repeat::Mutating,
+                Repeat::Tagged { reach, memory } => {
+                    let reach = match reach {
+                        Reach::All => record::Reach::All,
+                        Reach::Zone => record::Reach::Zone,
+                        Reach::Cell => record::Reach::Cell,
+                    };
+                    record::Repeat::Tagged { reach, memory: memory.into() }
+                }
+            },
+            target_latency: group.target_latency.into(),
+            benefit: group.benefit,
+        });
+        record::Terms {
+            groups: groups.collect(),
+            answer_slack: self.rules.answer_slack.into(),
+            drain_grace: self.rules.drain_grace.into(),
+            cold_from: self.rules.cold_from,
+            cold_for: self.rules.cold_for.into(),
+            fall_multiple: self.rules.fall_multiple,
+            fall_within: self.rules.fall_within.into(),
+            caps: self.releases.stages.iter().map(|stage| stage.cap).collect(),
+            cap_window: self.releases.cap_window.into(),
+            cap_free: self.releases.cap_free,
+            cap_by_group: self.releases.cap_by_group,
+            guarded_stages: self.releases.guarded_stages,
+            keys_stay: self.releases.keys_stay,
+        }
+    }
+
+    /// How many times as long a build's work takes.
+    pub fn slow_of(&self, build: u16) -> f64 {
+        self.offers.iter().find(|offer| offer.build == build).map_or(1.0, |offer| offer.slow)
+    }
+
+    pub fn longest_timeout(&self) -> Duration {
+        let timeouts = self.groups.iter().map(|group| Duration::from(group.group.client_timeout));
+        timeouts.max().unwrap_or_default()
+    }
+}
+
+impl Checked for DayScript {
+    fn misfits(&self) -> Vec<Misfit> {
+        let mut found = Vec::new();
+        let mut need = |fits: bool, path: String, expected: &str| {
+            if !fits {
+                found.push(Misfit::new(path, format!("expected {expected}")));
+            }
+        };
+        let part = |value: f64| (0.0..=1.0).contains(&value);
+        need((0.0..=100_000.0).contains(&self.hits_per_s), "/hits_per_s".into(), "0 to 100000 hits a second");
+        need(!self.fleet.zones.is_empty(), "/fleet/zones".into(), "one zone at least");
+        need((1..=1000).contains(&self.fleet.pods), "/fleet/pods".into(), "1 to 1000 pods");
+        need((1..=1000).contains(&self.fleet.cores), "/fleet/cores".into(), "1 to 1000 cores");
+        need(self.fleet.cell >= 1, "/fleet/cell".into(), "1 pod or more");
+        need((1..=64).contains(&self.sidecars.len()), "/sidecars".into(), "1 to 64 sidecars");
+        for (place, zone) in self.sidecars.iter().enumerate() {
+            need(self.fleet.zones.contains(zone), format!("/sidecars/{place}"), "one of /fleet/zones");
+        }
+        let shares: f64 = self.groups.iter().map(|group| group.share).sum();
+        need((shares - 1.0).abs() < 1e-6, "/groups".into(), "shares that sum to 1");
+        for (place, group) in self.groups.iter().enumerate() {
+            need(part(group.share), format!("/groups/{place}/share"), "a part from 0 to 1");
+            let one = group.group.routes.len() == 1;
+            need(one, format!("/groups/{place}/group/routes"), "just one route: the clients use it");
+        }
+        let shares: f64 = self.customers.iter().map(|customer| customer.share).sum();
+        let fits = self.customers.is_empty() || (shares - 1.0).abs() < 1e-6;
+        need(fits, "/customers".into(), "shares that sum to 1");
+        need(part(self.clients.patience_from), "/clients/patience_from".into(), "a part from 0 to 1");
+        need(part(self.clients.reports), "/clients/reports".into(), "a part from 0 to 1");
+        need(part(self.clients.leaves), "/clients/leaves".into(), "a part from 0 to 1");
+        let rising =
+            self.offers.windows(2).all(|pair| pair[0].build < pair[1].build && pair[0].at < pair[1].at);
+        need(rising, "/offers".into(), "builds and times that rise");
+        let first = self.offers.first().is_none_or(|offer| offer.build > FIRST_BUILD);
+        need(first, "/offers/0/build".into(), "a build over 1, which runs at the start");
+        for (place, offer) in self.offers.iter().enumerate() {
+            let speed = offer.slow.is_finite() && offer.slow > 0.0;
+            need(speed, format!("/offers/{place}/slow"), "a factor over 0");
+            for (number, fault) in offer.faults.iter().enumerate() {
+                let at = format!("/offers/{place}/faults/{number}");
+                match fault {
+                    Fault::Errors { share, group, .. } => {
+                        need(part(*share), format!("{at}/errors/share"), "a part from 0 to 1");
+                        let known = |name: &String| self.groups.iter().any(|group| group.group.name == *name);
+                        need(
+                            group.as_ref().is_none_or(known),
+                            format!("{at}/errors/group"),
+                            "a path group's name",
+                        );
+                    }
+                    Fault::Wrong { share } => {
+                        need(part(*share), format!("{at}/wrong/share"), "a part from 0 to 1")
+                    }
+                }
+            }
+        }
+        for (place, trouble) in self.troubles.iter().enumerate() {
+            let at = format!("/troubles/{place}/what");
+            let pods = |places: &Vec<usize>| places.iter().all(|place| *place < self.fleet.pods);
+            match &trouble.what {
+                Trouble::PodsKilled(places)
+                | Trouble::PodsSilent(places)
+                | Trouble::PodsHung(places)
+                | Trouble::PodsClose(places)
+                | Trouble::PodsSlow { places, .. }
+                | Trouble::HalfAnswers { places, .. } => need(pods(places), at, "places below /fleet/pods"),
+                Trouble::ZoneCut(zone) => need(self.fleet.zones.contains(zone), at, "one of /fleet/zones"),
+                Trouble::SidecarKilled(number)
+                | Trouble::SidecarLeaves(number)
+                | Trouble::SidecarStopped(number) => {
+                    need(*number < self.sidecars.len(), at, "a place in /sidecars")
+                }
+                Trouble::Overload(factor) => {
+                    need((0.0..=1000.0).contains(factor), at, "a factor from 0 to 1000")
+                }
+                Trouble::Worthless { customer, per_s } => {
+                    let known = self.customers.iter().any(|known| known.name == *customer);
+                    need(
+                        known && (0.0..=100_000.0).contains(per_s),
+                        at,
+                        "a customer's name and hits a second",
+                    );
+                }
+                _ => {}
+            }
+        }
+        found
+    }
+}
+
+/// The build that runs when a day starts.
+pub const FIRST_BUILD: u16 = 1;
