--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,8 @@
+//! A soak of the decision module: days of made events, with no sockets and no sleep. Two releases a day replace
+//! all pods, each hit has a key of its own, nights are idle, and for hours the list fails.
+//!
+//! Time is the module's own; only the caller's stopwatch looks at the machine's clock.
+
+mod fleet;
+
+pub use fleet::{Day, Soak, Terms};
