Pods are told how long a hit is still waited for; a stopped sidecar owes its answers once it runs

Change: the deadline field is passed on with the time left, stand-in pods begin nothing that is overdue, the record tells stops; sidecars end with the player.

--- a/crates/account/src/record.rs
+++ b/crates/account/src/record.rs
@@ -91,6 +91,13 @@
     SidecarDown {
         sidecar: SidecarNo,
     },
+    /// The process does not run, and goes on where it was afterwards.
+    SidecarStopped {
+        sidecar: SidecarNo,
+    },
+    SidecarGoesOn {
+        sidecar: SidecarNo,
+    },
     /// A client wrote a hit to a sidecar, and waits so long.
     Asked {
         sidecar: SidecarNo,
--- a/crates/account/src/rules.rs
+++ b/crates/account/src/rules.rs
@@ -110,6 +110,8 @@
     let mut breaches = Vec::new();
     let mut least: Option<Duration> = None;
     let mut breach = |at: Duration, text: String| breaches.push(Breach { rule: Rule::OneAnswer, at, text });
+    // Sidecars that do not run now. What falls due meanwhile is owed once they do.
+    let mut stopped: BTreeSet<SidecarNo> = BTreeSet::new();
     for line in lines {
         let at = line.at;
         match &line.entry {
@@ -136,6 +138,15 @@
             Entry::Unasked { sidecar, of } => {
                 breach(at, format!("{sidecar:?} sent words that nobody waited for, after {of:?}"))
             }
+            Entry::SidecarStopped { sidecar } => drop(stopped.replace(*sidecar)),
+            Entry::SidecarGoesOn { sidecar } => {
+                stopped.remove(sidecar);
+                let held = tries.values_mut().filter(|open| open.sidecar == *sidecar && open.ended.is_none());
+                held.for_each(|open| open.due = open.due.max(at));
+            }
+            Entry::GaveUp { of } if tries.get(of).is_some_and(|open| stopped.contains(&open.sidecar)) => {
+                tries.entry(*of).and_modify(|open| open.ended = Some(at));
+            }
             Entry::GaveUp { of } => {
                 if let Some(open) = tries.get_mut(of).filter(|open| open.ended.is_none()) {
                     breach(at, format!("{of:?} had no answer within its time"));
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -22,7 +22,12 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run one sidecar; logs go to standard error as JSON, the address it listens on to standard output
-    Sidecar { settings: PathBuf },
+    Sidecar {
+        settings: PathBuf,
+        /// End when standard input ends: whoever started it has gone
+        #[arg(long)]
+        with_parent: bool,
+    },
     /// Check settings, or print their schema
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -100,7 +105,7 @@
 
 fn run(command: Command) -> Result<(), Stop> {
     match command {
-        Command::Sidecar { settings } => sidecar(&settings),
+        Command::Sidecar { settings, with_parent } => sidecar(&settings, with_parent),
         Command::Settings(SettingsCommand::Check { file, of }) => {
             match of {
                 Kind::Sidecar => {
@@ -132,7 +137,7 @@
     }
 }
 
-fn sidecar(file: &std::path::Path) -> Result<(), Stop> {
+fn sidecar(file: &std::path::Path, with_parent: bool) -> Result<(), Stop> {
     let settings: SidecarSettings = limewing_settings::read(file).map_err(Stop::input)?;
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
@@ -141,5 +146,11 @@
     tracing::info!(%address, name = settings.name, "listening");
     // Whoever started it may have closed its end: no reason to stop.
     let _ = writeln!(std::io::stdout(), "listening {address}");
+    if with_parent {
+        std::thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            std::process::exit(0);
+        });
+    }
     service.run().map_err(Stop::failed)
 }
--- a/crates/sidecar/src/routes.rs
+++ b/crates/sidecar/src/routes.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// The field in which a pod is told how long its answer is waited for.
+    pub fn deadline_field(&self) -> Option<&str> {
+        self.headers.deadline_ms.as_deref()
+    }
+
     /// # Errors
     /// The request belongs to no path group, or lacks what its group needs.
     pub fn traits(&self, head: &RequestHead, now: Duration) -> Result<Traits, NoHit> {
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -96,9 +96,14 @@
         let mark = self.mark(*hit, *no);
         let via = format!("1.1 {}", self.terms.name);
         let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], via.as_bytes())];
+        // A pod that begins a hit only while it is waited for can't run it after its mark is forgotten.
+        let field = self.routes.deadline_field();
+        let left = open.due.saturating_sub(self.now).as_millis().to_string();
+        let left = field.map(|field| (field.as_bytes(), left.as_bytes()));
+        let is_left = |name: &[u8]| field.is_some_and(|field| name.eq_ignore_ascii_case(field.as_bytes()));
         let framing = Framing::Length(open.body.len() as u64);
         let mut out = BytesMut::with_capacity(512 + open.body.len());
-        let fields = open.head.fields.passed_on().chain(own);
+        let fields = open.head.fields.passed_on().filter(|(name, _)| !is_left(name)).chain(own).chain(left);
         http::write_request(&mut out, &open.head.method, &open.head.target, fields, framing);
         out.extend_from_slice(&open.body);
         self.sockets.send(link, &out);
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -328,7 +328,10 @@
             Trouble::PodsSlow { places, factor } => self.set_slow(places, *factor),
             Trouble::SidecarKilled(number) => self.kill_sidecar(*number),
             Trouble::SidecarLeaves(number) => self.processes[*number].leave(),
-            Trouble::SidecarStopped(number) => self.processes[*number].stop(true),
+            Trouble::SidecarStopped(number) => {
+                self.processes[*number].stop(true);
+                self.note(Entry::SidecarStopped { sidecar: SidecarNo(*number as u32) });
+            }
             Trouble::ListDown => self.list_down(),
             Trouble::InstallerDown => self.installer_down(),
             Trouble::Worthless { .. } => self.worthless(number),
@@ -350,7 +353,10 @@
             Trouble::PodsHung(places) => self.set_hung(places, false),
             Trouble::PodsSlow { places, .. } => self.set_slow(places, 1.0),
             Trouble::SidecarKilled(number) | Trouble::SidecarLeaves(number) => self.start_again(*number)?,
-            Trouble::SidecarStopped(number) => self.processes[*number].stop(false),
+            Trouble::SidecarStopped(number) => {
+                self.note(Entry::SidecarGoesOn { sidecar: SidecarNo(*number as u32) });
+                self.processes[*number].stop(false);
+            }
             Trouble::ListDown => self.list_up()?,
             Trouble::InstallerDown => self.installer_up()?,
             _ => {}
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -104,7 +104,13 @@
             .write(true)
             .open(name)?;
         let mut command = Command::new(self.program);
-        command.arg("sidecar").arg(&file).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
+        command
+            .arg("sidecar")
+            .arg(&file)
+            .arg("--with-parent")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log);
         self.note(Entry::SidecarUp { sidecar: SidecarNo(number as u32) });
         let mut child = command.spawn()?;
         let mut line = String::new();
--- a/crates/standins/src/pod.rs
+++ b/crates/standins/src/pod.rs
@@ -21,7 +21,22 @@
     /// Begins nothing while it hangs; what is in work stays there.
     pub hung: bool,
     working: usize,
-    waiting: VecDeque<(T, Duration)>,
+    waiting: VecDeque<Waiting<T>>,
+}
+
+struct Waiting<T> {
+    what: T,
+    work: Duration,
+    until: Duration,
+}
+
+/// What becomes of a hit that waited.
+#[derive(Debug, PartialEq)]
+pub enum Next<T> {
+    /// In work until then.
+    Begun(T, Duration),
+    /// Nobody waits for it any more: it is not begun.
+    Overdue(T),
 }
 
 #[derive(Debug, PartialEq)]
@@ -58,14 +73,15 @@
         self.working as f64 / self.machine.cores as f64
     }
 
-    pub fn arrive(&mut self, what: T, work: Duration, now: Duration) -> Arrival<T> {
+    /// A hit that is waited for until `until` and takes so much work on a warm core.
+    pub fn arrive(&mut self, what: T, work: Duration, until: Duration, now: Duration) -> Arrival<T> {
         if self.working < self.machine.cores && !self.hung {
             return Arrival::Begun(what, self.begin(work, now));
         }
         if self.waiting.len() >= self.machine.waiting {
             return Arrival::TurnedAway(what);
         }
-        self.waiting.push_back((what, work));
+        self.waiting.push_back(Waiting { what, work, until });
         Arrival::Waits
     }
 
@@ -79,12 +95,15 @@
         self.working = self.working.saturating_sub(1);
     }
 
-    /// What waits and can begin now, and until when it is in work.
-    pub fn next(&mut self, now: Duration) -> Option<(T, Duration)> {
+    /// The next that waited, if a core is free for it.
+    pub fn next(&mut self, now: Duration) -> Option<Next<T>> {
         if self.hung || self.working >= self.machine.cores {
             return None;
         }
-        let (what, work) = self.waiting.pop_front()?;
-        Some((what, self.begin(work, now)))
+        let Waiting { what, work, until } = self.waiting.pop_front()?;
+        if now >= until {
+            return Some(Next::Overdue(what));
+        }
+        Some(Next::Begun(what, self.begin(work, now)))
     }
 }
