Long life: what is gone is forgotten, samples are bounded, picks look at fewer things

Cause: pods that left, keys met, builds judged piled up, and whole-fleet sums were made for each hit. Change: a pod is forgotten 120 s after it went; keys once nothing older can be sent to; samples halve at 10,000; sums, ranks and medians without sorting all; one queue for inboxes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,9 +8,9 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{by_rank, excess, median, unevenness, Fading, Mean, Rate, Window};
+use crate::ledger::{excess, median, rank, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 #[cfg(test)]
@@ -31,13 +31,15 @@
 const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
 const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
+const FORGET_AFTER: Duration = Duration::from_secs(120); // nobody speaks of a pod that has been gone for this
+const MOST_SEEN: usize = 10_000; // a sample is halved here: what came late must still show, and memory end
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
 const SPARE: (f64, f64) = (0.15, 20.0); // further forwards for each hit taken, and the most saved up
 
 /// Watches the list and tells pods, gate and judge what changed.
 #[derive(Default)]
 pub struct Lister {
-    held: BTreeMap<PodId, PodEntry>,
+    held: BTreeMap<PodId, (PodEntry, Option<Duration>)>, // each with the time since when it is gone
     watched: bool,
 }
 
@@ -46,8 +48,9 @@
         match note {
             Note::List(ListNews::Change(rows)) => rows.into_iter().for_each(|row| self.tell(row, round)),
             Note::List(ListNews::Whole(rows) | ListNews::Remembered(rows)) => {
-                let gone = self.held.values().filter(|old| rows.iter().all(|row| row.pod != old.pod));
-                let gone = gone.map(|old| PodEntry { state: PodState::Gone, ..old.clone() });
+                let listed: BTreeSet<PodId> = rows.iter().map(|row| row.pod).collect();
+                let gone = self.held.values().filter(|(old, _)| !listed.contains(&old.pod));
+                let gone = gone.map(|(old, _)| PodEntry { state: PodState::Gone, ..old.clone() });
                 gone.collect::<Vec<_>>().into_iter().chain(rows).for_each(|row| self.tell(row, round));
                 let first = round.figures.on_request && !std::mem::replace(&mut self.watched, true);
                 round.out.extend(first.then_some(Action::Watch));
@@ -58,13 +61,27 @@
                 round.later(Duration::from_secs_f64(wait), To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
+            // Guards a sidecar that lives for months against a pile of pods that left. No rule speaks of one:
+            // the gate sends nothing to a pod that it does not know.
+            Note::Forget(pod) => {
+                let since = self.held.get(&pod).and_then(|(_, gone)| *gone);
+                if since.is_some_and(|since| round.now >= since + FORGET_AFTER) {
+                    self.held.remove(&pod);
+                    round.tell([To::Gate, To::Pod(pod), To::Desk, To::Judge], &Note::Forget(pod));
+                }
+            }
             _ => {}
         }
     }
 
     fn tell(&mut self, mut row: PodEntry, round: &mut Round) {
         row.size = row.size.max(0.01);
-        self.held.insert(row.pod, row.clone());
+        let before = self.held.get(&row.pod).and_then(|(_, gone)| *gone);
+        let gone = (row.state == PodState::Gone).then(|| before.unwrap_or(round.now));
+        if gone.is_some() && before.is_none() {
+            round.later(FORGET_AFTER, To::Lister, Note::Forget(row.pod));
+        }
+        self.held.insert(row.pod, (row.clone(), gone));
         round.tell([To::Gate, To::Pod(row.pod), To::Judge], &Note::Listed(row));
     }
 }
@@ -155,6 +172,7 @@
         let shut = !self.health.shut_until.is_zero();
         let card = Card {
             entry: self.entry.clone(),
+            rank: rank(u64::from(round.figures.own_number), self.entry.pod.0),
             ready,
             open: self.open.len(),
             pace: self.health.pace,
@@ -177,10 +195,12 @@
 pub struct Gate {
     news: Option<StageNews>,
     places: BTreeMap<PodId, Place>,
+    lowest: Option<BuildId>, // that runs at a place which neither drains nor is gone
     accounts: BTreeMap<HitId, Account>,
     taken: BTreeMap<usize, Window>,
     exposed: BTreeMap<(BuildId, usize), Window>,
     met: BTreeMap<KeyId, BuildId>,
+    all_met: Option<BuildId>, // as if every key had met it: no older build ran any more
     answered: Rate,
     wrong: BTreeMap<CustomerId, Mean>, // the share of each one's forwards that errs or times out
 }
@@ -190,8 +210,13 @@
         match note {
             Note::Listed(entry) => {
                 let luck = round.chance();
-                self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry)).list(entry, round.now, luck)
+                self.places
+                    .entry(entry.pod)
+                    .or_insert_with(|| Place::of(&entry))
+                    .list(entry, round.now, luck);
+                self.lowest = self.lowest_build();
             }
+            Note::Forget(pod) => drop(self.places.remove(&pod)),
             Note::Taken(hit) => self.open(hit, round),
             Note::Ask { hit, pods } => match pods.iter().find(|pod| self.allow(hit, **pod, round).is_ok()) {
                 Some((pod, _)) => self.send(hit, *pod, round),
@@ -204,8 +229,17 @@
                 round.out.push(Action::Cancel { hit, no })
             }
             Note::Over(hit) if self.accounts.contains_key(&hit) => self.close(hit, round),
-            Note::Stage(news) => self.news = Some(news),
+            Note::Stage(news) => {
+                // Rule 5 speaks of the newest build's keys alone.
+                if self.news.is_some_and(|old| old.build < news.build) {
+                    self.met.retain(|_, met| *met >= news.build);
+                    self.all_met = self.all_met.filter(|met| *met >= news.build);
+                }
+                self.news = Some(news);
+            }
             Note::Beat => {
+                self.forget_keys(round);
+                self.exposed.retain(|_, window| !window.is_empty());
                 let from = round.ago(round.figures.cap_window);
                 self.taken.values_mut().chain(self.exposed.values_mut()).for_each(|w| w.forget(from));
             }
@@ -213,6 +247,25 @@
         }
     }
 
+    fn lowest_build(&self) -> Option<BuildId> {
+        self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min()
+    }
+
+    /// Once a build is released and nothing older can be sent to, its keys need not be told apart: an older
+    /// pod that came back would get no hit with a key. Guards against a million keys a day; may hurt when old
+    /// machines come back by hand after a release: they serve hits without keys only.
+    fn forget_keys(&mut self, round: &Round) {
+        let Some(news) = self.news.filter(|n| n.phase == Phase::Released && !self.met.is_empty()) else {
+            return;
+        };
+        let (now, grace) = (round.now, round.figures.grace);
+        let usable = |p: &Place| p.ended.is_none_or(|told| now < told + grace);
+        if self.places.values().all(|p| p.entry.build >= news.build || !usable(p)) {
+            self.met.clear();
+            self.all_met = Some(news.build);
+        }
+    }
+
     fn open(&mut self, hit: Hit, round: &mut Round) {
         if usize::from(hit.group.0) >= round.figures.lines.len() || self.accounts.contains_key(&hit.id) {
             return;
@@ -242,6 +295,9 @@
     fn allow_cold(&self, place: &Place, part: f64, round: &Round) -> Result<(), Refusal> {
         let (now, figures) = (round.now, &round.figures);
         let strength = figures.strength(place.entry.started, now);
+        if strength >= 1.0 {
+            return Ok(());
+        }
         let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
         let whole: f64 = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
         // What it uses but a part of gets so much more from it, and nothing from sidecars that use others.
@@ -250,13 +306,12 @@
         let sent = place.sends.since(round.ago(figures.fall_within));
         // Less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would push
         // the pod over together; rounded down, light ones would never warm it.
-        let fits = strength >= 1.0 || (sent + 1) as f64 <= most + place.luck;
+        let fits = (sent + 1) as f64 <= most + place.luck;
         fits.then_some(()).ok_or(Refusal::Cold)
     }
 
     fn cap(&self, build: BuildId, figures: &Figures) -> Option<(f64, u8)> {
-        let lowest = self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min();
-        cap(build, lowest, self.news, figures)
+        cap(build, self.lowest, self.news, figures)
     }
 
     /// Rule 5. A lower cap is kept from the moment it is told, without the grace.
@@ -264,7 +319,8 @@
         let figures = &round.figures;
         let newer = self.news.filter(|n| figures.keys_stay && build < n.build);
         let stays = newer.is_some_and(|n| matches!(n.phase, Phase::OnTrial | Phase::Released));
-        let met = account.key.and_then(|key| self.met.get(&key)).is_some_and(|met| *met > build);
+        let met = account.key.and_then(|key| self.met.get(&key).copied().max(self.all_met));
+        let met = met.is_some_and(|met| met > build);
         (!stays || !met).then_some(()).ok_or(Refusal::KeyStays)?;
         let Some((cap, stage)) = self.cap(build, figures) else { return Ok(()) };
         let repeatable = figures.line(account.group).repeat == Repeat::Repeatable;
@@ -326,10 +382,10 @@
             self.wrong.entry(customer).or_default().add(f64::from(u8::from(wrong)), 30);
         }
         let known = |(c, mean): &(&CustomerId, &Mean)| **c != customer && mean.of >= 15;
-        let others: Vec<f64> = self.wrong.iter().filter(known).map(|(_, mean)| mean.value).collect();
-        let usual = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        let others = || self.wrong.iter().filter(known).map(|(_, mean)| mean.value);
+        let (many, usual) = (others().count(), others().sum::<f64>() / others().count().max(1) as f64);
         let own = self.wrong.get(&customer).copied().unwrap_or_default();
-        !others.is_empty() && own.of >= 15 && own.value > 0.2 + 1.5 * usual
+        many > 0 && own.of >= 15 && own.value > 0.2 + 1.5 * usual
     }
 
     /// A hit that is given up: bounced where a retry does no harm, errored elsewhere.
@@ -401,7 +457,7 @@
 /// Holds the open hits and picks pods for them.
 #[derive(Default)]
 pub struct Desk {
-    cards: BTreeMap<PodId, Card>,
+    cards: Cards,
     hits: BTreeMap<HitId, OpenHit>,
     news: Option<StageNews>,
     spare: f64,
@@ -415,7 +471,8 @@
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Taken(hit) => self.arrive(hit, round),
-            Note::Card(card) => drop(self.cards.insert(card.entry.pod, card)),
+            Note::Card(card) => self.cards.put(card),
+            Note::Forget(pod) => self.cards.remove(pod),
             Note::Refused(hit) => self.wait(hit, round),
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
@@ -461,7 +518,7 @@
             return 0.0;
         }
         let out = self.hits.values().filter(|h| h.out > 0 && self.slowness(h.customer, round.now) < 1.0);
-        let at = |h: &OpenHit| h.at.and_then(|pod| self.cards.get(&pod));
+        let at = |h: &OpenHit| h.at.and_then(|pod| self.cards.get(pod));
         let open = out.filter(|h| at(h).is_some_and(|c| c.usable)).count() as f64;
         // A few open hits of a light sidecar are chance; what its last hits took tells it more.
         let by_count = (open - open.sqrt()) / self.finished.now(round.now, RATE_OVER).max(5.0);
@@ -471,11 +528,11 @@
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
     fn trial_share(&self, round: &Round) -> (Option<BuildId>, f64) {
-        let builds = || self.cards.values().filter(|c| c.ready).map(|c| c.entry.build);
+        let builds = || self.cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
         let Some(build) = builds().max() else { return (None, 0.0) };
         let cap = cap(build, builds().min(), self.news, &round.figures);
         let Some((cap, stage)) = cap else { return (None, 0.0) };
-        let usable = || self.cards.values().filter(|c| c.usable);
+        let usable = || self.cards.iter().filter(|c| c.usable);
         let whole: f64 = usable().map(|c| self.strength(c, round)).sum();
         let new: f64 = usable().filter(|c| c.entry.build == build).map(|c| self.strength(c, round)).sum();
         let told = round.figures.stage_shares.get(usize::from(stage)).copied().unwrap_or(1.0);
@@ -491,12 +548,12 @@
         // A light sidecar has few hits: most must not go to prove that what is shut still fails.
         let proves = harmless && open.tried.is_empty() && round.chance() < PROOFS;
         let want_trial = !open.no_trial && draw < share;
-        let (base, trial_part) = (self.used(trial, false, round), self.used(trial, true, round));
-        let among = |c: &Card| if on_trial(c) { &trial_part } else { &base };
+        let (base, trial_part) = (self.used(trial, false), self.used(trial, true));
+        let among = |c: &Card| if on_trial(c) { trial_part } else { base };
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
             _ if proves && c.wants_proof && !on_trial(c) => Some(0),
-            _ if c.usable && on_trial(c) == want_trial && among(c).0.contains(&c.entry.pod) => Some(1),
+            _ if c.usable && on_trial(c) == want_trial && c.ranked() >= among(c).0 => Some(1),
             _ if c.usable && on_trial(c) == want_trial => Some(2),
             _ if c.usable && !open.no_trial => Some(3),
             // Nothing healthy: a pod that is only quiet or shut is better than none.
@@ -507,25 +564,29 @@
             let cost = self.cost(card, -round.chance().max(1e-9).ln(), round);
             turn(card).map(|turn| (turn, cost, (card.entry.pod, among(card).1)))
         };
-        let mut ranked: Vec<_> = self.cards.values().filter_map(&mut priced).collect();
+        let mut ranked: Vec<_> = self.cards.iter().filter_map(&mut priced).collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let pods = ranked.into_iter().map(|(_, _, pod)| pod).collect();
         round.mail.put(To::Gate, Note::Ask { hit, pods });
     }
 
-    /// The pods of the trial, or of the base, that this sidecar uses, and which part of them that is: those
-    /// that rank highest in a hash of its own number and theirs, a few more than its open hits need. With
+    /// The lowest rank of the pods of the trial, or of the base, that this sidecar uses, and which part of
+    /// them that is: those that rank highest in a hash of its own number and theirs, a few more than its open hits need. With
     /// few hits it can't learn what hundreds of pods are like, nor keep connections to them. A pod that is
     /// shut makes room for the next in rank.
-    fn used(&self, trial: Option<BuildId>, side: bool, round: &Round) -> (Vec<PodId>, f64) {
-        let usable = || self.cards.values().filter(|c| c.usable);
-        let here = usable().filter(|c| (trial == Some(c.entry.build)) == side).map(|c| c.entry.pod);
-        let mut pods = by_rank(u64::from(round.figures.own_number), here, |pod| pod.0);
-        let (all, open, here) = (usable().count(), usable().map(|c| c.open).sum::<usize>(), pods.len());
-        let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
-        pods.truncate((most.ceil() as usize).max(2));
-        let part = pods.len() as f64 / here.max(1) as f64;
-        (pods, part)
+    fn used(&self, trial: Option<BuildId>, side: bool) -> ((u64, PodId), f64) {
+        let usable = || self.cards.iter().filter(|c| c.usable);
+        let here = || usable().filter(|c| (trial == Some(c.entry.build)) == side);
+        let (all, open) = usable().fold((0, 0), |(all, open), c| (all + 1, open + c.open));
+        let many = here().count();
+        let most = (FEW_PODS + 3 * open) as f64 * many as f64 / all.max(1) as f64;
+        let most = (most.ceil() as usize).max(2);
+        if most >= many {
+            return ((0, PodId(0)), if many == 0 { 0.0 } else { 1.0 });
+        }
+        let mut ranks: Vec<(u64, PodId)> = here().map(Card::ranked).collect();
+        let last = *ranks.select_nth_unstable(many - most).1;
+        (last, most as f64 / many as f64)
     }
 
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
@@ -572,7 +633,7 @@
         if ended.outcome.fate == Fate::Delivered {
             self.finished.add(round.now, RATE_OVER);
             self.usual.entry(ended.group).or_default().add(ended.outcome.took.as_secs_f64(), 20);
-            if let Some(card) = self.cards.get(&ended.outcome.pod) {
+            if let Some(card) = self.cards.get(ended.outcome.pod) {
                 self.kinds.entry(card.entry.kind).or_default().add(share, 50);
             }
         }
@@ -608,7 +669,7 @@
         if round.now + usual >= open.arrived + round.figures.line(open.group).useful {
             return;
         }
-        if self.cards.get(&pod).is_some_and(|c| c.usable) || self.spare < 1.0 {
+        if self.cards.get(pod).is_some_and(|c| c.usable) || self.spare < 1.0 {
             round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
         } else if !round.figures.second_copies {
             round.mail.put(To::Gate, Note::Call(hit, no));
@@ -659,6 +720,7 @@
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
             Note::Listed(entry) => drop(self.pods.insert(entry.pod, entry)),
+            Note::Forget(pod) => drop(self.pods.remove(&pod)),
             Note::Stage(news) => self.enter(news, round),
             Note::Ended(ended) => self.count(&ended, &round.figures),
             Note::Flagged { pod, group } => {
@@ -727,6 +789,7 @@
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
         sample.count(ended.group, ended.outcome.pod, fate, time);
+        (sample.all().seen >= MOST_SEEN).then(|| sample.halve());
     }
 
     fn trial_pods(&self) -> impl Iterator<Item = &PodEntry> {
@@ -784,12 +847,14 @@
     /// the same load now and well: under overload, or in a cold fleet of the last stage, all times are queues.
     fn is_slow(&self, least: usize, sigmas: f64) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
-        let enough = new.len().min(old.len()) >= least;
+        if new.len().min(old.len()) < least {
+            return false;
+        }
         let noise = sigmas.max(2.5) * 1.44 * (1.0 / new.len() as f64 + 1.0 / old.len() as f64).sqrt();
-        let (Some(now), Some(usual)) = (median(new), median(old)) else { return false };
-        let others = median(self.new.times_without_slowest());
+        let (now, usual) = (new[new.len() / 2], old[old.len() / 2]);
         let calm = usual < 2.0 && self.kinds.values().all(|mean| mean.value < 0.25);
-        enough && calm && now > SLOW_MARGIN * usual * noise.exp() && others > Some(SLOW_MARGIN * usual)
+        let slow = calm && now > SLOW_MARGIN * usual * noise.exp();
+        slow && median(self.new.times_without_slowest()) > Some(SLOW_MARGIN * usual)
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
--- a/src/inbox.rs
+++ b/src/inbox.rs
@@ -1,27 +1,26 @@
-//! Inboxes: one for each addressee, emptied one note at a time in the order of posting.
+//! Inboxes: notes for many addressees, handed out one at a time in the order of posting.
+//!
+//! All stand in one queue: emptied in turn, an inbox of its own for each addressee would give the same order,
+//! and keep a place for each that ever was.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 pub struct Inboxes<A, N> {
-    boxes: BTreeMap<A, VecDeque<N>>,
-    turns: VecDeque<A>,
+    waiting: VecDeque<(A, N)>,
 }
 
-impl<A: Ord + Copy, N> Default for Inboxes<A, N> {
+impl<A, N> Default for Inboxes<A, N> {
     fn default() -> Self {
-        Self { boxes: BTreeMap::new(), turns: VecDeque::new() }
+        Self { waiting: VecDeque::new() }
     }
 }
 
-impl<A: Ord + Copy, N> Inboxes<A, N> {
+impl<A, N> Inboxes<A, N> {
     pub fn put(&mut self, to: A, note: N) {
-        self.boxes.entry(to).or_default().push_back(note);
-        self.turns.push_back(to);
+        self.waiting.push_back((to, note));
     }
 
     pub fn take(&mut self) -> Option<(A, N)> {
-        let to = self.turns.pop_front()?;
-        let note = self.boxes.get_mut(&to)?.pop_front()?;
-        Some((to, note))
+        self.waiting.pop_front()
     }
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -53,6 +53,10 @@
         self.times.len() - self.times.partition_point(|t| *t < from)
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.times.is_empty()
+    }
+
     pub fn clear(&mut self) {
         self.times.clear();
     }
@@ -66,11 +70,9 @@
     z ^ (z >> 31)
 }
 
-/// All ids, highest first in a hash of each with `own`: the order moves little when some come and go.
-pub fn by_rank<T: Copy + Ord>(own: u64, ids: impl Iterator<Item = T>, number: impl Fn(T) -> u64) -> Vec<T> {
-    let mut ranked: Vec<(u64, T)> = ids.map(|id| (mixed(number(id) ^ mixed(own + 1)), id)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.into_iter().map(|(_, id)| id).collect()
+/// Where a number stands in an order that is `own`'s: it moves little when numbers come and go.
+pub fn rank(own: u64, number: u64) -> u64 {
+    mixed(number ^ mixed(own + 1))
 }
 
 /// How much larger one share of (bad, seen) is than another, and the noise in that.
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -23,6 +23,8 @@
 pub enum Note {
     List(ListNews),
     Listed(PodEntry),
+    /// A pod that has been gone for long.
+    Forget(PodId),
     Taken(Hit),
     /// Desk to gate: a forward to the first of these pods that the rules allow; with each, the part of its
     /// build's pods that this sidecar uses.
@@ -165,6 +167,8 @@
 #[derive(Clone)]
 pub struct Card {
     pub entry: PodEntry,
+    /// Its place in this sidecar's own order of pods.
+    pub rank: u64,
     pub ready: bool,
     pub open: usize,
     /// Recent time taken, as a share of the target latency, and over how many answers.
@@ -174,6 +178,43 @@
     pub wants_proof: bool,
 }
 
+impl Card {
+    pub fn ranked(&self) -> (u64, PodId) {
+        (self.rank, self.entry.pod)
+    }
+}
+
+/// The last card of each pod, by pod.
+#[derive(Default)]
+pub struct Cards(Vec<Card>);
+
+impl Cards {
+    fn place(&self, pod: PodId) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&pod, |card| card.entry.pod)
+    }
+
+    pub fn get(&self, pod: PodId) -> Option<&Card> {
+        self.place(pod).ok().map(|place| &self.0[place])
+    }
+
+    pub fn put(&mut self, card: Card) {
+        match self.place(card.entry.pod) {
+            Ok(place) => self.0[place] = card,
+            Err(place) => self.0.insert(place, card),
+        }
+    }
+
+    pub fn remove(&mut self, pod: PodId) {
+        if let Ok(place) = self.place(pod) {
+            self.0.remove(place);
+        }
+    }
+
+    pub fn iter(&self) -> std::slice::Iter<'_, Card> {
+        self.0.iter()
+    }
+}
+
 /// The gate's account of one hit.
 pub struct Account {
     pub group: GroupId,
@@ -293,6 +334,8 @@
 pub struct Sample {
     pub groups: BTreeMap<GroupId, Count>,
     pub pods: BTreeMap<PodId, ByPod>,
+    /// The times of all pods, shortest first.
+    times: Vec<f64>,
 }
 
 #[derive(Default, Clone)]
@@ -330,6 +373,25 @@
         (count.bad, by_pod.bad) = (count.bad + usize::from(bad), by_pod.bad + usize::from(bad));
         count.timed_out += usize::from(fate == Fate::TimedOut);
         by_pod.times.extend(time);
+        if let Some(time) = time {
+            let place = self.times.partition_point(|known| known.total_cmp(&time).is_lt());
+            self.times.insert(place, time);
+        }
+    }
+
+    /// Forgets half of what was seen: counts in proportion, of the times the older ones.
+    pub fn halve(&mut self) {
+        for count in self.groups.values_mut() {
+            let Count { seen, bad, timed_out, flagged } = *count;
+            *count = Count { seen: seen / 2, bad: bad / 2, timed_out: timed_out / 2, flagged: flagged / 2 };
+        }
+        for by_pod in self.pods.values_mut() {
+            (by_pod.seen, by_pod.bad, by_pod.flagged) = (by_pod.seen / 2, by_pod.bad / 2, by_pod.flagged / 2);
+            by_pod.times.drain(..by_pod.times.len().div_ceil(2));
+        }
+        self.pods.retain(|_, by_pod| by_pod.seen > 0);
+        self.times = self.pods.values().flat_map(|p| &p.times).copied().collect();
+        self.times.sort_by(f64::total_cmp);
     }
 
     pub fn flag(&mut self, group: GroupId, pod: PodId) {
@@ -345,8 +407,8 @@
         pods.into_iter().flatten().copied().collect()
     }
 
-    pub fn times(&self) -> Vec<f64> {
-        self.pods.values().flat_map(|p| &p.times).copied().collect()
+    pub fn times(&self) -> &[f64] {
+        &self.times
     }
 }
 
@@ -358,7 +420,7 @@
             f,
             " on {} pods, median {:.2} of {}",
             self.pods.len(),
-            median(times.clone()).unwrap_or(0.0),
+            times.get(times.len() / 2).unwrap_or(&0.0),
             times.len()
         )
     }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -63,6 +63,7 @@
                         let pod = self.pods.entry(id).or_insert(Pod::new(entry));
                         pod.post_card(round);
                     }
+                    (_, Note::Forget(_)) => drop(self.pods.remove(&id)),
                     (Some(pod), note) => pod.take(note, round),
                     (None, _) => {}
                 },
