--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,7 @@
 use crate::interface::*;
 use crate::ledger::{excess, median, rank, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -195,7 +196,8 @@
 pub struct Gate {
     news: Option<StageNews>,
     places: BTreeMap<PodId, Place>,
-    lowest: Option<BuildId>, // that runs at a place which neither drains nor is gone
+    whole: Cell<Option<(Duration, f64)>>, // the strength of all, as last summed up
+    lowest: Option<BuildId>,              // that runs at a place which neither drains nor is gone
     accounts: BTreeMap<HitId, Account>,
     taken: BTreeMap<usize, Window>,
     exposed: BTreeMap<(BuildId, usize), Window>,
@@ -215,6 +217,7 @@
                     .or_insert_with(|| Place::of(&entry))
                     .list(entry, round.now, luck);
                 self.lowest = self.lowest_build();
+                self.whole.set(None);
             }
             Note::Forget(pod) => drop(self.places.remove(&pod)),
             Note::Taken(hit) => self.open(hit, round),
@@ -298,8 +301,14 @@
         if strength >= 1.0 {
             return Ok(());
         }
-        let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
-        let whole: f64 = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
+        let whole = self.whole.get().filter(|(at, _)| *at == now).map_or_else(
+            || {
+                let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
+                ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum()
+            },
+            |(_, whole)| whole,
+        );
+        self.whole.set(Some((now, whole)));
         // What it uses but a part of gets so much more from it, and nothing from sidecars that use others.
         let fair = self.answered.now(now, RATE_OVER) / (whole * part).max(0.01);
         let most = fair * place.entry.size * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
@@ -528,13 +537,17 @@
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
     fn trial_share(&self, round: &Round) -> (Option<BuildId>, f64) {
-        let builds = || self.cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
-        let Some(build) = builds().max() else { return (None, 0.0) };
-        let cap = cap(build, builds().min(), self.news, &round.figures);
+        let builds = self.cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
+        let span = builds
+            .fold(None, |span, b| Some(span.map_or((b, b), |(l, h): (BuildId, _)| (b.min(l), b.max(h)))));
+        let Some((lowest, build)) = span else { return (None, 0.0) };
+        let cap = cap(build, Some(lowest), self.news, &round.figures);
         let Some((cap, stage)) = cap else { return (None, 0.0) };
-        let usable = || self.cards.iter().filter(|c| c.usable);
-        let whole: f64 = usable().map(|c| self.strength(c, round)).sum();
-        let new: f64 = usable().filter(|c| c.entry.build == build).map(|c| self.strength(c, round)).sum();
+        let strengths =
+            self.cards.iter().filter(|c| c.usable).map(|c| (c.entry.build, self.strength(c, round)));
+        let (whole, new) = strengths.fold((0.0, 0.0), |(whole, new), (of, strength)| {
+            (whole + strength, if of == build { new + strength } else { new })
+        });
         let told = round.figures.stage_shares.get(usize::from(stage)).copied().unwrap_or(1.0);
         (Some(build), (new / whole.max(1e-9)).min(told).min(cap))
     }
@@ -561,8 +574,10 @@
             _ => None,
         };
         let mut priced = |card: &Card| {
-            let cost = self.cost(card, -round.chance().max(1e-9).ln(), round);
-            turn(card).map(|turn| (turn, cost, (card.entry.pod, among(card).1)))
+            let chance = round.chance();
+            let turn = turn(card)?;
+            let cost = self.cost(card, -chance.max(1e-9).ln(), round);
+            Some((turn, cost, (card.entry.pod, among(card).1)))
         };
         let mut ranked: Vec<_> = self.cards.iter().filter_map(&mut priced).collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
