--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,12 +4,15 @@
 mod show;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use limewing_load::compare;
 use limewing_settings::SidecarSettings;
 use limewing_sidecar::service::Service;
 use limewing_standins::script::DayScript;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use tracing_subscriber::EnvFilter;
 
 #[derive(Parser)]
@@ -34,6 +37,9 @@
     /// Play a day from its script, or check the record of one
     #[command(subcommand)]
     Day(DayCommand),
+    /// Compare a sidecar under load with a bare relay and with none
+    #[command(subcommand)]
+    Load(LoadCommand),
     /// Play one bad day, and show how it went and whether the rules were kept
     Demo {
         /// Where the record and the sidecars' logs go; a folder that is removed afterwards if absent
@@ -75,6 +81,30 @@
     Check { record: PathBuf },
 }
 
+#[derive(Subcommand)]
+enum LoadCommand {
+    /// Clients straight to a pod, through a bare relay and through a sidecar, in one run
+    Compare {
+        /// Pods of the fleet, one run for each number
+        #[arg(long, value_delimiter = ',', default_value = "14,91", value_parser = clap::value_parser!(u16).range(1..=1000))]
+        pods: Vec<u16>,
+        #[arg(long, default_value_t = 32, value_parser = clap::value_parser!(u16).range(1..=10_000))]
+        connections: u16,
+        /// Seconds that each part of the run lasts
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=3600))]
+        seconds: u64,
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+    },
+    /// Pods that answer at once, at addresses that are told on standard output
+    Pods { many: usize },
+    /// A relay that passes bytes on to the pods and decides nothing
+    Relay {
+        #[arg(required = true)]
+        pods: Vec<SocketAddr>,
+    },
+}
+
 /// What ends the command: a line on standard error and an exit code.
 pub struct Stop {
     code: u8,
@@ -133,6 +163,21 @@
             day::play(&script, &folder)
         }
         Command::Day(DayCommand::Check { record }) => day::check(&record),
+        Command::Load(LoadCommand::Compare { pods, connections, seconds, seed }) => {
+            let program = std::env::current_exe().map_err(Stop::failed)?;
+            let folder = tempfile::tempdir().map_err(Stop::failed)?;
+            let pods = pods.into_iter().map(usize::from).collect();
+            let lasts = Duration::from_secs(seconds);
+            let plan = compare::Plan { pods, connections: connections.into(), lasts, seed };
+            println!("{}", compare::compare(&program, folder.path(), &plan).map_err(Stop::failed)?);
+            Ok(())
+        }
+        Command::Load(LoadCommand::Pods { many }) => {
+            limewing_load::pods::serve(many, std::io::stdout()).map_err(Stop::failed)
+        }
+        Command::Load(LoadCommand::Relay { pods }) => {
+            limewing_load::relay::serve(&pods, std::io::stdout()).map_err(Stop::failed)
+        }
         Command::Demo { folder } => day::demo(folder),
     }
 }
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -39,6 +39,9 @@
     Settings(Misfit),
 }
 
+/// A turn of the loop that takes longer is told: hits that came meanwhile have waited for it.
+const LONG_TURN: Duration = Duration::from_millis(20);
+
 enum Peer {
     Client(Box<Client>),
     Pod(Box<PodLink>),
@@ -202,11 +205,26 @@
         while let Some(due) = self.wheel.take(self.now) {
             self.is_due(due);
         }
+        let read = self.clock.now();
+        let mut decided = read;
         if !self.events.is_empty() || self.now >= self.wake {
             let events = std::mem::take(&mut self.events);
             let actions = self.module.handle(self.now, events);
+            decided = self.clock.now();
             actions.into_iter().for_each(|action| self.carry_out(action));
         }
+        let done = self.clock.now();
+        if done - self.now > LONG_TURN {
+            let ms = |span: Duration| span.as_secs_f64() * 1e3;
+            let (read, decide, act) = (ms(read - self.now), ms(decided - read), ms(done - decided));
+            tracing::warn!(
+                read,
+                decide,
+                act,
+                open_hits = self.hits.len(),
+                "a turn of the loop took long, in ms"
+            );
+        }
         self.left |= self.leaving && self.hits.is_empty();
         Ok(())
     }
