Hard cases on sockets; load comparison in rounds; cheaper codec and tables in the sidecar

Need: what proves that a forward never ran, broken answers, clients that go, smuggling, streams, shown on real sockets; a comparison that one stall of the machine does not spoil.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -90,8 +90,11 @@
         pods: Vec<u16>,
         #[arg(long, default_value_t = 32, value_parser = clap::value_parser!(u16).range(1..=10_000))]
         connections: u16,
-        /// Seconds that each part of the run lasts
-        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=3600))]
+        /// Rounds in which each way is measured; the middle one counts
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=100))]
+        rounds: u16,
+        /// Seconds that each measurement lasts
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=3600))]
         seconds: u64,
         #[arg(long, default_value_t = 7)]
         seed: u64,
@@ -163,12 +166,13 @@
             day::play(&script, &folder)
         }
         Command::Day(DayCommand::Check { record }) => day::check(&record),
-        Command::Load(LoadCommand::Compare { pods, connections, seconds, seed }) => {
+        Command::Load(LoadCommand::Compare { pods, connections, rounds, seconds, seed }) => {
             let program = std::env::current_exe().map_err(Stop::failed)?;
             let folder = tempfile::tempdir().map_err(Stop::failed)?;
             let pods = pods.into_iter().map(usize::from).collect();
             let lasts = Duration::from_secs(seconds);
-            let plan = compare::Plan { pods, connections: connections.into(), lasts, seed };
+            let plan =
+                compare::Plan { pods, connections: connections.into(), rounds: rounds.into(), lasts, seed };
             println!("{}", compare::compare(&program, folder.path(), &plan).map_err(Stop::failed)?);
             Ok(())
         }
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -65,21 +65,57 @@
 pub struct Plan {
     pub pods: Vec<usize>,
     pub connections: usize,
+    /// Each way is measured in so many rounds, in turn with the others: what the machine does beside falls on
+    /// all alike, and the middle round counts.
+    pub rounds: usize,
     pub lasts: Duration,
     pub seed: u64,
 }
 
-struct Row3 {
+/// One way from the clients to the pods, and what was measured of it.
+struct Way {
     what: String,
-    full: Outcome,
-    cpu: f64,
-    half: Outcome,
+    to: SocketAddr,
+    part: Option<Part>,
+    per_s: Vec<f64>,
+    per_core: Vec<f64>,
+    p50: Vec<f64>,
+    p99: Vec<f64>,
+    p999: Vec<f64>,
+    failed: u64,
 }
 
-impl Row3 {
-    /// Hits that one second of its CPU is good for.
-    fn per_core(&self) -> f64 {
-        self.full.answered as f64 / self.cpu.max(1e-9)
+fn middle(values: &[f64]) -> f64 {
+    let mut values = values.to_vec();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+impl Way {
+    fn new(what: String, to: SocketAddr, part: Option<Part>) -> Self {
+        let none = Vec::new;
+        let (per_s, per_core, p50, p99, p999) = (none(), none(), none(), none(), none());
+        Self { what, to, part, per_s, per_core, p50, p99, p999, failed: 0 }
+    }
+
+    fn saturate(&mut self, load: &Load) -> Result<(), Trouble> {
+        let (mut before, mut after) = (0.0, 0.0);
+        let cpu = || self.part.as_ref().map_or(f64::NAN, Part::cpu);
+        let outcome = run(&Load { to: self.to, ..load.clone() }, || before = cpu(), || after = cpu())?;
+        self.per_s.push(outcome.per_s());
+        self.per_core.push(outcome.answered as f64 / (after - before).max(0.01));
+        self.failed += outcome.failed;
+        Ok(())
+    }
+
+    fn at(&mut self, rate: f64, load: &Load) -> Result<(), Trouble> {
+        let load = Load { to: self.to, hits_per_s: Some(rate), ..load.clone() };
+        let outcome: Outcome = run(&load, || (), || ())?;
+        self.p50.push(outcome.ms(0.5));
+        self.p99.push(outcome.ms(0.99));
+        self.p999.push(outcome.ms(0.999));
+        self.failed += outcome.failed;
+        Ok(())
     }
 }
 
@@ -88,87 +124,81 @@
 /// # Errors
 /// A part does not start, or the load could not be sent.
 pub fn compare(program: &Path, folder: &Path, plan: &Plan) -> Result<String, Trouble> {
-    let mut rows = Vec::new();
-    let mut half_rate = None;
-    for (turn, pods) in plan.pods.iter().enumerate() {
-        let (_pods, at) = Part::start(program, &["load", "pods", &pods.to_string()], *pods)?;
-        let settings = settings(folder, &at)?;
-        let (sidecar, there) = Part::start(program, &["sidecar", &settings, "--with-parent"], 1)?;
-        let full = Load {
-            to: there[0],
-            hits_per_s: None,
-            connections: plan.connections,
-            warm_up: Duration::from_secs(1),
-            lasts: plan.lasts,
-            seed: plan.seed,
-            target: "/quotes/1".into(),
-        };
-        let (outcome, cpu) = saturate(&full, &sidecar)?;
-        // Half of what the sidecar can do; the same for all, so that what each adds can be told.
-        let rate = *half_rate.get_or_insert(outcome.per_s() / 2.0);
-        let half = Load { hits_per_s: Some(rate), ..full.clone() };
-        let row = Row3 {
-            what: format!("sidecar, {pods} pods"),
-            full: outcome,
-            cpu,
-            half: run(&half, || (), || ())?,
-        };
-        drop(sidecar);
-        if turn == 0 {
-            let one = at[0].to_string();
+    let (mut ways, mut fleets) = (Vec::new(), Vec::new());
+    for pods in &plan.pods {
+        let (fleet, at) = Part::start(program, &["load", "pods", &pods.to_string()], *pods)?;
+        fleets.push(fleet);
+        if ways.is_empty() {
+            ways.push(Way::new("straight to a pod".into(), at[0], None));
             let all: Vec<String> = at.iter().map(ToString::to_string).collect();
             let args: Vec<&str> =
                 ["load", "relay"].into_iter().chain(all.iter().map(String::as_str)).collect();
             let (relay, there) = Part::start(program, &args, 1)?;
-            let (full_relay, half_relay) =
-                (Load { to: there[0], ..full.clone() }, Load { to: there[0], ..half.clone() });
-            let (outcome, cpu) = saturate(&full_relay, &relay)?;
-            let relayed =
-                Row3 { what: "bare relay".into(), full: outcome, cpu, half: run(&half_relay, || (), || ())? };
-            drop(relay);
-            let straight = Load { to: at[0], ..full.clone() };
-            let outcome = run(&straight, || (), || ())?;
-            let calm = run(&Load { hits_per_s: Some(rate), ..straight }, || (), || ())?;
-            rows.push(Row3 { what: format!("straight to {one}"), full: outcome, cpu: f64::NAN, half: calm });
-            rows.push(relayed);
+            ways.push(Way::new("bare relay".into(), there[0], Some(relay)));
         }
-        rows.push(row);
+        let settings = settings(folder, &at)?;
+        let (sidecar, there) = Part::start(program, &["sidecar", &settings, "--with-parent"], 1)?;
+        ways.push(Way::new(format!("sidecar, {pods} pods"), there[0], Some(sidecar)));
     }
-    Ok(told(&rows, half_rate.unwrap_or(0.0)))
-}
-
-fn saturate(load: &Load, part: &Part) -> Result<(Outcome, f64), Trouble> {
-    let (mut before, mut after) = (0.0, 0.0);
-    let outcome = run(load, || before = part.cpu(), || after = part.cpu())?;
-    Ok((outcome, after - before))
+    let load = Load {
+        to: ways[0].to,
+        hits_per_s: None,
+        connections: plan.connections,
+        warm_up: Duration::from_millis(500),
+        lasts: plan.lasts,
+        seed: plan.seed,
+        target: "/quotes/1".into(),
+    };
+    for _ in 0..plan.rounds {
+        ways.iter_mut().try_for_each(|way| way.saturate(&load))?;
+    }
+    // Half of what the first sidecar can do; the same for all, so that what each adds can be told.
+    let rate = middle(&ways[2].per_s) / 2.0;
+    for round in 0..plan.rounds {
+        let load = Load { seed: plan.seed + round as u64, ..load.clone() };
+        ways.iter_mut().try_for_each(|way| way.at(rate, &load))?;
+    }
+    Ok(told(&ways, rate))
 }
 
-fn told(rows: &[Row3], rate: f64) -> String {
+fn told(ways: &[Way], rate: f64) -> String {
     let mut table = Table::new();
     table.load_preset(presets::ASCII_MARKDOWN);
     let half = format!("p50 ms at {rate:.0}/s");
-    table.set_header(["way", "hits/s, full", "hits per core second", &half, "p99 ms", "p99.9 ms", "failed"]);
-    for row in rows {
-        let core = if row.cpu.is_nan() { "-".into() } else { format!("{:.0}", row.per_core()) };
+    table.set_header([
+        "way",
+        "hits/s, full",
+        "hits per core second",
+        &half,
+        "p99 ms",
+        "(best, worst round)",
+        "p99.9 ms",
+        "failed",
+    ]);
+    for way in ways {
+        let core = middle(&way.per_core);
+        let ends = way.p99.iter().fold((f64::MAX, 0.0_f64), |(low, high), p| (low.min(*p), high.max(*p)));
         table.add_row([
-            if row.what.starts_with("straight") { "straight to a pod".into() } else { row.what.clone() },
-            format!("{:.0}", row.full.per_s()),
-            core,
-            format!("{:.3}", row.half.ms(0.5)),
-            format!("{:.3}", row.half.ms(0.99)),
-            format!("{:.3}", row.half.ms(0.999)),
-            (row.full.failed + row.half.failed).to_string(),
+            way.what.clone(),
+            format!("{:.0}", middle(&way.per_s)),
+            if way.part.is_none() { "-".into() } else { format!("{core:.0}") },
+            format!("{:.3}", middle(&way.p50)),
+            format!("{:.3}", middle(&way.p99)),
+            format!("{:.3}, {:.3}", ends.0, ends.1),
+            format!("{:.3}", middle(&way.p999)),
+            way.failed.to_string(),
         ]);
     }
-    let [straight, relay, first, rest @ ..] = rows else { return table.to_string() };
+    let [straight, relay, first, rest @ ..] = ways else { return table.to_string() };
+    let core = |way: &Way| middle(&way.per_core);
     let mut text = format!(
         "{table}\nsidecar against bare relay, hits per core second: {:.2} (aim: 0.6 or more)\n\
          p99 that the sidecar adds to a straight way: {:.3} ms (aim: under 1)\n",
-        first.per_core() / relay.per_core(),
-        first.half.ms(0.99) - straight.half.ms(0.99),
+        core(first) / core(relay),
+        middle(&first.p99) - middle(&straight.p99),
     );
     for more in rest {
-        let ratio = first.per_core() / more.per_core();
+        let ratio = core(first) / core(more);
         text += &format!("{} against {}, cost per hit: {ratio:.2} (aim: under 1.5)\n", more.what, first.what);
     }
     text
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -45,9 +45,12 @@
     pub fields: usize,
 }
 
+/// No limit allows more fields than this.
+pub const MOST_FIELDS: usize = 64;
+
 impl Default for HeadLimits {
     fn default() -> Self {
-        Self { bytes: 16 * 1024, fields: 64 }
+        Self { bytes: 16 * 1024, fields: MOST_FIELDS }
     }
 }
 
@@ -125,8 +128,8 @@
     while input.starts_with(b"\r\n") {
         let _ = input.split_to(2);
     }
-    let mut space = vec![httparse::EMPTY_HEADER; limits.fields];
-    let mut head = httparse::Request::new(&mut space);
+    let mut space = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut head = httparse::Request::new(&mut space[..limits.fields.min(MOST_FIELDS)]);
     let status = head.parse(input);
     let Some(length) = length_of(status, input.len(), limits)? else { return Ok(None) };
     let minor = head.version.ok_or(Refused::BadHead)?;
@@ -158,8 +161,8 @@
     limits: HeadLimits,
 ) -> Result<Option<ResponseHead>, Refused> {
     loop {
-        let mut space = vec![httparse::EMPTY_HEADER; limits.fields];
-        let mut head = httparse::Response::new(&mut space);
+        let mut space = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut head = httparse::Response::new(&mut space[..limits.fields.min(MOST_FIELDS)]);
         let status = head.parse(input);
         let Some(length) = length_of(status, input.len(), limits)? else { return Ok(None) };
         let (status, minor) = (head.code.ok_or(Refused::BadHead)?, head.version.ok_or(Refused::BadHead)?);
@@ -267,8 +270,10 @@
     framing: Framing,
     keep_alive: bool,
 ) {
-    let line = format!("HTTP/1.1 {status} {}\r\n", reason(status));
-    out.extend_from_slice(line.as_bytes());
+    let mut digits = itoa::Buffer::new();
+    for part in ["HTTP/1.1 ", digits.format(status), " ", reason(status), "\r\n"] {
+        out.extend_from_slice(part.as_bytes());
+    }
     fields.for_each(|(name, value)| write_field(out, name, value));
     if status != 204 && status != 304 {
         write_framing(out, framing);
@@ -287,7 +292,9 @@
 
 fn write_framing(out: &mut BytesMut, framing: Framing) {
     match framing {
-        Framing::Length(length) => write_field(out, b"content-length", length.to_string().as_bytes()),
+        Framing::Length(length) => {
+            write_field(out, b"content-length", itoa::Buffer::new().format(length).as_bytes())
+        }
         Framing::Chunked => write_field(out, b"transfer-encoding", b"chunked"),
         Framing::UntilClose => {}
     }
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -379,6 +379,10 @@
                 Ok(length) => {
                     link.input.extend_from_slice(&scratch[..length]);
                     fresh = true;
+                    // Less than asked for: nothing is left, and what comes next is told anew (epoll(7)).
+                    if length < room {
+                        break;
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -94,11 +94,11 @@
         let Some(Job { hit, no, .. }) = &of.job else { return };
         let Some(open) = self.hits.get(hit) else { return };
         let mark = self.mark(*hit, *no);
-        let via = format!("1.1 {}", self.terms.name);
-        let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], via.as_bytes())];
+        let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], self.terms.via.as_bytes())];
         // A pod that begins a hit only while it is waited for can't run it after its mark is forgotten.
         let field = self.routes.deadline_field();
-        let left = open.due.saturating_sub(self.now).as_millis().to_string();
+        let mut digits = itoa::Buffer::new();
+        let left = digits.format(open.due.saturating_sub(self.now).as_millis() as u64);
         let left = field.map(|field| (field.as_bytes(), left.as_bytes()));
         let is_left = |name: &[u8]| field.is_some_and(|field| name.eq_ignore_ascii_case(field.as_bytes()));
         let framing = Framing::Length(open.body.len() as u64);
@@ -176,29 +176,41 @@
             }
         }
         let Some((head, reader)) = &mut job.answer else { return Step::More };
-        let good = head.status < 500;
-        let (hit, no) = (job.hit, job.no);
-        let mut pieces = Vec::new();
+        let (hit, no, good) = (job.hit, job.no, head.status < 500);
+        let most = self.terms.answer_gathered;
+        // A streamed answer is the client's from its first byte.
+        let mut begins = streamed && good && !open.over && !job.passing;
+        let mut over = false;
+        let mut passed = Vec::new();
         loop {
             match reader.next(input) {
-                Ok(Some(piece)) => pieces.push(piece),
+                Ok(Some(piece)) if job.passing || begins => passed.push(piece),
+                Ok(Some(piece)) => {
+                    job.gathered.extend_from_slice(&piece);
+                    // Too large to be kept: it is passed on from here, if it can be.
+                    over = job.gathered.len() > most;
+                    begins = over && good && !open.over;
+                    if over && !begins {
+                        break;
+                    }
+                }
                 Ok(None) => break,
                 Err(_) => return Step::Broken,
             }
         }
+        if over && !begins {
+            return Step::Broken;
+        }
         let broken = ended && reader.close().is_err();
         let whole = reader.ended();
         let extra = whole && !input.is_empty();
-        let size = job.gathered.len() + pieces.iter().map(|piece| piece.len()).sum::<usize>();
-        let first = !job.passing && good && !open.over && (streamed || size > self.terms.answer_gathered);
-        job.passing |= first;
-        if !good && size > self.terms.answer_gathered {
-            return Step::Broken;
+        if begins {
+            job.passing = true;
+            passed.insert(0, std::mem::take(&mut job.gathered).freeze());
         }
-        let head = head.clone();
         if job.passing {
-            if first {
-                pieces.insert(0, std::mem::take(&mut job.gathered).freeze());
+            let head = head.clone();
+            if begins {
                 self.begin_passing(hit, no, &head);
                 self.events.push(Event::StreamStarted { hit });
                 // It is the client's now: its time-out stops.
@@ -206,9 +218,7 @@
                     self.wheel.cancel(timer);
                 }
             }
-            pieces.iter().filter(|piece| !piece.is_empty()).for_each(|piece| self.pass(hit, &head, piece));
-        } else if size <= self.terms.answer_gathered {
-            pieces.iter().for_each(|piece| job.gathered.extend_from_slice(piece));
+            passed.iter().filter(|piece| !piece.is_empty()).for_each(|piece| self.pass(hit, &head, piece));
         }
         match (broken, whole) {
             (true, _) => Step::Broken,
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -193,7 +193,9 @@
         // Whole seconds are all that the field can say.
         let wait = retry_after.as_secs_f64().ceil().to_string();
         let status = self.proxy_status("bounced", true);
-        self.settle(hit, 503, &[("retry-after", &wait), ("proxy-status", &status)]);
+        let fields = [("proxy-status", &status[..]), ("retry-after", &wait)];
+        // No time is no advice.
+        self.settle(hit, 503, &fields[..if retry_after.is_zero() { 1 } else { 2 }]);
     }
 
     pub(super) fn fail(&mut self, hit: HitId) {
@@ -292,9 +294,8 @@
     ) {
         let close = self.client(to).is_none_or(|client| client.close);
         let mark = self.mark(hit, no);
-        let via = format!("1.1 {}", self.terms.name);
-        let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], via.as_bytes())];
-        let mut out = BytesMut::new();
+        let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], self.terms.via.as_bytes())];
+        let mut out = BytesMut::with_capacity(512);
         http::write_response(&mut out, head.status, head.fields.passed_on().chain(own), framing, !close);
         self.sockets.send(to, &out);
     }
@@ -320,13 +321,24 @@
 
     /// The mark of a forward: this sidecar's name and life, the hit and the forward's number.
     pub(super) fn mark(&self, hit: HitId, no: ForwardNo) -> String {
-        format!("{}.{:x}.{:x}.{}", self.terms.name, self.life, hit.0, no.0)
+        let (mut life, mut number, mut last) =
+            (itoa::Buffer::new(), itoa::Buffer::new(), itoa::Buffer::new());
+        let parts = [
+            &self.terms.name,
+            ".",
+            life.format(self.life),
+            ".",
+            number.format(hit.0),
+            ".",
+            last.format(no.0),
+        ];
+        parts.concat()
     }
 
     fn unmark(&self, mark: &str) -> Option<(HitId, ForwardNo)> {
-        let own = format!("{}.{:x}.", self.terms.name, self.life);
+        let own = format!("{}.{}.", self.terms.name, self.life);
         let (hit, no) = mark.strip_prefix(&own)?.split_once('.')?;
-        Some((HitId(u64::from_str_radix(hit, 16).ok()?), ForwardNo(no.parse().ok()?)))
+        Some((HitId(hit.parse().ok()?), ForwardNo(no.parse().ok()?)))
     }
 
     fn reported(&mut self, id: SocketId, body: &[u8]) {
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -20,7 +20,8 @@
 use limewing_net::sockets::{Happening, SocketId, Sockets};
 use limewing_net::wheel::{TimerKey, Wheel};
 use limewing_settings::{Misfit, SidecarSettings};
-use std::collections::{BTreeMap, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -68,6 +69,8 @@
 /// The settings as the few figures that the loop uses.
 struct Terms {
     name: String,
+    /// What `Via` says.
+    via: String,
     list: limewing_settings::ListService,
     installer: Option<limewing_settings::Installer>,
     connect_timeout: Duration,
@@ -93,12 +96,12 @@
     events: Vec<Event>,
     terms: Terms,
     routes: Routes,
-    peers: HashMap<SocketId, Peer>,
+    peers: FxHashMap<SocketId, Peer>,
     wheel: Wheel<Due>,
     listener: SocketId,
     address: SocketAddr,
     clients: usize,
-    hits: HashMap<HitId, OpenHit>,
+    hits: FxHashMap<HitId, OpenHit>,
     next_hit: u64,
     /// Told apart from the same sidecar's earlier lives.
     life: u32,
@@ -131,6 +134,7 @@
         let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
+            via: format!("1.1 {}", settings.name),
             list: settings.list.clone(),
             installer: settings.installer.clone(),
             connect_timeout: limits.connect_timeout.into(),
@@ -155,12 +159,12 @@
             events: Vec::new(),
             terms,
             routes,
-            peers: HashMap::new(),
+            peers: FxHashMap::default(),
             wheel: Wheel::default(),
             listener,
             address,
             clients: 0,
-            hits: HashMap::new(),
+            hits: FxHashMap::default(),
             next_hit: 0,
             life: rand::random(),
             idle: BTreeMap::new(),
--- /dev/null
+++ b/crates/sidecar/tests/help/mod.rs
@@ -0,0 +1,196 @@
+//! A sidecar on a thread, pods that do as they are told, and a client that reads answer by answer.
+
+use limewing_settings::{read_text, SidecarSettings};
+use limewing_sidecar::memory;
+use limewing_sidecar::pods::Row;
+use limewing_sidecar::service::Service;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+const SETTINGS: &str = r#"{
+  "name": "sidecar-0", "listen": "127.0.0.1:0", "seed": 1,
+  "list": {"address": "127.0.0.1:1", "service": "none"},
+  "fleet": {"sidecars": 3, "own_number": 0, "zones": ["east"], "zone": "east"},
+  "headers": {"deadline_ms": "wait-ms"},
+  "path_groups": [
+    {"name": "quote", "routes": [{"method": "GET", "path": "/quotes/{id}"}, {"method": "PUT", "path": "/quotes/{id}"}],
+     "repeat": "repeatable", "target_latency": 5, "client_timeout": 10, "benefit": 1},
+    {"name": "charge", "routes": [{"method": "POST", "path": "/charges"}],
+     "repeat": "mutating", "target_latency": 5, "client_timeout": 10, "benefit": 1},
+    {"name": "feed", "routes": [{"method": "GET", "path": "/feed"}],
+     "repeat": "repeatable", "target_latency": 5, "client_timeout": 10, "benefit": 1, "streamed": true}
+  ],
+  "limits": {"max_forwards": 6, "second_copies": false, "may_cancel": true, "connect_timeout": 1, "idle_close": 30,
+    "retry_after": 0.5, "deadline_margin": 0.02, "body_kept": 1000, "request_within": 0.5, "stall": 0.5},
+  "rules": {"answer_slack": 0.02, "drain_grace": 1, "cold_from": 0.35, "cold_for": 3, "fall_multiple": 2,
+    "fall_within": 3, "ask_list_within": 10},
+  "releases": {"control": "clock", "stages": [{"share": 1, "cap": 1}], "cap_window": 2, "cap_free": 1,
+    "step_after": 4, "vote_life": 4, "vote_answer_within": 1, "back_votes": 1}
+}"#;
+
+/// Starts a sidecar that knows these pods; it runs until the test's process ends.
+pub fn sidecar(pods: &[SocketAddr]) -> SocketAddr {
+    let folder = tempfile::tempdir().unwrap().keep();
+    let file = folder.join("state.json");
+    let row = |address: &SocketAddr| Row {
+        address: *address,
+        drains: false,
+        build: 1,
+        size: 1.0,
+        started: None,
+        zone: "east".into(),
+        cell: 0,
+        kind: "plain".into(),
+    };
+    memory::keep(&file, &pods.iter().map(row).collect::<Vec<_>>()).unwrap();
+    sidecar_with(Some(file))
+}
+
+pub fn sidecar_with(state_file: Option<std::path::PathBuf>) -> SocketAddr {
+    let mut settings: SidecarSettings = read_text("settings", SETTINGS).unwrap();
+    settings.state_file = state_file;
+    let service = Service::start(&settings).unwrap();
+    let address = service.address();
+    std::thread::spawn(move || service.run());
+    address
+}
+
+/// What a pod does on each connection after it has read a request's head.
+#[derive(Clone, Debug)]
+pub enum Does {
+    Says(&'static str),
+    SaysAndCloses(&'static str),
+    /// Says nothing until the peer closes.
+    Waits,
+    /// Says the first part, waits for a word of the test, and says the second.
+    SaysInTwo(&'static str, &'static str),
+    /// Sends without an end, and tells how much went.
+    Floods,
+}
+
+pub struct Pod {
+    pub at: SocketAddr,
+    /// The head of each request that came, and `gone` when a connection ended.
+    pub seen: Receiver<String>,
+    pub go_on: Sender<()>,
+}
+
+impl Pod {
+    /// A pod that does these in turn, one for each request, and the last of them ever after.
+    pub fn new(script: Vec<Does>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let ((tell, seen), (go_on, word)) = (channel(), channel());
+        std::thread::spawn(move || {
+            let mut script = script.into_iter().peekable();
+            for stream in listener.incoming() {
+                let Ok(mut stream) = stream else { continue };
+                while let Some(head) = read_head(&mut stream) {
+                    let does = if script.len() > 1 { script.next() } else { script.peek().cloned() };
+                    let _ = tell.send(head);
+                    if !act(&mut stream, does.unwrap(), &word) {
+                        break;
+                    }
+                }
+                let _ = tell.send("gone".into());
+            }
+        });
+        Self { at, seen, go_on }
+    }
+
+    pub fn hears(&self) -> String {
+        self.seen.recv_timeout(Duration::from_secs(10)).expect("the pod hears something")
+    }
+
+    pub fn heard_nothing(&self) -> bool {
+        self.seen.try_recv().is_err()
+    }
+}
+
+fn act(stream: &mut TcpStream, does: Does, word: &Receiver<()>) -> bool {
+    match does {
+        Does::Says(text) => stream.write_all(text.as_bytes()).is_ok(),
+        Does::SaysAndCloses(text) => {
+            let _ = stream.write_all(text.as_bytes());
+            false
+        }
+        Does::Waits => {
+            let _ = stream.read(&mut [0; 100]);
+            false
+        }
+        Does::SaysInTwo(first, second) => {
+            let _ = stream.write_all(first.as_bytes());
+            let _ = word.recv();
+            stream.write_all(second.as_bytes()).is_ok()
+        }
+        Does::Floods => {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+            while stream.write_all(&[b'x'; 65_536]).is_ok() {}
+            false
+        }
+    }
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let text = String::from_utf8(head).unwrap();
+    let length = text
+        .to_ascii_lowercase()
+        .split("content-length: ")
+        .nth(1)
+        .map_or(0, |rest| rest.split("\r\n").next().unwrap().parse::<usize>().unwrap());
+    stream.read_exact(&mut vec![0; length]).ok()?;
+    Some(text)
+}
+
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn new(to: SocketAddr) -> Self {
+        let stream = TcpStream::connect(to).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        Self(stream)
+    }
+
+    pub fn says(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next answer: its head and its body, which must have a length.
+    pub fn hears(&mut self) -> (String, String) {
+        let mut head = self.reads_until("\r\n\r\n");
+        let length = head
+            .split("content-length: ")
+            .nth(1)
+            .map_or(0, |rest| rest.split("\r\n").next().unwrap().parse().unwrap());
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).unwrap();
+        head.truncate(head.len() - 4);
+        (head, String::from_utf8(body).unwrap())
+    }
+
+    pub fn reads_until(&mut self, end: &str) -> String {
+        let (mut text, mut byte) = (Vec::new(), [0]);
+        while !text.ends_with(end.as_bytes()) {
+            match self.0.read(&mut byte) {
+                Ok(1) => text.push(byte[0]),
+                other => panic!("{other:?} after {:?}", String::from_utf8_lossy(&text)),
+            }
+        }
+        String::from_utf8(text).unwrap()
+    }
+
+    /// Whether nothing more comes and the other side has closed.
+    pub fn hears_the_end(&mut self) -> bool {
+        matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
+    }
+}
