Sidecars that really break each rule, and the account names it

Need: an account that can fail on what crosses sockets, not on made records only. Change: limewing-crooked stands round the decisions, or before an honest sidecar, and breaks a rule in one of seven ways.

--- /dev/null
+++ b/crates/crooked/tests/named.rs
@@ -0,0 +1,32 @@
+//! Sidecars that really break a rule, on sockets, through a day: the account names the rule.
+
+use limewing_account::record::read;
+use limewing_account::rules::{check, Rule};
+use limewing_standins::day;
+use limewing_standins::script::DayScript;
+use rstest::rstest;
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+
+#[rstest]
+#[case("swallow", Rule::OneAnswer)]
+#[case("twice", Rule::OneAnswer)]
+#[case("resend", Rule::NoEffectTwice)]
+#[case("bounce", Rule::NoEffectTwice)]
+#[case("drained", Rule::Drains)]
+#[case("cold", Rule::Cold)]
+#[case("cap", Rule::Exposure)]
+fn the_account_names_the_rule_that_was_broken(#[case] way: &str, #[case] rule: Rule) {
+    let folder = tempfile::tempdir().unwrap();
+    let program = folder.path().join(format!("crooked-{way}"));
+    std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_limewing-crooked"), &program).unwrap();
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/short-quiet.json");
+    let script: DayScript = limewing_settings::read(&file).unwrap();
+    let record = day::play(&script, &program, folder.path(), &mut |_| ()).unwrap();
+    let lines = read(BufReader::new(File::open(record).unwrap())).unwrap();
+    let account = check(&lines).unwrap();
+    let broken: Vec<Rule> =
+        account.findings.iter().filter(|finding| !finding.breaches.is_empty()).map(|f| f.rule).collect();
+    assert!(broken.contains(&rule), "{broken:?}");
+}
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -15,7 +15,7 @@
 use asks::{ListLink, NewsLink, VoteLink};
 use back::PodLink;
 use front::{Client, OpenHit, Reports};
-use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, PodId, VoteAnswer};
+use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, PodId, StartTerms, VoteAnswer};
 use limewing::sidecar::Sidecar;
 use limewing_net::sockets::{Happening, SocketId, Sockets};
 use limewing_net::wheel::{TimerKey, Wheel};
@@ -43,6 +43,17 @@
 /// A turn of the loop that takes longer is told: hits that came meanwhile have waited for it.
 const LONG_TURN: Duration = Duration::from_millis(20);
 
+/// What decides: the module, or in tests something that stands round it.
+pub trait Decisions {
+    fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action>;
+}
+
+impl Decisions for Sidecar {
+    fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        Sidecar::handle(self, now, events)
+    }
+}
+
 enum Peer {
     Client(Box<Client>),
     Pod(Box<PodLink>),
@@ -91,7 +102,7 @@
     sockets: Sockets,
     clock: Clock,
     now: Duration,
-    module: Sidecar,
+    module: Box<dyn Decisions + Send>,
     wake: Duration,
     events: Vec<Event>,
     terms: Terms,
@@ -122,6 +133,17 @@
     /// # Errors
     /// The port is taken, the settings can't be used, or the system refuses.
     pub fn start(settings: &SidecarSettings) -> Result<Self, StartTrouble> {
+        Self::start_with(settings, |now, terms| Box::new(Sidecar::new(now, terms)))
+    }
+
+    /// As `start`, with what decides made by the caller.
+    ///
+    /// # Errors
+    /// As `start`.
+    pub fn start_with(
+        settings: &SidecarSettings,
+        decisions: impl FnOnce(Duration, StartTerms) -> Box<dyn Decisions + Send>,
+    ) -> Result<Self, StartTrouble> {
         let routes = Routes::new(settings).map_err(StartTrouble::Settings)?;
         let mut sockets = Sockets::new()?;
         sockets.watch_signals(&LEAVE_ON)?;
@@ -154,7 +176,7 @@
             sockets,
             clock,
             now,
-            module: Sidecar::new(now, settings.start_terms(seed)),
+            module: decisions(now, settings.start_terms(seed)),
             wake: now,
             events: Vec::new(),
             terms,
