--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -1,8 +1,10 @@
 //! Whole days through the command, with the sidecars as processes of their own.
 
 use rstest::rstest;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn limewing(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_limewing")).args(args).output().expect("the command starts")
@@ -43,6 +45,7 @@
 #[case::zone_cut("zone-cut")]
 #[case::sidecar_roll("sidecar-roll")]
 #[case::everything("everything")]
+#[case::rough_edges("rough-edges")]
 #[case::demo("demo")]
 fn the_shipped_days_can_be_read(#[case] name: &str) {
     let script = in_repo(&format!("days/{name}.json"));
@@ -50,6 +53,56 @@
     assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
 }
 
+/// A file of settings with the address to listen on put in.
+fn settings(folder: &Path, listen: &str) -> PathBuf {
+    let file = folder.join("sidecar.json");
+    let example = std::fs::read_to_string(in_repo("deploy/sidecar.example.json")).unwrap();
+    let example = example.replace("127.0.0.1:8080", listen).replace("sidecar-0.state.json", "/dev/null/none");
+    std::fs::write(&file, example).unwrap();
+    file
+}
+
+#[test]
+fn a_sidecar_out_of_descriptors_goes_on_when_some_are_free() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = settings(folder.path(), "127.0.0.1:0");
+    let log = folder.path().join("log");
+    let run = format!("ulimit -n 40; exec {} sidecar {}", env!("CARGO_BIN_EXE_limewing"), file.display());
+    let out = std::fs::File::create(&log).unwrap();
+    let mut child = Command::new("sh").args(["-c", &run]).stdout(Stdio::piped()).stderr(out).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let at = line.trim().strip_prefix("listening ").unwrap().to_owned();
+    let held: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(&at).unwrap()).collect();
+    while !std::fs::read_to_string(&log).unwrap().contains("can't accept") {
+        std::thread::yield_now();
+    }
+    drop(held);
+    let mut client = TcpStream::connect(&at).unwrap();
+    client.write_all(b"GET /limewing/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn a_sidecar_told_to_leave_ends_well() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = settings(folder.path(), "127.0.0.1:0");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_limewing"));
+    command.args(["sidecar", file.to_str().unwrap()]).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut child = command.spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let at = line.trim().strip_prefix("listening ").unwrap().to_owned();
+    let mut idle = TcpStream::connect(&at).unwrap();
+    let told = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(told.success() && child.wait().unwrap().success());
+    assert_eq!(idle.read(&mut [0]).unwrap_or(0), 0);
+}
+
 #[test]
 fn a_port_in_use_is_told() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/standins/src/day/clients.rs
+++ b/crates/standins/src/day/clients.rs
@@ -49,6 +49,9 @@
     timers: Vec<TimerKey>,
 }
 
+/// The wait between the two pieces of a slow client's hit.
+const SLOW: Duration = Duration::from_millis(120);
+
 /// What a client waits past its time for the answer that may still be on its way.
 const LAST_WAIT: Duration = Duration::from_millis(250);
 
@@ -164,7 +167,7 @@
             },
         };
         let from = self.sockets.written(link);
-        let mut timers = vec![self.wheel.arm(self.now + waits + LAST_WAIT, Due::GiveUp(link))];
+        let mut timers = vec![self.wheel.arm(self.now + waits + LAST_WAIT + SLOW, Due::GiveUp(link))];
         if leaves {
             let early = waits.mul_f64(self.chance.random_range(0.0..0.3));
             timers.push(self.wheel.arm(self.now + early, Due::Leave(link)));
@@ -184,6 +187,27 @@
     fn write_hit(&mut self, link: SocketId) {
         let Some(End::Client(client)) = self.ends.get_mut(&link) else { return };
         let (Some(of), sidecar, waits) = (client.of, client.sidecar, client.waits) else { return };
+        if self.chance.random_bool(self.script.clients.slow) {
+            let first = client.request.split_to(client.request.len() / 2);
+            self.sockets.send(link, &first);
+            self.wheel.arm(self.now + SLOW, Due::Rest(link));
+            return;
+        }
+        self.write_all(link, of, sidecar, waits);
+    }
+
+    /// The second piece of a hit that was begun.
+    pub(super) fn write_rest(&mut self, link: SocketId) {
+        let Some(End::Client(client)) = self.ends.get(&link) else { return };
+        let (Some(of), sidecar, waits) = (client.of, client.sidecar, client.waits) else { return };
+        if !client.request.is_empty() {
+            self.write_all(link, of, sidecar, waits);
+        }
+    }
+
+    /// A hit counts as asked when the last of it is written: no sidecar can take it before.
+    fn write_all(&mut self, link: SocketId, of: Try, sidecar: SidecarNo, waits: Duration) {
+        let Some(End::Client(client)) = self.ends.get_mut(&link) else { return };
         let request = std::mem::take(&mut client.request);
         let Some(order) = self.clients.orders.get(&of.0) else { return };
         let (group, key) = (order.group, Some(order.key));
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -75,6 +75,9 @@
     ListAnswer(SocketId, u64),
     Tick,
     TellAll,
+    TellNow,
+    PodRead(SocketId),
+    Rest(SocketId),
     Offer(usize),
     Trouble(usize),
     TroubleEnds(usize),
@@ -255,7 +258,13 @@
         match what {
             Happening::Accepted { listener, socket, .. } => {
                 let end = match self.ends.get(&listener) {
-                    Some(End::PodListener(pod)) => End::Pod(Box::new(PodLink::new(*pod))),
+                    Some(End::PodListener(pod)) => match self.pod_link(*pod, socket) {
+                        Some(link) => End::Pod(Box::new(link)),
+                        None => {
+                            self.sockets.close(socket);
+                            return Ok(());
+                        }
+                    },
                     Some(End::ListListener) => End::List(Box::default()),
                     Some(End::InstallerListener) => End::Installer(Box::default()),
                     _ => return Ok(()),
@@ -300,6 +309,9 @@
             Due::ListAnswer(link, asked) => self.list_wait_over(link, asked),
             Due::Tick => self.tick()?,
             Due::TellAll => self.tell_all_again(),
+            Due::TellNow => self.tell_now(),
+            Due::PodRead(link) => self.pod_ready(link),
+            Due::Rest(link) => self.write_rest(link),
             Due::Offer(number) => {
                 let build = self.script.offers[number].build;
                 self.installer.offer(build, self.now);
--- a/crates/standins/src/day/pods.rs
+++ b/crates/standins/src/day/pods.rs
@@ -48,11 +48,13 @@
     sidecar: Option<SidecarNo>,
     requests: Requests,
     busy: bool,
+    /// The connection is not yet of use.
+    opening: bool,
 }
 
 impl PodLink {
     pub fn new(pod: PodNo) -> Self {
-        Self { pod, sidecar: None, requests: Requests::new(1 << 20), busy: false }
+        Self { pod, sidecar: None, requests: Requests::new(1 << 20), busy: false, opening: false }
     }
 }
 
@@ -78,6 +80,34 @@
 const HOPELESS: f64 = 0.97;
 
 impl Day<'_> {
+    /// A new connection to a pod, if it takes one.
+    pub(super) fn pod_link(&mut self, pod: PodNo, socket: SocketId) -> Option<PodLink> {
+        let mut link = PodLink::new(pod);
+        for trouble in self.present.values() {
+            match trouble {
+                Trouble::ConnectionsScarce { most } => {
+                    let here = |end: &&End| matches!(end, End::Pod(link) if link.pod == pod);
+                    if self.ends.values().filter(here).count() >= *most {
+                        return None;
+                    }
+                }
+                Trouble::ConnectionsDear(wait) => {
+                    link.opening = true;
+                    self.wheel.arm(self.now + (*wait).into(), Due::PodRead(socket));
+                }
+                _ => {}
+            }
+        }
+        Some(link)
+    }
+
+    pub(super) fn pod_ready(&mut self, id: SocketId) {
+        if let Some(End::Pod(link)) = self.ends.get_mut(&id) {
+            link.opening = false;
+            self.pod_read(id);
+        }
+    }
+
     fn machine(&self) -> Machine {
         let (fleet, rules) = (&self.script.fleet, &self.script.rules);
         Machine {
@@ -208,7 +238,7 @@
             // The sidecar went: what is in work runs on, its answer goes nowhere.
             return self.drop_end(id);
         }
-        if link.busy {
+        if link.busy || link.opening {
             return;
         }
         let Some(input) = self.sockets.input(id) else { return };
--- a/crates/standins/src/day/services.rs
+++ b/crates/standins/src/day/services.rs
@@ -29,6 +29,7 @@
     /// Sidecars that were told a list with pods in it.
     pub told: BTreeSet<SidecarNo>,
     pub show: bool,
+    votes: u64,
 }
 
 /// A list as it will be told once its lag is over.
@@ -74,7 +75,17 @@
 impl ListState {
     pub fn new(list_at: SocketAddr, installer_at: SocketAddr) -> Self {
         let (body, ready, draining) = (b"[]".to_vec(), Vec::new(), Vec::new());
-        Self { list_at, installer_at, index: 1, body, ready, draining, told: BTreeSet::new(), show: false }
+        Self {
+            list_at,
+            installer_at,
+            index: 1,
+            body,
+            ready,
+            draining,
+            told: BTreeSet::new(),
+            show: false,
+            votes: 0,
+        }
     }
 }
 
@@ -297,6 +308,18 @@
     }
 
     pub(super) fn tell_all(&mut self) {
+        let late = self.present.values().find_map(|trouble| match trouble {
+            Trouble::NewsLate(late) => Some(Duration::from(*late)),
+            _ => None,
+        });
+        match late {
+            // What is told then is how it stands then: news that is older than that is no trouble more.
+            Some(late) => drop(self.wheel.arm(self.now + late, Due::TellNow)),
+            None => self.tell_now(),
+        }
+    }
+
+    pub(super) fn tell_now(&mut self) {
         let news = self.ends.iter().filter(|(_, end)| matches!(end, End::News(_)));
         let mut news: Vec<SocketId> = news.map(|(id, _)| *id).collect();
         news.sort_unstable();
@@ -318,10 +341,21 @@
             "withhold" => Verdict::Withhold,
             _ => return self.plain(id, 400, b""),
         };
+        self.list.votes += 1;
+        if self.is_present(|t| matches!(t, Trouble::VotesRefused)) {
+            return self.plain(id, 429, b"");
+        }
+        let silent = self.is_present(|t| matches!(t, Trouble::VotesUnanswered));
+        if silent && self.list.votes.is_multiple_of(2) {
+            return;
+        }
         let counted = self.installer.vote(sidecar, vote.build, vote.stage, verdict, self.now);
         let answer = if counted { "counted" } else { "moot" };
         let (build, stage, verdict) = (vote.build, vote.stage, vote.verdict);
         self.note(Entry::Voted { sidecar, build, stage, verdict, answer: answer.to_owned() });
+        if silent {
+            return;
+        }
         self.note_stage_told(sidecar);
         let reply = json!({"answer": answer, "stage": self.stage_json()});
         self.plain(id, 200, reply.to_string().as_bytes());
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -85,6 +85,9 @@
     /// The part of wrong answers that is reported.
     #[serde(default)]
     pub reports: f64,
+    /// The part of tries that are sent in two pieces, with a wait between.
+    #[serde(default)]
+    pub slow: f64,
     /// The part of tries whose client goes before the answer.
     #[serde(default)]
     pub leaves: f64,
@@ -166,6 +169,18 @@
     InstallerDown,
     /// No steps; news and votes go on.
     InstallerStandsStill,
+    /// Votes are never answered; every other one counts all the same.
+    VotesUnanswered,
+    /// Votes are refused, as over the allowance.
+    VotesRefused,
+    /// News of stages comes so much later.
+    NewsLate(Seconds),
+    /// Each pod takes so many connections and closes any other one at once.
+    ConnectionsScarce {
+        most: usize,
+    },
+    /// A new connection to a pod is of use only after so long.
+    ConnectionsDear(Seconds),
     /// So many times the hits.
     Overload(f64),
     /// One customer sends so many more hits a second, which err at every pod.
@@ -252,6 +267,7 @@
         need(fits, "/customers".into(), "shares that sum to 1");
         need(part(self.clients.patience_from), "/clients/patience_from".into(), "a part from 0 to 1");
         need(part(self.clients.reports), "/clients/reports".into(), "a part from 0 to 1");
+        need(part(self.clients.slow), "/clients/slow".into(), "a part from 0 to 1");
         need(part(self.clients.leaves), "/clients/leaves".into(), "a part from 0 to 1");
         let rising =
             self.offers.windows(2).all(|pair| pair[0].build < pair[1].build && pair[0].at < pair[1].at);
