--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -19,6 +19,8 @@
     /// Whether a key that a newer build has answered stays there.
     pub keys_stay: bool,
     pub seed: u64,
+    /// Steps of the clock while nothing is open: a host wakes more often, and has as little to say.
+    pub idle_step: Duration,
 }
 
 /// What one day came to.
@@ -37,8 +39,6 @@
 const DAY: Duration = Duration::from_secs(86_400);
 const RELEASES: u32 = 2;
 const STEP: Duration = Duration::from_secs(4);
-/// Steps of the clock while nothing is open: a host wakes more often, and has as little to say.
-const IDLE_STEP: Duration = Duration::from_millis(500);
 
 enum Due {
     Hit,
@@ -200,7 +200,7 @@
         self.later(busy + night, Due::ListFails);
         while self.now < end {
             let idle = self.left_today == 0 && self.open.is_empty();
-            let wake = if idle { self.wake.max(self.now + IDLE_STEP) } else { self.wake };
+            let wake = if idle { self.wake.max(self.now + self.terms.idle_step) } else { self.wake };
             let next = self.due.first_key_value().map_or(wake, |((at, _), _)| (*at).min(wake)).min(end);
             self.now = next.max(self.now);
             let mut events = Vec::new();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -58,8 +58,15 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let (pods, hits_per_s, hits_per_day, seed) = (cli.pods, cli.hits_per_s, cli.hits_per_day, cli.seed);
-    let mut soak =
-        Soak::new(Terms { pods, hits_per_s, hits_per_day, build: cli.build, keys_stay: cli.keys_stay, seed });
+    let mut soak = Soak::new(Terms {
+        pods,
+        hits_per_s,
+        hits_per_day,
+        build: cli.build,
+        keys_stay: cli.keys_stay,
+        seed,
+        idle_step: Duration::from_millis(500),
+    });
     let start = Instant::now();
     let mut seen: Vec<Seen> = Vec::new();
     for number in 1..=cli.days {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -561,8 +561,8 @@
         // A light sidecar has few hits: most must not go to prove that what is shut still fails.
         let proves = harmless && open.tried.is_empty() && round.chance() < PROOFS;
         let want_trial = !open.no_trial && draw < share;
-        let (base, trial_part) = (self.used(trial, false), self.used(trial, true));
-        let among = |c: &Card| if on_trial(c) { trial_part } else { base };
+        let used = self.used(trial);
+        let among = |c: &Card| used[usize::from(on_trial(c))];
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
             _ if proves && c.wants_proof && !on_trial(c) => Some(0),
@@ -580,28 +580,32 @@
             Some((turn, cost, (card.entry.pod, among(card).1)))
         };
         let mut ranked: Vec<_> = self.cards.iter().filter_map(&mut priced).collect();
-        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        ranked.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2 .0.cmp(&b.2 .0)));
         let pods = ranked.into_iter().map(|(_, _, pod)| pod).collect();
         round.mail.put(To::Gate, Note::Ask { hit, pods });
     }
 
-    /// The lowest rank of the pods of the trial, or of the base, that this sidecar uses, and which part of
-    /// them that is: those that rank highest in a hash of its own number and theirs, a few more than its open hits need. With
-    /// few hits it can't learn what hundreds of pods are like, nor keep connections to them. A pod that is
-    /// shut makes room for the next in rank.
-    fn used(&self, trial: Option<BuildId>, side: bool) -> ((u64, PodId), f64) {
+    /// Of the pods of the base, and of the trial: the lowest rank that this sidecar uses, and which part of
+    /// them that is. It uses those that rank highest in a hash of its own number and theirs, a few more than
+    /// its open hits need. With few hits it can't learn what hundreds of pods are like, nor keep connections
+    /// to them. A pod that is shut makes room for the next in rank.
+    fn used(&self, trial: Option<BuildId>) -> [((u64, PodId), f64); 2] {
         let usable = || self.cards.iter().filter(|c| c.usable);
-        let here = || usable().filter(|c| (trial == Some(c.entry.build)) == side);
-        let (all, open) = usable().fold((0, 0), |(all, open), c| (all + 1, open + c.open));
-        let many = here().count();
-        let most = (FEW_PODS + 3 * open) as f64 * many as f64 / all.max(1) as f64;
-        let most = (most.ceil() as usize).max(2);
-        if most >= many {
-            return ((0, PodId(0)), if many == 0 { 0.0 } else { 1.0 });
-        }
-        let mut ranks: Vec<(u64, PodId)> = here().map(Card::ranked).collect();
-        let last = *ranks.select_nth_unstable(many - most).1;
-        (last, most as f64 / many as f64)
+        let side = |c: &Card| usize::from(trial == Some(c.entry.build));
+        let (mut many, mut open) = ([0, 0], 0);
+        usable().for_each(|c| (many[side(c)], open) = (many[side(c)] + 1, open + c.open));
+        let all = many[0] + many[1];
+        [0, 1].map(|which| {
+            let here = many[which];
+            let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
+            let most = (most.ceil() as usize).max(2);
+            if most >= here {
+                return ((0, PodId(0)), if here == 0 { 0.0 } else { 1.0 });
+            }
+            let mut ranks: Vec<_> = usable().filter(|c| side(c) == which).map(Card::ranked).collect();
+            let last = *ranks.select_nth_unstable(here - most).1;
+            (last, most as f64 / here as f64)
+        })
     }
 
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -401,7 +401,7 @@
 fn the_few_pods_in_use_stay_when_one_is_shut() {
     let mut desk = desk(40);
     let in_use = |desk: &Desk| {
-        let (last, part) = desk.used(None, false);
+        let [(last, part), _] = desk.used(None);
         let cards: Vec<Card> =
             desk.cards.iter().filter(|c| c.usable && c.ranked() >= last).cloned().collect();
         (cards, part)
