--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -14,13 +14,17 @@
 const DEMO: &str = include_str!("../../../days/demo.json");
 
 pub fn play(script: &DayScript, folder: &Path) -> Result<(), Stop> {
+    let record = record_of(script, folder)?;
+    println!("record: {}", record.display());
+    check(&record)
+}
+
+fn record_of(script: &DayScript, folder: &Path) -> Result<PathBuf, Stop> {
     let program = std::env::current_exe().map_err(Stop::failed)?;
     let view = show::View::new(&script.name);
     let record = day::play(script, &program, folder, &mut |progress| view.show(&progress));
     view.end();
-    let record = record.map_err(Stop::failed)?;
-    println!("record: {}", record.display());
-    check(&record)
+    record.map_err(Stop::failed)
 }
 
 pub fn check(file: &Path) -> Result<(), Stop> {
@@ -46,7 +50,7 @@
         Some(folder) => play(&script, &folder),
         None => {
             let folder = tempfile::tempdir().map_err(Stop::failed)?;
-            play(&script, folder.path())
+            check(&record_of(&script, folder.path())?)
         }
     }
 }
