Fields are places in a head's bytes; bytes go straight to the system while nothing waits

Cause: each field held two counted slices, and each send went through a buffer of its own. Change: spans into one shared head, a search for line feeds, direct writes.

--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -54,10 +54,19 @@
     }
 }
 
+/// The fields of a head, as places in its bytes.
 #[derive(Clone, Debug, Default)]
-pub struct Fields(Vec<(Bytes, Bytes)>);
+pub struct Fields {
+    raw: Bytes,
+    places: Vec<(Span, Span)>,
+}
 
 impl Fields {
+    fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        let part = |(from, length): Span| &self.raw[from..from + length];
+        self.places.iter().map(move |(name, value)| (part(*name), part(*value)))
+    }
+
     /// The first field of that name.
     pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a [u8]> {
         self.all(name).next()
@@ -68,15 +77,15 @@
     }
 
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> + 'a {
-        let same = move |n: &Bytes| n.eq_ignore_ascii_case(name.as_bytes());
-        self.0.iter().filter(move |(n, _)| same(n)).map(|(_, v)| v.as_ref())
+        let same = move |n: &[u8]| n.eq_ignore_ascii_case(name.as_bytes());
+        self.iter().filter(move |(n, _)| same(n)).map(|(_, v)| v)
     }
 
     /// The fields that go from one connection to the next: all but those that speak of this one alone
     /// (RFC 9110, 7.6.1), and lengths, which the sender sets.
     pub fn passed_on(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         let named = move |name: &[u8]| self.all("connection").any(|value| has_token(value, name));
-        self.0.iter().map(|(n, v)| (n.as_ref(), v.as_ref())).filter(move |(n, _)| !is_own(n) && !named(n))
+        self.iter().filter(move |(n, _)| !is_own(n) && !named(n))
     }
 }
 
@@ -204,18 +213,20 @@
 /// Where names and values stand in `input`.
 fn spans(headers: &[httparse::Header], input: &[u8]) -> Vec<(Span, Span)> {
     let base = input.as_ptr() as usize;
-    let span = |part: &[u8]| (part.as_ptr() as usize - base, part.len());
+    let span = |part: &[u8]| match part.is_empty() {
+        true => (0, 0),
+        false => (part.as_ptr() as usize - base, part.len()),
+    };
     headers.iter().map(|h| (span(h.name.as_bytes()), span(h.value))).collect()
 }
 
-fn fields(spans: Vec<(Span, Span)>, input: &mut BytesMut, length: usize) -> Result<Fields, Refused> {
+fn fields(places: Vec<(Span, Span)>, input: &mut BytesMut, length: usize) -> Result<Fields, Refused> {
     let raw = input.split_to(length).freeze();
-    let bare = |at: usize| raw[at] == b'\n' && (at == 0 || raw[at - 1] != b'\r');
-    if (0..raw.len()).any(bare) {
+    let bare = |at: usize| at == 0 || raw[at - 1] != b'\r';
+    if memchr::memchr_iter(b'\n', &raw).any(bare) {
         return Err(Refused::BareLineFeed);
     }
-    let part = |(from, length): Span| if length == 0 { Bytes::new() } else { raw.slice(from..from + length) };
-    Ok(Fields(spans.into_iter().map(|(name, value)| (part(name), part(value))).collect()))
+    Ok(Fields { raw, places })
 }
 
 fn coding(fields: &Fields) -> Result<bool, Refused> {
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -203,13 +203,16 @@
     /// Queues bytes and sends what the system takes now.
     pub fn send(&mut self, id: SocketId, bytes: &[u8]) {
         let Some(link) = self.link(id).filter(|link| link.finishing.is_none()) else { return };
-        link.output.extend_from_slice(bytes);
-        if link.connecting {
-            return;
-        }
-        if let Err(why) = link.flush() {
-            self.lose(id, why.kind());
+        // Straight to the system while nothing waits before it; what that does not take is kept.
+        let mut rest = bytes;
+        if !link.connecting && link.output.is_empty() {
+            match link.write(&mut rest) {
+                Ok(()) if rest.is_empty() => return,
+                Ok(()) => {}
+                Err(why) => return self.lose(id, why.kind()),
+            }
         }
+        link.output.extend_from_slice(rest);
     }
 
     /// Goes on reading after input was taken.
@@ -448,11 +451,25 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        while !self.output.is_empty() {
-            match self.stream.write(&self.output) {
+        let output = std::mem::take(&mut self.output);
+        let mut rest = &output[..];
+        let done = self.write(&mut rest);
+        // An idle connection holds no buffer.
+        if !rest.is_empty() {
+            let sent = output.len() - rest.len();
+            self.output = output;
+            self.output.advance(sent);
+        }
+        done
+    }
+
+    /// Writes what the system takes and leaves the rest.
+    fn write(&mut self, bytes: &mut &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match self.stream.write(bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(length) => {
-                    self.output.advance(length);
+                    *bytes = &bytes[length..];
                     self.written += length as u64;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
@@ -460,8 +477,6 @@
                 Err(e) => return Err(e),
             }
         }
-        // An idle connection holds no buffer.
-        self.output = BytesMut::new();
         Ok(())
     }
 }
