After the first list a sidecar is told only what changed

Cause: each whole list had the module draw its luck with cold pods anew, and empty pools of pods that left stayed. Change: rows that differ, and those gone; pools are tidied with each list.

--- a/crates/sidecar/src/pods.rs
+++ b/crates/sidecar/src/pods.rs
@@ -9,7 +9,7 @@
 use crate::clock;
 use limewing::interface::{BuildId, CellId, KindId, PodEntry, PodId, PodState, ZoneId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, SystemTime};
 
@@ -171,6 +171,20 @@
         rows.iter().map(|row| self.entry(row, now, today)).collect()
     }
 
+    /// What differs between two lists: rows that are new or changed, and those that are gone. A row that is told
+    /// again though nothing changed would have the module draw its luck with a cold pod anew.
+    pub fn changes(&mut self, old: &[Row], new: &[Row], now: Duration, today: SystemTime) -> Vec<PodEntry> {
+        let before: BTreeMap<SocketAddr, &Row> = old.iter().map(|row| (row.address, row)).collect();
+        let here: BTreeSet<SocketAddr> = new.iter().map(|row| row.address).collect();
+        let gone = old.iter().filter(|row| !here.contains(&row.address));
+        let gone: Vec<PodEntry> =
+            gone.map(|row| PodEntry { state: PodState::Gone, ..self.entry(row, now, today) }).collect();
+        self.starts.retain(|address, _| here.contains(address));
+        let changed = new.iter().filter(|row| before.get(&row.address) != Some(row));
+        let changed: Vec<PodEntry> = changed.map(|row| self.entry(row, now, today)).collect();
+        gone.into_iter().chain(changed).collect()
+    }
+
     fn entry(&mut self, row: &Row, now: Duration, today: SystemTime) -> PodEntry {
         let known = self.starts.get(&row.address).filter(|(told, _)| Some(*told) == row.started);
         let started = match (known, row.started) {
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -118,8 +118,14 @@
     }
 
     fn new_list(&mut self, rows: Vec<pods::Row>) {
-        let entries = self.book.entries(&rows, self.now, SystemTime::now());
-        self.events.push(Event::List(ListNews::Whole(entries)));
+        let today = SystemTime::now();
+        // The first one tells what of the remembered list is gone; later ones only what changed.
+        let news = match std::mem::replace(&mut self.list_known, true) {
+            false => ListNews::Whole(self.book.entries(&rows, self.now, today)),
+            true => ListNews::Change(self.book.changes(&self.rows, &rows, self.now, today)),
+        };
+        self.events.push(Event::List(news));
+        self.idle.retain(|_, kept| !kept.is_empty());
         if rows != self.rows {
             if let Some(Err(trouble)) = self.terms.state_file.as_deref().map(|file| memory::keep(file, &rows))
             {
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -120,6 +120,8 @@
     book: PodBook,
     rows: Vec<Row>,
     list_index: u64,
+    /// A list has come since the start.
+    list_known: bool,
     list_link: Option<SocketId>,
     list_asked: Duration,
     reports: Reports,
@@ -193,6 +195,7 @@
             book: PodBook::new(&settings.fleet.zones),
             rows: Vec::new(),
             list_index: 0,
+            list_known: false,
             list_link: None,
             list_asked: Duration::ZERO,
             reports: Reports::default(),
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -60,6 +60,19 @@
     assert_eq!((news[0].build, news[0].stage, news[0].cap), (2, 1, 0.4));
 }
 
+#[test]
+fn only_what_changed_is_told_again() {
+    let list = |entries: &[Value]| rows(json!(entries).to_string().as_bytes()).unwrap().0;
+    let old = list(&[entry(1, "1", "passing"), entry(2, "1", "passing"), entry(3, "1", "passing")]);
+    let new = list(&[entry(1, "1", "passing"), entry(2, "1", "critical"), entry(4, "2", "passing")]);
+    let mut book = PodBook::new(&["east".into()]);
+    let now = Duration::from_secs(3600);
+    let told = book.changes(&old, &new, now, SystemTime::UNIX_EPOCH);
+    let told: Vec<_> = told.iter().map(|row| (book.address(row.pod).unwrap().port(), row.state)).collect();
+    assert_eq!(told, [(3, PodState::Gone), (2, PodState::Draining), (4, PodState::Ready)]);
+    assert!(book.changes(&new, &new, now, SystemTime::UNIX_EPOCH).is_empty());
+}
+
 #[rstest]
 #[case::no_news("data: {\"build\": 99999}\n\n")]
 #[case::endless(&"x".repeat(20_000))]
