Cards are looked over only when one comes, goes, shuts or opens

Cause: each hit found builds, usable pods and ranks anew. Change: an overview that holds until a card changes; open hits are a running sum.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -467,6 +467,7 @@
 #[derive(Default)]
 pub struct Desk {
     cards: Cards,
+    overview: Overview,
     hits: BTreeMap<HitId, OpenHit>,
     news: Option<StageNews>,
     spare: f64,
@@ -537,10 +538,7 @@
 
     /// The split: the share of hits that the build on trial gets, by its machines, stage and cap.
     fn trial_share(&self, round: &Round) -> (Option<BuildId>, f64) {
-        let builds = self.cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
-        let span = builds
-            .fold(None, |span, b| Some(span.map_or((b, b), |(l, h): (BuildId, _)| (b.min(l), b.max(h)))));
-        let Some((lowest, build)) = span else { return (None, 0.0) };
+        let Some((lowest, build)) = self.overview.builds else { return (None, 0.0) };
         let cap = cap(build, Some(lowest), self.news, &round.figures);
         let Some((cap, stage)) = cap else { return (None, 0.0) };
         let strengths =
@@ -553,7 +551,11 @@
     }
 
     fn place(&mut self, hit: HitId, round: &mut Round) {
+        self.look_over();
         let (trial, share) = self.trial_share(round);
+        if trial != self.overview.trial {
+            self.sort_ranks(trial);
+        }
         let draw = round.chance();
         let Some(open) = self.hits.get(&hit) else { return };
         let on_trial = |c: &Card| trial == Some(c.entry.build);
@@ -561,7 +563,7 @@
         // A light sidecar has few hits: most must not go to prove that what is shut still fails.
         let proves = harmless && open.tried.is_empty() && round.chance() < PROOFS;
         let want_trial = !open.no_trial && draw < share;
-        let used = self.used(trial);
+        let used = self.used();
         let among = |c: &Card| used[usize::from(on_trial(c))];
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
@@ -589,25 +591,42 @@
     /// them that is. It uses those that rank highest in a hash of its own number and theirs, a few more than
     /// its open hits need. With few hits it can't learn what hundreds of pods are like, nor keep connections
     /// to them. A pod that is shut makes room for the next in rank.
-    fn used(&self, trial: Option<BuildId>) -> [((u64, PodId), f64); 2] {
-        let usable = || self.cards.iter().filter(|c| c.usable);
-        let side = |c: &Card| usize::from(trial == Some(c.entry.build));
-        let (mut many, mut open) = ([0, 0], 0);
-        usable().for_each(|c| (many[side(c)], open) = (many[side(c)] + 1, open + c.open));
-        let all = many[0] + many[1];
-        [0, 1].map(|which| {
-            let here = many[which];
-            let most = (FEW_PODS + 3 * open) as f64 * here as f64 / all.max(1) as f64;
+    fn used(&self) -> [((u64, PodId), f64); 2] {
+        let ranks = &self.overview.ranks;
+        let all = ranks[0].len() + ranks[1].len();
+        [0, 1].map(|side| {
+            let here = ranks[side].len();
+            let most = (FEW_PODS + 3 * self.cards.open()) as f64 * here as f64 / all.max(1) as f64;
             let most = (most.ceil() as usize).max(2);
-            if most >= here {
-                return ((0, PodId(0)), if here == 0 { 0.0 } else { 1.0 });
+            match here.checked_sub(most) {
+                Some(last @ 1..) => (ranks[side][last], most as f64 / here as f64),
+                _ => ((0, PodId(0)), if here == 0 { 0.0 } else { 1.0 }),
             }
-            let mut ranks: Vec<_> = usable().filter(|c| side(c) == which).map(Card::ranked).collect();
-            let last = *ranks.select_nth_unstable(here - most).1;
-            (last, most as f64 / here as f64)
         })
     }
 
+    /// Looks all cards over, if one came, went, shut or opened.
+    fn look_over(&mut self) {
+        if self.cards.take_changed() {
+            let builds = self.cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
+            let span = |span: Option<(BuildId, BuildId)>, b: BuildId| {
+                Some(span.map_or((b, b), |(l, h)| (b.min(l), b.max(h))))
+            };
+            self.overview.builds = builds.fold(None, span);
+            self.sort_ranks(self.overview.trial);
+        }
+    }
+
+    fn sort_ranks(&mut self, trial: Option<BuildId>) {
+        self.overview.trial = trial;
+        for (side, ranks) in self.overview.ranks.iter_mut().enumerate() {
+            let here = |c: &&Card| c.usable && usize::from(trial == Some(c.entry.build)) == side;
+            ranks.clear();
+            ranks.extend(self.cards.iter().filter(here).map(Card::ranked));
+            ranks.sort_unstable();
+        }
+    }
+
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
     fn strength(&self, card: &Card, round: &Round) -> f64 {
         let pace = self.kinds.get(&card.entry.kind).map_or(1.0, |mean| mean.value);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -400,16 +400,17 @@
 #[test]
 fn the_few_pods_in_use_stay_when_one_is_shut() {
     let mut desk = desk(40);
-    let in_use = |desk: &Desk| {
-        let [(last, part), _] = desk.used(None);
+    let in_use = |desk: &mut Desk| {
+        desk.look_over();
+        let [(last, part), _] = desk.used();
         let cards: Vec<Card> =
             desk.cards.iter().filter(|c| c.usable && c.ranked() >= last).cloned().collect();
         (cards, part)
     };
-    let (before, part) = in_use(&desk);
+    let (before, part) = in_use(&mut desk);
     assert!(before.len() == FEW_PODS && (part - 0.125).abs() < 1e-9);
     desk.cards.put(Card { usable: false, ..before[0].clone() });
-    let (after, _) = in_use(&desk);
+    let (after, _) = in_use(&mut desk);
     let stays = |card: &Card| after.iter().any(|c| c.entry.pod == card.entry.pod);
     assert!(after.len() == FEW_PODS && before[1..].iter().all(stays));
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -186,33 +186,71 @@
 
 /// The last card of each pod, by pod.
 #[derive(Default)]
-pub struct Cards(Vec<Card>);
+pub struct Cards {
+    cards: Vec<Card>,
+    /// Hits open at the usable ones.
+    open: usize,
+    /// Which are there, ready or usable, or their builds, changed since this was last asked.
+    changed: bool,
+}
 
 impl Cards {
     fn place(&self, pod: PodId) -> Result<usize, usize> {
-        self.0.binary_search_by_key(&pod, |card| card.entry.pod)
+        self.cards.binary_search_by_key(&pod, |card| card.entry.pod)
     }
 
     pub fn get(&self, pod: PodId) -> Option<&Card> {
-        self.place(pod).ok().map(|place| &self.0[place])
+        self.place(pod).ok().map(|place| &self.cards[place])
     }
 
     pub fn put(&mut self, card: Card) {
+        let counts = |card: &Card| if card.usable { card.open } else { 0 };
+        self.open += counts(&card);
         match self.place(card.entry.pod) {
-            Ok(place) => self.0[place] = card,
-            Err(place) => self.0.insert(place, card),
+            Ok(place) => {
+                let old = &mut self.cards[place];
+                let same =
+                    (old.ready, old.usable, old.entry.build) == (card.ready, card.usable, card.entry.build);
+                (self.open, self.changed) = (self.open - counts(old), self.changed || !same);
+                *old = card;
+            }
+            Err(place) => {
+                self.changed = true;
+                self.cards.insert(place, card);
+            }
         }
     }
 
     pub fn remove(&mut self, pod: PodId) {
         if let Ok(place) = self.place(pod) {
-            self.0.remove(place);
+            let card = self.cards.remove(place);
+            self.open -= if card.usable { card.open } else { 0 };
+            self.changed = true;
         }
     }
 
     pub fn iter(&self) -> std::slice::Iter<'_, Card> {
-        self.0.iter()
+        self.cards.iter()
+    }
+
+    pub fn open(&self) -> usize {
+        self.open
     }
+
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+}
+
+/// What is known of the cards together, until one of them changes.
+#[derive(Default)]
+pub struct Overview {
+    /// The lowest and the highest build that is ready.
+    pub builds: Option<(BuildId, BuildId)>,
+    /// On trial when the ranks were sorted.
+    pub trial: Option<BuildId>,
+    /// The usable pods of the base, and of the trial, lowest rank first.
+    pub ranks: [Vec<(u64, PodId)>; 2],
 }
 
 /// The gate's account of one hit.
