--- a/src/choice.rs
+++ b/src/choice.rs
@@ -882,7 +882,8 @@
     }
 
     /// Slower by more than chance explains, also without its slowest pod, beside an earlier build that bears
-    /// the same load now and well: under overload, or in a cold fleet of the last stage, all times are queues.
+    /// the same load now and well: under overload, or in a cold fleet of the last stage, all times are
+    /// queues.
     fn is_slow(&self, least: usize, sigmas: f64) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
         if new.len().min(old.len()) < least {
