--- a/crates/account/src/record.rs
+++ b/crates/account/src/record.rs
@@ -212,6 +212,8 @@
 pub enum Unreadable {
     #[error("line {line}: {why}")]
     Line { line: usize, why: String },
+    #[error("line {line}: {what}")]
+    Amiss { line: usize, what: &'static str },
     #[error("{0}")]
     File(#[from] io::Error),
     #[error("the record has no end: the day was cut off")]
@@ -243,6 +245,9 @@
     }
 }
 
+/// No day lasts so long.
+const MOST_TIME: Duration = Duration::from_secs(365 * 86_400);
+
 /// Lines longer than this are not ours.
 const LONGEST_LINE: u64 = 4 * 1024 * 1024;
 
@@ -261,8 +266,27 @@
         let line = serde_json::from_str(&text);
         lines.push(line.map_err(|e| Unreadable::Line { line: number, why: e.to_string() })?);
     }
-    if !matches!(lines.first(), Some(Line { entry: Entry::Begin { .. }, .. })) {
+    let Some(Line { entry: Entry::Begin { terms, .. }, .. }) = lines.first() else {
         return Err(Unreadable::NoBegin);
+    };
+    let mut last = Duration::ZERO;
+    for (place, line) in lines.iter().enumerate() {
+        let amiss = |what| Unreadable::Amiss { line: place + 1, what };
+        if line.at < last {
+            return Err(amiss("the time goes back"));
+        }
+        last = line.at;
+        match line.entry {
+            Entry::Asked { group, .. } | Entry::Arrived { group, .. } if group >= terms.groups.len() => {
+                return Err(amiss("a path group that the day's terms do not have"));
+            }
+            Entry::Begin { .. } if place > 0 => return Err(amiss("a second begin")),
+            _ => {}
+        }
+    }
+    let spans = [terms.cold_for, terms.fall_within, terms.cap_window, terms.drain_grace, terms.answer_slack];
+    if terms.caps.is_empty() || last > MOST_TIME || spans.iter().any(|span| *span > MOST_TIME) {
+        return Err(Unreadable::Amiss { line: 1, what: "terms without caps, or times beyond a year" });
     }
     match lines.last() {
         Some(Line { entry: Entry::End {}, .. }) => Ok(lines),
--- a/crates/account/src/rules.rs
+++ b/crates/account/src/rules.rs
@@ -120,7 +120,13 @@
             Entry::Asked { sidecar, of, waits, .. } => {
                 // Written to a process that is dead already: nobody took it.
                 let ended = down.contains(sidecar).then_some(at);
-                let open = Open { sidecar: *sidecar, due: at + *waits, ended, answers: 0, forwarded: false };
+                let open = Open {
+                    sidecar: *sidecar,
+                    due: at.saturating_add(*waits),
+                    ended,
+                    answers: 0,
+                    forwarded: false,
+                };
                 tries.insert(*of, open);
             }
             Entry::Answered { of, .. } => {
--- a/crates/account/tests/planted.rs
+++ b/crates/account/tests/planted.rs
@@ -165,7 +165,18 @@
 #[case::cut_off("{\"at\":{\"secs\":0,\"nanos\":0},\"what\":\"end\"}\n", "begin")]
 #[case::garbage("what?\n", "line 1")]
 #[case::empty("", "begin")]
+#[case::no_such_group("{\"at\":{\"secs\":1,\"nanos\":0},\"what\":\"arrived\",\"pod\":0,\"sidecar\":0,\"of\":[0,0],\"group\":9,\"work\":{\"secs\":0,\"nanos\":0}}\n", "line 2: a path group")]
+#[case::back_in_time("{\"at\":{\"secs\":1,\"nanos\":0},\"what\":\"end\"}\n{\"at\":{\"secs\":0,\"nanos\":0},\"what\":\"end\"}\n", "line 3: the time goes back")]
 fn a_record_that_cannot_be_trusted_is_refused(#[case] text: &str, #[case] why: &str) {
-    let refused = limewing_account::record::read(text.as_bytes()).unwrap_err();
+    let begin = serde_json::to_string(&Line {
+        at: s(0.0),
+        entry: Entry::Begin { day: String::new(), terms: terms() },
+    });
+    let begin = if why.starts_with("line 2") || why.starts_with("line 3") {
+        begin.unwrap() + "\n"
+    } else {
+        String::new()
+    };
+    let refused = limewing_account::record::read((begin + text).as_bytes()).unwrap_err();
     assert!(refused.to_string().contains(why), "{refused}");
 }
--- /dev/null
+++ b/crates/sidecar/tests/any_bytes.rs
@@ -0,0 +1,51 @@
+//! Whatever services say: no panic, and nothing unbounded.
+
+use limewing_sidecar::pods::rows;
+use limewing_sidecar::stages::{vote_answer, EventReader};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn nearly_json() -> impl Strategy<Value = String> {
+    let parts = prop::sample::select(vec![
+        "[",
+        "]",
+        "{",
+        "}",
+        ",",
+        "\"Service\":",
+        "\"Node\":{}",
+        "\"ID\":\"a\"",
+        "\"Port\":1",
+        "\"Port\":99999",
+        "\"Meta\":{\"build\":\"1\"}",
+        "\"Weights\":{\"Passing\":-1}",
+        "\"Address\":\"127.0.0.1\"",
+        "null",
+        "1e999",
+        "data: ",
+        "event: stage\n",
+        "\n",
+        "\n\n",
+        "{\"build\":1,\"stage\":0,\"phase\":\"released\",\"cap\":1,\"age_ms\":0}",
+        "{\"answer\":\"moot\"}",
+    ]);
+    prop::collection::vec(parts, 0..16).prop_map(|parts| parts.concat())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn lists_votes_and_news_are_read_or_refused(text in nearly_json(), cut in 1_usize..20) {
+        if let Ok((rows, _)) = rows(text.as_bytes()) {
+            prop_assert!(rows.iter().all(|row| row.size > 0.0));
+        }
+        vote_answer(200, text.as_bytes());
+        let mut reader = EventReader::default();
+        for piece in text.as_bytes().chunks(cut) {
+            if reader.take(piece).is_err() {
+                break;
+            }
+        }
+    }
+}
