--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -289,7 +289,9 @@
         let (client, to_head) = (open.client.take(), open.head.method == "HEAD");
         self.answered(hit, no);
         let Some(client) = client else { return };
-        let framing = Framing::Length(body.len() as u64);
+        // The answer to HEAD tells the length that the body would have.
+        let told = head.fields.text("content-length").filter(|_| to_head).and_then(|text| text.parse().ok());
+        let framing = Framing::Length(told.unwrap_or(body.len() as u64));
         self.begin_answer(client, hit, no, head, framing);
         if !to_head {
             self.sockets.send(client, body);
--- a/crates/sidecar/tests/hard_cases.rs
+++ b/crates/sidecar/tests/hard_cases.rs
@@ -197,6 +197,16 @@
     assert!(first.starts_with(b"PUT") && rest.len() < 5_000);
 }
 
+#[test]
+fn an_answer_to_head_tells_a_length_and_has_no_body() {
+    let pod = Pod::new(vec![Does::Says("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"), Does::Says(DONE)]);
+    let mut client = Client::new(sidecar(&[pod.at]));
+    client.says("HEAD /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(client.reads_until("\r\n\r\n").contains("content-length: 40"));
+    client.says(QUOTE);
+    assert_eq!(client.hears().1, "done");
+}
+
 #[test]
 fn pipelined_hits_are_answered_in_order() {
     let script = ["one", "two", "six"].map(|word| {
--- a/crates/sidecar/tests/help/mod.rs
+++ b/crates/sidecar/tests/help/mod.rs
@@ -15,7 +15,8 @@
   "fleet": {"sidecars": 3, "own_number": 0, "zones": ["east"], "zone": "east"},
   "headers": {"deadline_ms": "wait-ms"},
   "path_groups": [
-    {"name": "quote", "routes": [{"method": "GET", "path": "/quotes/{id}"}, {"method": "PUT", "path": "/quotes/{id}"}],
+    {"name": "quote", "routes": [{"method": "GET", "path": "/quotes/{id}"}, {"method": "PUT", "path": "/quotes/{id}"},
+       {"method": "HEAD", "path": "/quotes/{id}"}],
      "repeat": "repeatable", "target_latency": 5, "client_timeout": 10, "benefit": 1},
     {"name": "charge", "routes": [{"method": "POST", "path": "/charges"}],
      "repeat": "mutating", "target_latency": 5, "client_timeout": 10, "benefit": 1},
