--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -73,7 +73,7 @@
 
 /// `a.b[2].c` as a JSON pointer.
 fn pointer(path: &str) -> String {
-    let parts = path.split(['.', '[', ']']).filter(|part| !part.is_empty());
+    let parts = path.split(['.', '[', ']']).filter(|part| !part.is_empty() && *part != "?");
     let joined: String = parts.map(|part| format!("/{part}")).collect();
     if joined.is_empty() {
         "/".into()
