--- a/crates/account/src/rules.rs
+++ b/crates/account/src/rules.rs
@@ -99,6 +99,10 @@
 
 struct Open {
     sidecar: SidecarNo,
+    /// Written while the sidecar did not run: taken, at the earliest, when it goes on, and nobody can tell it how
+    /// long the client has waited by then.
+    unseen: bool,
+    waits: Duration,
     due: Duration,
     /// Answered or given back; nothing may be sent for it any more.
     ended: Option<Duration>,
@@ -120,13 +124,9 @@
             Entry::Asked { sidecar, of, waits, .. } => {
                 // Written to a process that is dead already: nobody took it.
                 let ended = down.contains(sidecar).then_some(at);
-                let open = Open {
-                    sidecar: *sidecar,
-                    due: at.saturating_add(*waits),
-                    ended,
-                    answers: 0,
-                    forwarded: false,
-                };
+                let (due, unseen) = (at.saturating_add(*waits), stopped.contains(sidecar));
+                let (sidecar, waits, answers, forwarded) = (*sidecar, *waits, 0, false);
+                let open = Open { sidecar, unseen, waits, due, ended, answers, forwarded };
                 tries.insert(*of, open);
             }
             Entry::Answered { of, .. } => {
@@ -152,9 +152,16 @@
             Entry::SidecarGoesOn { sidecar } => {
                 stopped.remove(sidecar);
                 let held = tries.values_mut().filter(|open| open.sidecar == *sidecar && open.ended.is_none());
-                held.for_each(|open| open.due = open.due.max(at));
+                for open in held {
+                    let taken =
+                        if std::mem::take(&mut open.unseen) { at.saturating_add(open.waits) } else { at };
+                    open.due = open.due.max(taken);
+                }
             }
-            Entry::GaveUp { of } if tries.get(of).is_some_and(|open| stopped.contains(&open.sidecar)) => {
+            // The client's time was up before the sidecar's, which did not run for a part of it.
+            Entry::GaveUp { of }
+                if tries.get(of).is_some_and(|open| stopped.contains(&open.sidecar) || at < open.due) =>
+            {
                 tries.entry(*of).and_modify(|open| open.ended = Some(at));
             }
             Entry::GaveUp { of } => {
