One answer also when two copies answer; the last answer is said before a sidecar leaves

Change: an answer is begun only while none is passed on, the other copy's is dropped as called off and speaks against no pod; leaving waits for unsent bytes, within its bound; the index is forgotten with the answer; status tells unsent bytes; a refusal at the connection limit says that a retry is harmless.

--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
@@ -78,10 +78,7 @@
         std::thread::yield_now();
     }
     drop(held);
-    let mut client = TcpStream::connect(&at).unwrap();
-    client.write_all(b"GET /limewing/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").unwrap();
-    let mut answer = String::new();
-    client.read_to_string(&mut answer).unwrap();
+    let answer = status(&at);
     child.kill().unwrap();
     child.wait().unwrap();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -103,6 +100,56 @@
     assert_eq!(idle.read(&mut [0]).unwrap_or(0), 0);
 }
 
+#[test]
+fn a_sidecar_that_leaves_says_its_last_answer_to_the_end() {
+    const BODY: usize = 60_000;
+    let pod = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = pod.local_addr().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let state = folder.path().join("state.json");
+    let row = format!(
+        r#"{{"address":"{at}","drains":false,"build":1,"size":1,"started":null,"zone":"east","cell":0,"kind":""}}"#
+    );
+    std::fs::write(&state, format!(r#"{{"version":1,"pods":[{row}]}}"#)).unwrap();
+    let file = settings(folder.path(), "127.0.0.1:0");
+    let text = std::fs::read_to_string(&file).unwrap().replace("/dev/null/none", state.to_str().unwrap());
+    std::fs::write(&file, text).unwrap();
+    std::thread::spawn(move || {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY}\r\n\r\n");
+        let answer = [head.as_bytes(), &[b'#'; BODY]].concat();
+        for mut link in pod.incoming().map_while(Result::ok) {
+            while matches!(link.read(&mut [0; 4096]), Ok(1..)) && link.write_all(&answer).is_ok() {}
+        }
+    });
+    let mut command = Command::new(env!("CARGO_BIN_EXE_limewing"));
+    command.args(["sidecar", file.to_str().unwrap()]).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut child = command.spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let to = line.trim().strip_prefix("listening ").unwrap();
+    // More answers than the system holds for a client that does not read: the rest waits in the sidecar.
+    let mut client = TcpStream::connect(to).unwrap();
+    client.write_all("GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n".repeat(600).as_bytes()).unwrap();
+    while !status(to).contains("\"open_hits\":0,") || status(to).contains("\"unsent\":0}") {
+        std::thread::yield_now();
+    }
+    let told = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    let mut text = Vec::new();
+    client.read_to_end(&mut text).unwrap();
+    assert!(told.success() && child.wait().unwrap().success());
+    let (heads, bodies) =
+        (text.windows(9).filter(|w| w == b"HTTP/1.1 ").count(), text.iter().filter(|b| **b == b'#').count());
+    assert!(heads > 0 && bodies == heads * BODY, "{heads} heads, {bodies} bytes of bodies");
+}
+
+fn status(of: &str) -> String {
+    let mut client = TcpStream::connect(of).unwrap();
+    client.write_all(b"GET /limewing/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    answer
+}
+
 #[test]
 fn a_port_in_use_is_told() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -195,6 +195,15 @@
         self.link(id).map_or(0, |link| link.output.len())
     }
 
+    /// Bytes that wait to be sent on all connections together. It looks at each: not for every turn.
+    pub fn all_unsent(&self) -> usize {
+        let waits = |slot: &Slot| match &slot.socket {
+            Socket::Link(link) => link.output.len(),
+            Socket::Listener { .. } => 0,
+        };
+        self.slots.iter().map(|(_, slot)| waits(slot)).sum()
+    }
+
     /// Connections and listeners open now.
     pub fn open(&self) -> usize {
         self.slots.len()
@@ -287,6 +296,18 @@
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
             _ => {}
         }
+        // Before the news: a batch that is cut short in this round goes on in the next one.
+        if self.accept_at.is_some_and(|at| at <= Instant::now()) {
+            self.accept_at = None;
+            let waits = |(index, slot): (usize, &Slot)| match &slot.socket {
+                Socket::Listener { waiting: true, .. } => {
+                    Some(SocketId(u64::from(slot.mark) << 32 | index as u64))
+                }
+                _ => None,
+            };
+            let waiting: Vec<SocketId> = self.slots.iter().filter_map(waits).collect();
+            waiting.into_iter().for_each(|id| self.accept(id));
+        }
         let seen = |e: &Event| (e.token(), e.is_readable(), e.is_writable(), e.is_read_closed());
         let ready: Vec<_> = self.events.iter().map(seen).collect();
         for (token, readable, writable, closed) in ready {
@@ -301,17 +322,6 @@
             }
             self.stir(id, readable, writable);
         }
-        if self.accept_at.is_some_and(|at| at <= Instant::now()) {
-            self.accept_at = None;
-            let waits = |(index, slot): (usize, &Slot)| match &slot.socket {
-                Socket::Listener { waiting: true, .. } => {
-                    Some(SocketId(u64::from(slot.mark) << 32 | index as u64))
-                }
-                _ => None,
-            };
-            let waiting: Vec<SocketId> = self.slots.iter().filter_map(waits).collect();
-            waiting.into_iter().for_each(|id| self.accept(id));
-        }
         Ok(self.told.drain(..).collect())
     }
 
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -102,6 +102,8 @@
                 }
                 Err(trouble) => {
                     tracing::warn!(%trouble, "the list can't be used");
+                    // Asked for whole again: the next answer may be the same list, and well.
+                    self.list_index = 0;
                     return self.list_failed("an answer that can't be used");
                 }
             }
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -42,6 +42,8 @@
     More,
     Whole,
     Broken,
+    /// Too long to be kept, and the client has another answer.
+    Unwanted,
 }
 
 impl Service {
@@ -158,7 +160,7 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         // Words that nobody asked for, or the end of a kept connection: it is of no more use.
         let Some(job) = &of.job else { return self.close_link(link) };
-        let (hit, passing) = (job.hit, job.passing);
+        let (hit, no, passing) = (job.hit, job.no, job.passing);
         // What a client does not read stays with its pod.
         if passing && self.is_full(hit) {
             return;
@@ -167,6 +169,10 @@
             Step::More => self.sockets.read_on(link),
             Step::Whole => self.answer_whole(link),
             Step::Broken => self.answer_broken(link),
+            Step::Unwanted => {
+                self.drop_job(Some(link));
+                self.end_forward(hit, no, Fate::Cancelled, LoadReport::default());
+            }
         }
     }
 
@@ -193,7 +199,8 @@
         let (hit, no, good) = (job.hit, job.no, head.status < 500);
         let most = self.terms.answer_gathered;
         // A streamed answer is the client's from its first byte.
-        let mut begins = streamed && good && !open.over && !job.passing;
+        let free = !open.over && open.passing.is_none();
+        let mut begins = streamed && good && free;
         let mut over = false;
         let mut passed = Vec::new();
         loop {
@@ -203,7 +210,7 @@
                     job.gathered.extend_from_slice(&piece);
                     // Too large to be kept: it is passed on from here, if it can be.
                     over = job.gathered.len() > most;
-                    begins = over && good && !open.over;
+                    begins = over && good && free;
                     if over && !begins {
                         break;
                     }
@@ -213,7 +220,8 @@
             }
         }
         if over && !begins {
-            return Step::Broken;
+            // An error's long page says no more than that it is one; another answer is the client's already.
+            return if good { Step::Unwanted } else { Step::Broken };
         }
         let broken = ended && reader.close().is_err();
         let whole = reader.ended();
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -92,7 +92,8 @@
 impl Service {
     pub(super) fn client_came(&mut self, id: SocketId) {
         if self.clients >= self.terms.clients || self.leaving {
-            self.say(id, 503, &[("retry-after", "1")], b"", false);
+            let status = self.proxy_status("bounced", true);
+            self.say(id, 503, &[("retry-after", "1"), ("proxy-status", &status)], b"", false);
             return self.sockets.finish(id);
         }
         self.clients += 1;
@@ -225,10 +226,10 @@
         if !out.is_empty() {
             self.sockets.send(link, &out);
         }
-        match (whole, ended) {
-            (true, _) => {}
-            (false, true) => self.client_gone(id),
-            (false, false) => self.sockets.read_on(id),
+        if ended {
+            self.client_gone(id);
+        } else {
+            self.sockets.read_on(id);
         }
     }
 
@@ -284,7 +285,9 @@
 
     /// Passes a gathered answer on: the hit is delivered.
     pub(super) fn deliver(&mut self, hit: HitId, no: ForwardNo, head: &ResponseHead, body: &[u8]) {
-        let Some(open) = self.hits.get_mut(&hit).filter(|open| !open.over) else { return };
+        // The first answer is the client's, also one that is still passed on.
+        let free = |open: &&mut OpenHit| !open.over && open.passing.is_none();
+        let Some(open) = self.hits.get_mut(&hit).filter(free) else { return };
         open.over = true;
         let (client, to_head) = (open.client.take(), open.head.method == "HEAD");
         self.answered(hit, no);
@@ -429,6 +432,7 @@
             "list_index": self.list_index,
             "list_watched": self.list_link.is_some(),
             "hits": self.next_hit,
+            "unsent": self.sockets.all_unsent(),
         });
         self.reply(id, 200, &[("content-type", "application/json")], status.to_string().as_bytes());
     }
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -227,7 +227,6 @@
         let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
         let wait =
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
-        // A whole millisecond is the shortest wait of the poll; a shorter one would be none.
         let happened = self.sockets.wait(Some(wait))?;
         self.now = self.clock.now();
         happened.into_iter().for_each(|what| self.happened(what));
@@ -254,7 +253,8 @@
                 "a turn of the loop took long, in ms"
             );
         }
-        self.left |= self.leaving && self.hits.is_empty();
+        // The last answers are with the system before the process goes.
+        self.left |= self.leaving && self.hits.is_empty() && self.sockets.all_unsent() == 0;
         Ok(())
     }
 
--- a/crates/sidecar/tests/hard_cases.rs
+++ b/crates/sidecar/tests/hard_cases.rs
@@ -2,9 +2,10 @@
 
 mod help;
 
-use help::{sidecar, sidecar_with, Client, Does, Pod};
+use help::{run, settings, sidecar, sidecar_to_all, sidecar_with, Client, Does, Pod};
+use limewing_sidecar::service::Service;
 use rstest::rstest;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 
 const DONE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
@@ -231,6 +232,50 @@
     assert_eq!(client.reads_until("0\r\n\r\n"), "3\r\ntwo\r\n0\r\n\r\n");
 }
 
+#[rstest]
+#[case::a_small_one(DONE)]
+#[case::another_stream("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nevil\r\n0\r\n\r\n")]
+fn a_second_copys_answer_does_not_come_into_a_stream(#[case] other: &'static str) {
+    let (head, rest) =
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n", "3\r\ntwo\r\n0\r\n\r\n");
+    let (first, second) =
+        (Pod::new(vec![Does::SaysInTwo(head, rest)]), Pod::new(vec![Does::SaysInTwo("", other)]));
+    let mut client = Client::new(sidecar_to_all(&[first.at, second.at]));
+    client.says("GET /feed HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.reads_until("3\r\none\r\n");
+    second.go_on.send(()).unwrap();
+    // The second pod's next word is heard once its answer was read.
+    let mut other = Client::new(second.at);
+    other.says("GET /feed HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(second.hears().starts_with("GET"));
+    first.go_on.send(()).unwrap();
+    assert_eq!(client.reads_until("0\r\n\r\n"), rest);
+}
+
+#[test]
+fn a_list_that_could_not_be_used_is_asked_for_whole_again() {
+    let pod = Pod::new(vec![Does::Says(DONE)]);
+    let list = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut settings = settings();
+    settings.list.address = list.local_addr().unwrap();
+    let entry = format!(
+        r#"[{{"Service":{{"ID":"a","Address":"127.0.0.1","Port":{},"Meta":{{"build":"1"}}}}}}]"#,
+        pod.at.port()
+    );
+    let mut client = Client::new(run(Service::start(&settings).unwrap()));
+    for body in ["half a li", &entry] {
+        let (mut link, _) = list.accept().unwrap();
+        let mut asked = [0; 500];
+        let length = link.read(&mut asked).unwrap();
+        assert!(String::from_utf8_lossy(&asked[..length]).contains("index=0&"));
+        let head = format!("HTTP/1.1 200 OK\r\nX-Consul-Index: 7\r\nContent-Length: {}\r\n\r\n", body.len());
+        link.write_all((head + body).as_bytes()).unwrap();
+        client.says("GET /quotes/1 HTTP/1.1\r\nHost: a\r\nWait-Ms: 300\r\n\r\n");
+        let (head, _) = client.hears();
+        assert_eq!(head.starts_with("HTTP/1.1 200"), body.len() > 20, "{head}");
+    }
+}
+
 #[test]
 fn a_streamed_answer_that_breaks_is_cut() {
     let half = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n";
--- a/crates/sidecar/tests/help/mod.rs
+++ b/crates/sidecar/tests/help/mod.rs
@@ -1,9 +1,10 @@
 //! A sidecar on a thread, pods that do as they are told, and a client that reads answer by answer.
 
+use limewing::interface::{Action, Event, PodId, TimerId};
 use limewing_settings::{read_text, SidecarSettings};
 use limewing_sidecar::memory;
-use limewing_sidecar::pods::Row;
-use limewing_sidecar::service::Service;
+use limewing_sidecar::pods::{PodBook, Row};
+use limewing_sidecar::service::{Decisions, Service};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -50,9 +51,41 @@
 }
 
 pub fn sidecar_with(state_file: Option<std::path::PathBuf>) -> SocketAddr {
-    let mut settings: SidecarSettings = read_text("settings", SETTINGS).unwrap();
+    let mut settings = settings();
     settings.state_file = state_file;
-    let service = Service::start(&settings).unwrap();
+    run(Service::start(&settings).unwrap())
+}
+
+pub fn settings() -> SidecarSettings {
+    read_text("settings", SETTINGS).unwrap()
+}
+
+/// Sends each hit to all of these pods at once, and decides nothing else.
+struct ToAll(Vec<SocketAddr>);
+
+impl Decisions for ToAll {
+    fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        let mut book = PodBook::new(&[]);
+        let pods: Vec<PodId> = self.0.iter().map(|at| book.pod(*at)).collect();
+        let forwards = events.iter().filter_map(|event| match event {
+            Event::Hit(hit) => Some(hit.id),
+            _ => None,
+        });
+        let forwards = forwards.flat_map(|hit| {
+            pods.iter().map(move |pod| Action::Forward { hit, pod: *pod, within: Duration::ZERO })
+        });
+        let beat = Action::Wake { at: now + Duration::from_millis(20), id: TimerId(0) };
+        forwards.chain([beat]).collect()
+    }
+}
+
+/// A sidecar that sends each hit to all pods at once.
+pub fn sidecar_to_all(pods: &[SocketAddr]) -> SocketAddr {
+    let pods = pods.to_vec();
+    run(Service::start_with(&settings(), |_, _| Box::new(ToAll(pods))).unwrap())
+}
+
+pub fn run(service: Service) -> SocketAddr {
     let address = service.address();
     std::thread::spawn(move || service.run());
     address
