Second reading: libraries for what was done by hand, settings that do nothing gone

Cause, found in a second reading: weighted draws were written by hand beside rand_distr; the recording loop told no standstill beyond 20 ms and none in which sockets had news; clock ticks were taken for hundredths; may_probe and a knob of the sockets did nothing; a bad route pattern was told without its line; a whole URI as target found no path group (RFC 9112 asks for it).

Change: WeightedIndex; a standstill is how much later than planned the loop came back; ticks from the system; the dead settings are gone; routes are checked with the settings; the path is taken out of a URI.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -142,11 +142,7 @@
         Command::Settings(SettingsCommand::Check { file, of }) => {
             match of {
                 Kind::Sidecar => {
-                    let settings: SidecarSettings = limewing_settings::read(&file).map_err(Stop::input)?;
-                    let routes = limewing_sidecar::routes::Routes::new(&settings);
-                    routes.map_err(|m| {
-                        Stop::input(format!("{}: at {}: {}", file.display(), m.path, m.expected))
-                    })?;
+                    drop(limewing_settings::read::<SidecarSettings>(&file).map_err(Stop::input)?)
                 }
                 Kind::Day => drop(limewing_settings::read::<DayScript>(&file).map_err(Stop::input)?),
             }
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -56,8 +56,8 @@
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
         let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
         let ticks = |place: usize| fields.get(place).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-        // User and system time, in hundredths of a second.
-        (ticks(11) + ticks(12)) / 100.0
+        // User and system time.
+        (ticks(11) + ticks(12)) / rustix::param::clock_ticks_per_second() as f64
     }
 }
 
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -1,6 +1,6 @@
 //! Whole messages, gathered up to a bound: for peers that exchange small ones.
 
-use crate::body::BodyReader;
+use crate::body::{BodyReader, Framing};
 use crate::http::{self, HeadLimits, Refused, RequestHead, ResponseHead};
 use bytes::BytesMut;
 
@@ -11,6 +11,22 @@
     most: usize,
 }
 
+trait Framed {
+    fn framing(&self) -> Framing;
+}
+
+impl Framed for RequestHead {
+    fn framing(&self) -> Framing {
+        self.framing
+    }
+}
+
+impl Framed for ResponseHead {
+    fn framing(&self) -> Framing {
+        self.framing
+    }
+}
+
 pub type Requests = Gather<RequestHead>;
 pub type Responses = Gather<ResponseHead>;
 
@@ -46,6 +62,11 @@
     }
 }
 
+fn opened<H: Framed>(head: H) -> (H, BodyReader) {
+    let reader = BodyReader::new(head.framing());
+    (head, reader)
+}
+
 impl Requests {
     /// Whether a client waits for a word before it sends the body (RFC 9110, 10.1.1); told once a request.
     pub fn wants_continue(&mut self) -> bool {
@@ -69,10 +90,7 @@
     ) -> Result<Option<(RequestHead, BytesMut)>, Refused> {
         if self.open.is_none() {
             let head = http::request(input, HeadLimits::default())?;
-            self.open = head.map(|head| {
-                let reader = BodyReader::new(head.framing);
-                (head, reader)
-            });
+            self.open = head.map(opened);
         }
         self.rest(input, closed)
     }
@@ -90,10 +108,7 @@
     ) -> Result<Option<(ResponseHead, BytesMut)>, Refused> {
         if self.open.is_none() {
             let head = http::response(input, false, HeadLimits::default())?;
-            self.open = head.map(|head| {
-                let reader = BodyReader::new(head.framing);
-                (head, reader)
-            });
+            self.open = head.map(opened);
         }
         self.rest(input, closed)
     }
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -72,8 +72,8 @@
     socket: Socket,
 }
 
-/// Input held for one connection at most, in bytes, unless `with_input` says otherwise.
-pub const MOST_INPUT: usize = 32 * 1024;
+/// Input held for one connection at most, in bytes.
+const MOST_INPUT: usize = 32 * 1024;
 /// Connections accepted in a row before others have their turn.
 const ACCEPT_BATCH: usize = 64;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
@@ -91,7 +91,6 @@
     accept_at: Option<Instant>,
     signals: Option<Signals>,
     scratch: Box<[u8]>,
-    most_input: usize,
 }
 
 impl Sockets {
@@ -108,15 +107,9 @@
             accept_at: None,
             signals: None,
             scratch: vec![0; 16 * 1024].into_boxed_slice(),
-            most_input: MOST_INPUT,
         })
     }
 
-    /// Lets each connection hold so many bytes of input.
-    pub fn with_input(self, most_input: usize) -> Self {
-        Self { most_input, ..self }
-    }
-
     /// Tells of these signals from now on.
     ///
     /// # Errors
@@ -226,9 +219,7 @@
 
     /// Goes on reading after input was taken.
     pub fn read_on(&mut self, id: SocketId) {
-        let most = self.most_input;
-        let room = self.link(id).is_some_and(|link| link.more && link.input.len() < most);
-        if room {
+        if self.link(id).is_some_and(|link| link.more && link.input.len() < MOST_INPUT) {
             self.fill(id);
         }
     }
@@ -379,7 +370,6 @@
     }
 
     fn fill(&mut self, id: SocketId) {
-        let most = self.most_input;
         let mut scratch = std::mem::take(&mut self.scratch);
         let Some(link) = self.link(id) else {
             self.scratch = scratch;
@@ -389,11 +379,11 @@
         let mut fresh = false;
         link.more = false;
         while !link.ended {
-            if link.input.len() >= most {
+            if link.input.len() >= MOST_INPUT {
                 link.more = true;
                 break;
             }
-            let room = scratch.len().min(most - link.input.len());
+            let room = scratch.len().min(MOST_INPUT - link.input.len());
             match link.stream.read(&mut scratch[..room]) {
                 Ok(0) => (link.ended, fresh) = (true, true),
                 Ok(length) => {
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -3,7 +3,7 @@
 use crate::{Checked, Misfit};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -171,8 +171,6 @@
     pub second_copies: bool,
     #[serde(default)]
     pub may_cancel: bool,
-    #[serde(default)]
-    pub may_probe: bool,
     /// What a bounced client is told to wait; none tells nothing.
     #[serde(default)]
     pub retry_after: Option<Seconds>,
@@ -268,6 +266,32 @@
     pub cap: f64,
 }
 
+/// Finds the place of a path group by method and path.
+#[derive(Default)]
+pub struct Router(BTreeMap<String, matchit::Router<usize>>);
+
+impl Router {
+    /// # Errors
+    /// A pattern that can't be used, or that matches what another one does.
+    pub fn new(groups: &[PathGroup]) -> Result<Self, Misfit> {
+        let mut router = Self::default();
+        for (place, group) in groups.iter().enumerate() {
+            for (number, route) in group.routes.iter().enumerate() {
+                let of = router.0.entry(route.method.to_ascii_uppercase()).or_default();
+                of.insert(route.path.as_str(), place).map_err(|e| {
+                    let at = format!("/path_groups/{place}/routes/{number}/path");
+                    Misfit::new(at, format!("expected a pattern that is valid and no other's: {e}"))
+                })?;
+            }
+        }
+        Ok(router)
+    }
+
+    pub fn find(&self, method: &str, path: &str) -> Option<usize> {
+        self.0.get(method)?.at(path).ok().map(|found| *found.value)
+    }
+}
+
 impl Checked for SidecarSettings {
     fn misfits(&self) -> Vec<Misfit> {
         let mut found = Vec::new();
@@ -326,6 +350,7 @@
         need(f64::from(self.releases.cap_window) > 0.0, "/releases/cap_window", "more than 0 seconds");
         need(self.releases.cap_free >= 0.0, "/releases/cap_free", "0 or more");
         need(self.releases.back_votes >= 1, "/releases/back_votes", "1 or more");
+        found.extend(Router::new(&self.path_groups).err());
         found
     }
 }
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -22,7 +22,8 @@
             over_quota_worth: limits.over_quota_worth,
             // Whoever hosts the module asks the list service whenever the module says so.
             list_on_request: true,
-            may_probe: limits.may_probe,
+            // The module asks for none, and no host makes any yet.
+            may_probe: false,
             may_cancel: limits.may_cancel,
             second_copies: limits.second_copies,
             retry_after: limits.retry_after.map(Into::into),
--- a/crates/settings/tests/reading.rs
+++ b/crates/settings/tests/reading.rs
@@ -57,6 +57,13 @@
     "/fleet/own_number",
     "below /fleet/sidecars"
 )]
+#[case::bad_pattern(
+    r#""path": "/q""#,
+    r#""path": "/q/{""#,
+    8,
+    "/path_groups/0/routes/0/path",
+    "expected a pattern"
+)]
 #[case::no_address("127.0.0.1:8500", "there", 4, "/list/address", "invalid socket address")]
 #[case::cut_off(r#""back_votes": 1}"#, r#""back_votes": 1"#, 17, "/", "EOF")]
 fn a_wrong_file_is_told_with_line_path_and_what_was_expected(
--- a/crates/sidecar/src/routes.rs
+++ b/crates/sidecar/src/routes.rs
@@ -2,7 +2,7 @@
 
 use limewing::interface::{CustomerId, GroupId, KeyId};
 use limewing_net::http::RequestHead;
-use limewing_settings::{Headers, Misfit, Repeat, SidecarSettings};
+use limewing_settings::{Headers, Misfit, Repeat, Router, SidecarSettings};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 pub const TAG: &str = "idempotency-key";
 
 pub struct Routes {
-    methods: BTreeMap<String, matchit::Router<GroupId>>,
+    router: Router,
     groups: Vec<Group>,
     customers: BTreeMap<String, CustomerId>,
     headers: Headers,
@@ -43,23 +43,14 @@
     /// # Errors
     /// A path pattern that can't be used, or two that match the same paths.
     pub fn new(settings: &SidecarSettings) -> Result<Self, Misfit> {
-        let mut methods: BTreeMap<String, matchit::Router<GroupId>> = BTreeMap::new();
-        for (place, group) in settings.path_groups.iter().enumerate() {
-            for (number, route) in group.routes.iter().enumerate() {
-                let router = methods.entry(route.method.to_ascii_uppercase()).or_default();
-                router.insert(route.path.as_str(), GroupId(place as u16)).map_err(|e| {
-                    let at = format!("/path_groups/{place}/routes/{number}/path");
-                    Misfit::new(at, format!("expected a pattern that is valid and no other's: {e}"))
-                })?;
-            }
-        }
+        let router = Router::new(&settings.path_groups)?;
         let groups = settings.path_groups.iter().map(|group| Group {
             client_timeout: group.client_timeout.into(),
             tagged: matches!(group.repeat, Repeat::Tagged { .. }),
         });
         let customers = (0u32..).zip(&settings.customers).map(|(n, c)| (c.name.clone(), CustomerId(n)));
         Ok(Self {
-            methods,
+            router,
             groups: groups.collect(),
             customers: customers.collect(),
             headers: settings.headers.clone(),
@@ -75,9 +66,9 @@
     /// # Errors
     /// The request belongs to no path group, or lacks what its group needs.
     pub fn traits(&self, head: &RequestHead, now: Duration) -> Result<Traits, NoHit> {
-        let path = head.target.split(['?', '#']).next().unwrap_or_default();
-        let found = self.methods.get(&head.method).and_then(|router| router.at(path).ok());
-        let group = *found.ok_or(NoHit { status: 404, why: "no path group has this method and path" })?.value;
+        let found = self.router.find(&head.method, path_of(&head.target));
+        let place = found.ok_or(NoHit { status: 404, why: "no path group has this method and path" })?;
+        let group = GroupId(place as u16);
         let of = &self.groups[usize::from(group.0)];
         if of.tagged && head.fields.get(TAG).is_none_or(<[u8]>::is_empty) {
             return Err(NoHit { status: 400, why: "this path group needs an Idempotency-Key" });
@@ -97,6 +88,13 @@
     }
 }
 
+/// The path of a request's target, which may be a whole URI (RFC 9112, 3.2.2).
+pub fn path_of(target: &str) -> &str {
+    let after = target.split_once("://").filter(|_| !target.starts_with('/')).map(|(_, after)| after);
+    let path = after.map_or(target, |after| after.find('/').map_or("/", |slash| &after[slash..]));
+    path.split(['?', '#']).next().unwrap_or_default()
+}
+
 fn named<'a>(head: &'a RequestHead, name: &'a Option<String>) -> Option<&'a str> {
     head.fields.text(name.as_deref()?)
 }
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -1,7 +1,7 @@
 //! The clients' side: requests become hits, and each hit gets one final answer.
 
 use super::{Due, Peer, Service};
-use crate::routes::Traits;
+use crate::routes::{path_of, Traits};
 use bytes::{Bytes, BytesMut};
 use limewing::interface::{Event, ForwardNo, GroupId, Hit, HitId, PodId};
 use limewing_net::body::{write_chunk, BodyReader, Framing};
@@ -159,8 +159,7 @@
         let Some(client) = self.client(id) else { return };
         // Unless all of its body was read, what follows can't be told from it.
         client.close = !keep_alive || client.rest.is_some();
-        let path = head.target.split('?').next().unwrap_or_default();
-        match (head.method.as_str(), path) {
+        match (head.method.as_str(), path_of(&head.target)) {
             ("POST", REPORTS) => return self.reported(id, &body),
             ("GET", STATUS) => return self.tell_status(id),
             _ => {}
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -3,6 +3,7 @@
 use limewing::interface::{PodState, VoteAnswer};
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{rows, PodBook};
+use limewing_sidecar::routes::path_of;
 use limewing_sidecar::stages::{vote_answer, EventReader};
 use rstest::rstest;
 use serde_json::{json, Value};
@@ -80,6 +81,15 @@
     assert!(EventReader::default().take(text.as_bytes()).is_err());
 }
 
+#[rstest]
+#[case("/quotes/1?x=/y", "/quotes/1")]
+#[case("http://a.example/quotes/1?x", "/quotes/1")]
+#[case("http://a.example", "/")]
+#[case("/to?url=http://b/c", "/to")]
+fn the_path_of_a_target(#[case] target: &str, #[case] want: &str) {
+    assert_eq!(path_of(target), want);
+}
+
 #[rstest]
 #[case(200, r#"{"answer": "counted"}"#, VoteAnswer::Counted)]
 #[case(200, r#"{"answer": "moot"}"#, VoteAnswer::Moot)]
--- a/crates/standins/src/day/clients.rs
+++ b/crates/standins/src/day/clients.rs
@@ -12,6 +12,7 @@
 use limewing_net::wheel::TimerKey;
 use limewing_settings::{Reach, Repeat};
 use rand::RngExt;
+use rand_distr::weighted::WeightedIndex;
 use rand_distr::{Distribution, Exp};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -89,10 +90,9 @@
 
     /// A new hit; of a given customer, it is worthless.
     fn new_order(&mut self, worthless_of: Option<usize>) {
-        let shares: Vec<f64> = self.script.groups.iter().map(|group| group.share).collect();
-        let group = self.draw(&shares);
-        let shares: Vec<f64> = self.script.customers.iter().map(|customer| customer.share).collect();
-        let drawn = (!shares.is_empty()).then(|| self.draw(&shares));
+        let script = self.script;
+        let group = self.draw(script.groups.iter().map(|group| group.share)).unwrap_or(0);
+        let drawn = self.draw(script.customers.iter().map(|customer| customer.share));
         let id = OrderId(self.clients.next);
         self.clients.next += 1;
         let timeout = Duration::from(self.script.groups[group].group.client_timeout);
@@ -104,15 +104,9 @@
         self.ask(id);
     }
 
-    fn draw(&mut self, shares: &[f64]) -> usize {
-        let mut left: f64 = self.chance.random_range(0.0..1.0);
-        for (place, share) in shares.iter().enumerate() {
-            left -= share;
-            if left < 0.0 {
-                return place;
-            }
-        }
-        shares.len().saturating_sub(1)
+    /// A place drawn by shares; none if there are none.
+    fn draw(&mut self, shares: impl Iterator<Item = f64>) -> Option<usize> {
+        WeightedIndex::new(shares).ok().map(|places| places.sample(&mut self.chance))
     }
 
     /// Sends the next try of a hit to one of the sidecars.
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -231,13 +231,14 @@
 
     fn turn(&mut self) -> Result<(), DayTrouble> {
         let next = self.wheel.next().unwrap_or(self.now + TICK);
-        let wait = next.saturating_sub(self.start.elapsed()).min(TICK);
+        let before = self.start.elapsed();
+        let wait = next.saturating_sub(before).min(TICK);
         let happened = self.sockets.wait(Some(wait))?;
         self.now = self.start.elapsed();
         let began = self.now;
-        // How far behind its timers the loop came back: nothing was read meanwhile.
-        let late = began.saturating_sub(next.max(began.saturating_sub(TICK) - Duration::ZERO));
-        if self.on && late > LONG_TURN && happened.is_empty() {
+        // How much later than it was to come back at the latest: nothing was read meanwhile.
+        let late = began.saturating_sub(before + wait);
+        if self.on && late > LONG_TURN {
             self.note(Entry::Stood { span: late });
         }
         for what in happened {
