--- a/crates/account/src/record.rs
+++ b/crates/account/src/record.rs
@@ -117,6 +117,11 @@
         status: u16,
         build: Option<u16>,
     },
+    /// The answer of a streamed hit has begun: it is the client's, and has no time of its own any more.
+    AnswerBegun {
+        sidecar: SidecarNo,
+        of: Try,
+    },
     /// A second answer, or words that nobody asked for.
     Unasked {
         sidecar: SidecarNo,
--- a/crates/account/src/rules.rs
+++ b/crates/account/src/rules.rs
@@ -107,6 +107,8 @@
     /// Answered or given back; nothing may be sent for it any more.
     ended: Option<Duration>,
     answers: usize,
+    /// When its streamed answer began.
+    begun: Option<Duration>,
     forwarded: bool,
 }
 
@@ -125,11 +127,22 @@
                 // Written to a process that is dead already: nobody took it.
                 let ended = down.contains(sidecar).then_some(at);
                 let (due, unseen) = (at.saturating_add(*waits), stopped.contains(sidecar));
-                let (sidecar, waits, answers, forwarded) = (*sidecar, *waits, 0, false);
-                let open = Open { sidecar, unseen, waits, due, ended, answers, forwarded };
+                let (sidecar, waits, answers, begun, forwarded) = (*sidecar, *waits, 0, None, false);
+                let open = Open { sidecar, unseen, waits, due, ended, answers, begun, forwarded };
                 tries.insert(*of, open);
             }
-            Entry::Answered { of, .. } => {
+            // A stream that has begun is in time: what follows is the client's and the pod's.
+            Entry::Answered { of, .. }
+                if tries.get(of).is_some_and(|open| open.begun.is_some() && open.answers == 1) =>
+            {
+                tries.entry(*of).and_modify(|open| (open.answers, open.ended) = (2, Some(at)));
+            }
+            Entry::GaveUp { of } | Entry::Lost { of, .. }
+                if tries.get(of).is_some_and(|open| open.begun.is_some()) =>
+            {
+                tries.entry(*of).and_modify(|open| open.ended = open.ended.or(Some(at)));
+            }
+            Entry::Answered { of, .. } | Entry::AnswerBegun { of, .. } => {
                 let Some(open) = tries.get_mut(of) else {
                     breach(at, format!("{of:?} was answered and never asked"));
                     continue;
@@ -138,12 +151,16 @@
                 if open.answers > 1 {
                     breach(at, format!("{of:?} was answered {} times", open.answers));
                 }
+                let begins = matches!(line.entry, Entry::AnswerBegun { .. });
+                open.begun = begins.then_some(at);
                 let last = open.due + terms.answer_slack + stalls.blur(at);
                 if at > last {
                     breach(at, format!("{of:?} was answered {} late", ms(at - last)));
                 }
                 least = Some(least.map_or(last.saturating_sub(at), |l| l.min(last.saturating_sub(at))));
-                open.ended = open.ended.or(Some(at));
+                if !begins {
+                    open.ended = open.ended.or(Some(at));
+                }
             }
             Entry::Unasked { sidecar, of } => {
                 breach(at, format!("{sidecar:?} sent words that nobody waited for, after {of:?}"))
@@ -198,14 +215,15 @@
             }
             Entry::Arrived { of, sidecar, pod, .. } => {
                 tries.entry(*of).and_modify(|open| open.forwarded = true);
-                let ended = tries.get(of).and_then(|open| open.ended);
+                let ended = tries.get(of).and_then(|open| open.begun.or(open.ended));
                 if let Some(ended) = ended.filter(|ended| at > *ended + stalls.blur(at)) {
                     let late = ms(at - ended);
                     breach(at, format!("{sidecar:?} sent {of:?} to {pod:?} {late} after its end"));
                 }
             }
             Entry::End {} => {
-                for (of, open) in tries.iter().filter(|(_, open)| open.ended.is_none()) {
+                let unsettled = |open: &Open| open.ended.is_none() && open.begun.is_none();
+                for (of, open) in tries.iter().filter(|(_, open)| unsettled(open)) {
                     let untaken = leaving.contains(&open.sidecar) && !open.forwarded;
                     if at > open.due + terms.answer_slack + stalls.blur(at) && !untaken {
                         breach(at, format!("{of:?} never had an answer"));
--- a/crates/account/tests/planted.rs
+++ b/crates/account/tests/planted.rs
@@ -50,6 +50,10 @@
     Entry::Answered { sidecar: ONE, of, ended, status: 200, build }
 }
 
+fn begun(of: Try) -> Entry {
+    Entry::AnswerBegun { sidecar: ONE, of }
+}
+
 fn told(ready: &[u32], draining: &[u32]) -> Entry {
     let pods = |list: &[u32]| list.iter().map(|pod| PodNo(*pod)).collect();
     Entry::ListTold { sidecar: ONE, ready: pods(ready), draining: pods(draining) }
@@ -92,6 +96,11 @@
 #[case::stopped_and_slow_after(vec![(1.0, asked(HIT, 0)), (1.1, Entry::SidecarStopped { sidecar: ONE }), (3.0, Entry::SidecarGoesOn { sidecar: ONE }), (3.2, answered(HIT, Final::Errored, None))], true)]
 #[case::written_while_stopped(vec![(1.0, Entry::SidecarStopped { sidecar: ONE }), (1.1, asked(HIT, 0)), (3.0, Entry::SidecarGoesOn { sidecar: ONE }), (3.5, answered(HIT, Final::Delivered, None))], false)]
 #[case::written_while_stopped_and_late(vec![(1.0, Entry::SidecarStopped { sidecar: ONE }), (1.1, asked(HIT, 0)), (3.0, Entry::SidecarGoesOn { sidecar: ONE }), (4.1, answered(HIT, Final::Delivered, None))], true)]
+#[case::stream_begun_in_time(vec![(1.0, asked(HIT, 0)), (1.9, begun(HIT)), (4.0, answered(HIT, Final::Delivered, None))], false)]
+#[case::stream_that_breaks(vec![(1.0, asked(HIT, 0)), (1.9, begun(HIT)), (4.0, Entry::Lost { of: HIT, reached: true })], false)]
+#[case::stream_begun_late(vec![(1.0, asked(HIT, 0)), (2.1, begun(HIT))], true)]
+#[case::stream_answered_again(vec![(1.0, asked(HIT, 0)), (1.5, begun(HIT)), (1.6, answered(HIT, Final::Delivered, None)), (1.7, answered(HIT, Final::Errored, None))], true)]
+#[case::sent_into_a_stream(vec![(1.0, asked(HIT, 0)), (1.5, begun(HIT)), (1.6, arrived(0, HIT, 0)), (1.7, answered(HIT, Final::Delivered, None))], true)]
 #[case::sent_after_the_end(vec![(1.0, asked(HIT, 0)), (1.1, answered(HIT, Final::Bounced, None)), (1.2, arrived(0, HIT, 0))], true)]
 fn one_answer(#[case] entries: Vec<(f64, Entry)>, #[case] breach: bool) {
     assert_eq!(broken(entries).contains(&Rule::OneAnswer), breach);
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -46,6 +46,7 @@
 #[case::sidecar_roll("sidecar-roll")]
 #[case::everything("everything")]
 #[case::rough_edges("rough-edges")]
+#[case::streams("streams")]
 #[case::demo("demo")]
 fn the_shipped_days_can_be_read(#[case] name: &str) {
     let script = in_repo(&format!("days/{name}.json"));
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -36,6 +36,11 @@
         Self { open: None, body: BytesMut::new(), most }
     }
 
+    /// Whether a message has begun and is not whole.
+    pub fn begun(&self) -> bool {
+        self.open.is_some()
+    }
+
     /// The message that is being read, with what of its body has come and the reader of the rest: for those
     /// too large to be gathered.
     pub fn give_up(&mut self) -> Option<(H, BytesMut, BodyReader)> {
@@ -74,11 +79,6 @@
         waits.is_some_and(|(head, _)| std::mem::take(&mut head.expects_continue))
     }
 
-    /// Whether a request has begun and is not whole.
-    pub fn begun(&self) -> bool {
-        self.open.is_some()
-    }
-
     /// The next whole request.
     ///
     /// # Errors
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -77,6 +77,7 @@
     TellAll,
     TellNow,
     PodRead(SocketId),
+    PodRest(SocketId),
     Rest(SocketId),
     Offer(usize),
     Trouble(usize),
@@ -312,6 +313,7 @@
             Due::TellAll => self.tell_all_again(),
             Due::TellNow => self.tell_now(),
             Due::PodRead(link) => self.pod_ready(link),
+            Due::PodRest(link) => self.pod_rest(link),
             Due::Rest(link) => self.write_rest(link),
             Due::Offer(number) => {
                 let build = self.script.offers[number].build;
--- a/crates/standins/src/day/pods.rs
+++ b/crates/standins/src/day/pods.rs
@@ -6,7 +6,7 @@
 use crate::script::{Fault, Trouble};
 use bytes::BytesMut;
 use limewing_account::record::{Entry, OrderId, PodNo, SidecarNo, Try};
-use limewing_net::body::Framing;
+use limewing_net::body::{write_chunk, Framing};
 use limewing_net::http::{write_response, RequestHead};
 use limewing_net::message::Requests;
 use limewing_net::sockets::SocketId;
@@ -77,6 +77,8 @@
 #[derive(Default)]
 pub struct Marks(BTreeMap<(usize, usize, String), Duration>);
 
+/// Between the two pieces of a streamed answer.
+const STREAMS: Duration = Duration::from_millis(200);
 const HOPELESS: f64 = 0.97;
 
 impl Day<'_> {
@@ -288,7 +290,7 @@
             Arrival::TurnedAway(job) => {
                 self.jobs.held.remove(&job);
                 self.note(Entry::TurnedAway { pod: number, of });
-                self.answer(id, number, 503, &[("limewing-not-begun", "1")]);
+                self.answer(id, number, 503, &[("limewing-not-begun", "1")], false);
             }
         }
     }
@@ -342,7 +344,8 @@
             self.ends.remove(&link);
             return self.sockets.finish(link);
         }
-        self.answer(link, number, status, &fields);
+        let streams = status == 200 && self.script.groups[group].group.streamed;
+        self.answer(link, number, status, &fields, streams);
     }
 
     /// Whether the pods that share a memory have met this mark, and still know it.
@@ -372,9 +375,20 @@
         }
     }
 
-    fn answer(&mut self, id: SocketId, number: PodNo, status: u16, fields: &[(&str, &str)]) {
+    /// The rest of a streamed answer.
+    pub(super) fn pod_rest(&mut self, id: SocketId) {
         let Some(End::Pod(link)) = self.ends.get_mut(&id) else { return };
         link.busy = false;
+        let mut out = BytesMut::new();
+        write_chunk(&mut out, b"second\n");
+        write_chunk(&mut out, b"");
+        self.sockets.send(id, &out);
+        self.pod_read(id);
+    }
+
+    fn answer(&mut self, id: SocketId, number: PodNo, status: u16, fields: &[(&str, &str)], streams: bool) {
+        let Some(End::Pod(link)) = self.ends.get_mut(&id) else { return };
+        link.busy = streams;
         let Some(pod) = self.pods.get(&number) else { return };
         let place = pod.place.0;
         let (sidecar, zone) = (link.sidecar, &self.script.fleet.zones[pod.zone]);
@@ -387,8 +401,15 @@
         );
         let own = [("endpoint-load-metrics", &load[..])];
         let all = fields.iter().chain(&own).map(|(name, value)| (name.as_bytes(), value.as_bytes()));
-        let body = b"done\n";
         let mut out = BytesMut::new();
+        if streams {
+            write_response(&mut out, status, all, Framing::Chunked, true);
+            write_chunk(&mut out, b"first\n");
+            self.sockets.send(id, &out);
+            self.wheel.arm(self.now + STREAMS, Due::PodRest(id));
+            return;
+        }
+        let body = b"done\n";
         write_response(&mut out, status, all, Framing::Length(body.len() as u64), true);
         out.extend_from_slice(body);
         self.sockets.send(id, &out);
