--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use limewing_load::compare;
+use limewing_load::generate::{self, Load};
 use limewing_settings::SidecarSettings;
 use limewing_sidecar::service::Service;
 use limewing_standins::script::DayScript;
@@ -99,6 +100,27 @@
         #[arg(long, default_value_t = 7)]
         seed: u64,
     },
+    /// Hits on a schedule at one address
+    Hits {
+        to: SocketAddr,
+        #[arg(long, default_value_t = 500.0, value_parser = rate)]
+        hits_per_s: f64,
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=3600))]
+        seconds: u64,
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=10_000))]
+        connections: u16,
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        #[arg(long, default_value = "/quotes/1")]
+        target: String,
+    },
+    /// Settings of a sidecar that knows these pods, with no list service and no installer
+    Settings {
+        #[arg(long, default_value = ".")]
+        folder: PathBuf,
+        #[arg(required = true)]
+        pods: Vec<SocketAddr>,
+    },
     /// Pods that answer at once, at addresses that are told on standard output
     Pods { many: usize },
     /// A relay that passes bytes on to the pods and decides nothing
@@ -108,6 +130,11 @@
     },
 }
 
+fn rate(text: &str) -> Result<f64, String> {
+    let rate = text.parse::<f64>().ok().filter(|rate| (0.001..=10_000_000.0).contains(rate));
+    rate.ok_or_else(|| "expected 0.001 to 10000000 hits a second".to_owned())
+}
+
 /// What ends the command: a line on standard error and an exit code.
 pub struct Stop {
     code: u8,
@@ -172,6 +199,22 @@
             println!("{}", compare::compare(&program, folder.path(), &plan).map_err(Stop::failed)?);
             Ok(())
         }
+        Command::Load(LoadCommand::Hits { to, hits_per_s, seconds, connections, seed, target }) => {
+            let (warm_up, lasts) = (Duration::ZERO, Duration::from_secs(seconds));
+            let connections = connections.into();
+            let load = Load { to, hits_per_s: Some(hits_per_s), connections, warm_up, lasts, seed, target };
+            let outcome = generate::run(&load, || (), || ()).map_err(Stop::failed)?;
+            let (p50, p99, p999) = (outcome.ms(0.5), outcome.ms(0.99), outcome.ms(0.999));
+            println!(
+                "{} hits, {} failed, p50 {p50:.3} ms, p99 {p99:.3} ms, p99.9 {p999:.3} ms",
+                outcome.answered, outcome.failed
+            );
+            Ok(())
+        }
+        Command::Load(LoadCommand::Settings { folder, pods }) => {
+            println!("{}", compare::settings(&folder, &pods).map_err(Stop::failed)?);
+            Ok(())
+        }
         Command::Load(LoadCommand::Pods { many }) => {
             limewing_load::pods::serve(many, std::io::stdout()).map_err(Stop::failed)
         }
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -204,8 +204,12 @@
     text
 }
 
-/// A sidecar that knows these pods from its state file; there is no list service and no installer.
-fn settings(folder: &Path, pods: &[SocketAddr]) -> Result<String, Trouble> {
+/// Settings of a sidecar that knows these pods from its state file, with no list service and no installer, put
+/// into `folder`; tells the file.
+///
+/// # Errors
+/// The folder can't be written.
+pub fn settings(folder: &Path, pods: &[SocketAddr]) -> Result<String, Trouble> {
     let row = |(place, address): (usize, &SocketAddr)| Row {
         address: *address,
         drains: false,
