An answer's head and body go out in one piece

Cause: a trace of system calls showed three sends a hit, where two are needed: an answer's head and its body went out one after the other. Change: one buffer, one send; the tool that counts instructions ends its pods.

--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -294,10 +294,12 @@
         // The answer to HEAD tells the length that the body would have.
         let told = head.fields.text("content-length").filter(|_| to_head).and_then(|text| text.parse().ok());
         let framing = Framing::Length(told.unwrap_or(body.len() as u64));
-        self.begin_answer(client, hit, no, head, framing);
+        let mut out = self.answer_head(client, hit, no, head, framing);
         if !to_head {
-            self.sockets.send(client, body);
+            out.extend_from_slice(body);
         }
+        // Head and body in one piece: a call to the system is the dearest part of a hit.
+        self.sockets.send(client, &out);
         self.end_answer(client);
     }
 
@@ -307,7 +309,8 @@
         open.passing = Some(no);
         let Some(client) = open.client else { return };
         self.answered(hit, no);
-        self.begin_answer(client, hit, no, head, passed_framing(head));
+        let out = self.answer_head(client, hit, no, head, passed_framing(head));
+        self.sockets.send(client, &out);
     }
 
     pub(super) fn pass(&mut self, hit: HitId, head: &ResponseHead, piece: &[u8]) {
@@ -355,20 +358,21 @@
         self.reports.note(hit, no, (forward.pod, open.group, forward.sent));
     }
 
-    fn begin_answer(
+    /// The head of an answer that a pod gave, as its client gets it.
+    fn answer_head(
         &mut self,
         to: SocketId,
         hit: HitId,
         no: ForwardNo,
         head: &ResponseHead,
         framing: Framing,
-    ) {
+    ) -> BytesMut {
         let close = self.client(to).is_none_or(|client| client.close);
         let mark = self.mark(hit, no);
         let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], self.terms.via.as_bytes())];
-        let mut out = BytesMut::with_capacity(512);
+        let mut out = BytesMut::with_capacity(1024);
         http::write_response(&mut out, head.status, head.fields.passed_on().chain(own), framing, !close);
-        self.sockets.send(to, &out);
+        out
     }
 
     fn end_answer(&mut self, client: SocketId) {
--- a/tools/instructions.sh
+++ b/tools/instructions.sh
@@ -8,7 +8,7 @@
 limewing=target/release/limewing
 folder=$(mktemp -d)
 ended() { kill "$1" 2>/dev/null || true; wait "$1" 2>/dev/null || true; }
-coproc PODS { "$limewing" load pods "$pods" < /dev/null; }
+coproc PODS { exec "$limewing" load pods "$pods" < /dev/null; }
 pods_pid=$PODS_PID
 trap 'ended "$pods_pid"; rm -rf "$folder"' EXIT
 at=()
