Stand-in pods know a mark from when a hit begins; clients retry within the memory

Change: marks are a model of their own, met when work begins and freed when the pod dies under it; clients ask again for a tagged hit only within nine tenths of its memory.

--- a/crates/standins/src/day/clients.rs
+++ b/crates/standins/src/day/clients.rs
@@ -99,7 +99,9 @@
         self.clients.next += 1;
         let timeout = Duration::from(self.script.groups[group].group.client_timeout);
         let customer = worthless_of.or(drawn);
-        let (key, until) = (self.chance.random_range(0..5_000), self.now + timeout);
+        // A tagged hit is asked for only while pods remember it, with a little left for the way there.
+        let lasts = script.memory(group).map_or(timeout, |(_, memory)| timeout.min(memory.mul_f64(0.9)));
+        let (key, until) = (self.chance.random_range(0..5_000), self.now + lasts);
         let order = Order { group, customer, key, worthless: worthless_of.is_some(), tries: 0, until };
         self.clients.orders.insert(id, order);
         self.clients.asked += 1;
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -6,6 +6,7 @@
 mod services;
 
 use crate::installer::{Installer, PlaceNo};
+use crate::marks::Marks;
 use crate::script::{DayScript, Trouble, FIRST_BUILD};
 use clients::{ClientLink, Clients};
 use limewing_account::record::{Entry, OrderId, PodNo, Recorder, SidecarNo};
@@ -107,7 +108,7 @@
     pods: BTreeMap<PodNo, Pod>,
     next_pod: u32,
     jobs: pods::Jobs,
-    marks: pods::Marks,
+    marks: Marks,
     installer: Installer,
     list: services::ListState,
     /// Troubles that last, by their place in the script.
@@ -164,7 +165,7 @@
             pods: BTreeMap::new(),
             next_pod: 0,
             jobs: pods::Jobs::default(),
-            marks: pods::Marks::default(),
+            marks: Marks::default(),
             installer: Installer::new(script.releases.clone(), script.fleet.pods, FIRST_BUILD),
             list: services::ListState::new(list_at, installer_at),
             present: BTreeMap::new(),
--- a/crates/standins/src/day/pods.rs
+++ b/crates/standins/src/day/pods.rs
@@ -2,6 +2,7 @@
 
 use super::{Day, DayTrouble, Due, End};
 use crate::installer::PlaceNo;
+use crate::marks;
 use crate::pod::{Arrival, Machine, Next, PodModel};
 use crate::script::{Fault, Trouble};
 use bytes::BytesMut;
@@ -10,11 +11,11 @@
 use limewing_net::http::{write_response, RequestHead};
 use limewing_net::message::Requests;
 use limewing_net::sockets::SocketId;
-use limewing_settings::Repeat;
+use limewing_settings::Reach;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -70,13 +71,11 @@
     of: Try,
     group: usize,
     worthless: bool,
-    tag: Option<String>,
+    mark: Option<marks::Key>,
+    /// Whether it takes effect: known once it is in work.
+    effect: bool,
 }
 
-/// The marks of tagged hits that pods remember, by those that share a memory.
-#[derive(Default)]
-pub struct Marks(BTreeMap<(usize, usize, String), Duration>);
-
 /// Between the two pieces of a streamed answer.
 const STREAMS: Duration = Duration::from_millis(200);
 const HOPELESS: f64 = 0.97;
@@ -257,7 +256,7 @@
         let known = (try_of(head), sidecar_of(head.fields.text("via")));
         let (Some(of), Some(sidecar)) = known else { return self.drop_end(id) };
         let Some(pod) = self.pods.get(&number) else { return };
-        let place = pod.place.0;
+        let (place, at) = (pod.place.0, (pod.zone, usize::from(pod.cell)));
         let zone = &self.script.fleet.zones[pod.zone];
         // Bytes that would not have come through: nobody saw them.
         if self.is_cut(self.zone_of(sidecar), zone) {
@@ -276,16 +275,22 @@
         if self.is_present(|t| matches!(t, Trouble::PodsSilent(places) if places.contains(&place))) {
             return;
         }
-        let tag = head.fields.text("idempotency-key").map(str::to_owned);
+        let shared = self.script.memory(group).map(|(reach, _)| match reach {
+            Reach::All => 0,
+            Reach::Zone => at.0,
+            Reach::Cell => at.1,
+        });
+        let mark = shared.zip(head.fields.text("idempotency-key"));
+        let mark = mark.map(|(shared, tag)| (group, shared, tag.to_owned()));
         let worthless = head.fields.get(WORTHLESS).is_some();
         let job = self.jobs.next;
         self.jobs.next += 1;
-        self.jobs.held.insert(job, Job { link: id, of, group, worthless, tag });
+        self.jobs.held.insert(job, Job { link: id, of, group, worthless, mark, effect: false });
         let left = head.fields.text("request-timeout-ms").and_then(|ms| ms.parse().ok());
         let until = self.now + left.map_or(Duration::MAX / 2, Duration::from_millis);
         let Some(pod) = self.pods.get_mut(&number) else { return };
         match pod.model.arrive(job, work, until, self.now) {
-            Arrival::Begun(job, until) => drop(self.wheel.arm(until, Due::Done(number, job))),
+            Arrival::Begun(job, until) => self.begun(number, job, until),
             Arrival::Waits => {}
             Arrival::TurnedAway(job) => {
                 self.jobs.held.remove(&job);
@@ -303,13 +308,15 @@
     }
 
     pub(super) fn done(&mut self, number: PodNo, job: u64) {
-        let Some(Job { link, of, group, worthless, tag }) = self.jobs.held.remove(&job) else { return };
-        let Some(pod) = self.pods.get_mut(&number) else { return };
+        let Some(job) = self.jobs.held.remove(&job) else { return };
+        let Some(pod) = self.pods.get_mut(&number) else {
+            return job.mark.iter().filter(|_| job.effect).for_each(|mark| self.marks.undone(mark));
+        };
+        let Job { link, of, group, worthless, effect, .. } = job;
         pod.model.finish();
-        let (place, build, zone, cell) = (pod.place.0, pod.build, pod.zone, usize::from(pod.cell));
+        let (place, build) = (pod.place.0, pod.build);
         let age = self.now.saturating_sub(pod.up_at);
         self.work_on(number);
-        let effect = !self.is_repeat(group, tag, zone, cell);
         let faults =
             self.script.offers.iter().find(|offer| offer.build == build).map_or(&[][..], |o| &o.faults);
         let (mut status, mut wrong) = (200, false);
@@ -348,28 +355,20 @@
         self.answer(link, number, status, &fields, streams);
     }
 
-    /// Whether the pods that share a memory have met this mark, and still know it.
-    fn is_repeat(&mut self, group: usize, tag: Option<String>, zone: usize, cell: usize) -> bool {
-        let Repeat::Tagged { reach, memory } = self.script.groups[group].group.repeat else { return false };
-        let Some(tag) = tag else { return false };
-        let shared = match reach {
-            limewing_settings::Reach::All => 0,
-            limewing_settings::Reach::Zone => zone,
-            limewing_settings::Reach::Cell => cell,
-        };
-        let memory = Duration::from(memory);
-        let known = self.marks.0.get(&(group, shared, tag.clone())).is_some_and(|at| self.now < *at + memory);
-        if !known {
-            self.marks.0.insert((group, shared, tag), self.now);
+    /// A hit is in work, and done by `until`: from here on its mark is known.
+    fn begun(&mut self, number: PodNo, job: u64, until: Duration) {
+        if let Some(held) = self.jobs.held.get_mut(&job) {
+            let marked = held.mark.clone().zip(self.script.memory(held.group));
+            held.effect = marked.is_none_or(|(mark, (_, memory))| self.marks.begin(mark, memory, self.now));
         }
-        known
+        self.wheel.arm(until, Due::Done(number, job));
     }
 
     fn work_on(&mut self, number: PodNo) {
         let now = self.now;
         while let Some(next) = self.pods.get_mut(&number).and_then(|pod| pod.model.next(now)) {
             match next {
-                Next::Begun(job, until) => drop(self.wheel.arm(until, Due::Done(number, job))),
+                Next::Begun(job, until) => self.begun(number, job, until),
                 Next::Overdue(job) => drop(self.jobs.held.remove(&job)),
             }
         }
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -231,6 +231,14 @@
         self.offers.iter().find(|offer| offer.build == build).map_or(1.0, |offer| offer.slow)
     }
 
+    /// Which pods share a memory of a tagged path group's marks, and how long they remember.
+    pub fn memory(&self, group: usize) -> Option<(Reach, Duration)> {
+        match self.groups[group].group.repeat {
+            Repeat::Tagged { reach, memory } => Some((reach, memory.into())),
+            _ => None,
+        }
+    }
+
     pub fn longest_timeout(&self) -> Duration {
         let timeouts = self.groups.iter().map(|group| Duration::from(group.group.client_timeout));
         timeouts.max().unwrap_or_default()
