The desk prices only the pods whose turn it is, and the gate looks for the best of them

Cause: at 91 pods a hit cost the decisions over twice what it costs at 14: each pod was priced with a logarithm, all were sorted, and the judge looked for the newest machine even where the answer did not matter. Change: the desk sends bids to the gate, of which only those of the lowest turn are priced; the gate picks the best until one is allowed, and sends the others back if none is. The judge asks whether the build has settled only where the verdict hangs on it; a pod that has long been warm is told by a comparison.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -221,10 +221,16 @@
             }
             Note::Forget(pod) => drop(self.places.remove(&pod)),
             Note::Taken(hit) => self.open(hit, round),
-            Note::Ask { hit, pods } => match pods.iter().find(|pod| self.allow(hit, **pod, round).is_ok()) {
-                Some((pod, _)) => self.send(hit, *pod, round),
-                None => round.mail.put(To::Desk, Note::Refused(hit)),
-            },
+            Note::Ask { hit, mut bids, turn } => {
+                // The best may nearly always have it: the others need no order.
+                while let Some(best) = Bid::best(&bids).filter(|best| bids[*best].turn == turn) {
+                    let Bid { pod, part, .. } = bids.remove(best);
+                    if self.allow(hit, (pod, part), round).is_ok() {
+                        return self.send(hit, pod, round);
+                    }
+                }
+                round.mail.put(To::Desk, Note::Refused(hit, bids));
+            }
             Note::Back(outcome) => self.end_forward(outcome, round),
             Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
             Note::End(hit) => self.answer(hit, round),
@@ -483,7 +489,8 @@
             Note::Taken(hit) => self.arrive(hit, round),
             Note::Card(card) => self.cards.put(card),
             Note::Forget(pod) => self.cards.remove(pod),
-            Note::Refused(hit) => self.wait(hit, round),
+            Note::Refused(hit, rest) if rest.is_empty() => self.wait(hit, round),
+            Note::Refused(hit, rest) => self.ask(hit, rest, round),
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
                 (open.out, open.at) = (open.out + 1, Some(pod));
@@ -575,16 +582,25 @@
             _ if !on_trial(c) && open.out == 0 => Some(4),
             _ => None,
         };
-        let mut priced = |card: &Card| {
-            let chance = round.chance();
-            let turn = turn(card)?;
-            let cost = self.cost(card, -chance.max(1e-9).ln(), round);
-            Some((turn, cost, (card.entry.pod, among(card).1)))
-        };
-        let mut ranked: Vec<_> = self.cards.iter().filter_map(&mut priced).collect();
-        ranked.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2 .0.cmp(&b.2 .0)));
-        let pods = ranked.into_iter().map(|(_, _, pod)| pod).collect();
-        round.mail.put(To::Gate, Note::Ask { hit, pods });
+        let mut bids = Vec::with_capacity(self.cards.iter().len());
+        for card in self.cards.iter() {
+            let cost = round.chance();
+            let bid = turn(card).map(|turn| Bid { pod: card.entry.pod, turn, cost, part: among(card).1 });
+            bids.extend(bid);
+        }
+        self.ask(hit, bids, round);
+    }
+
+    /// Asks for the pods whose turn it is; only they are priced.
+    fn ask(&self, hit: HitId, mut bids: Vec<Bid>, round: &mut Round) {
+        let turn = bids.iter().map(|bid| bid.turn).min().unwrap_or(0);
+        let mut cards = self.cards.iter();
+        for bid in bids.iter_mut().filter(|bid| bid.turn == turn) {
+            // Both are in the order of pods.
+            let card = cards.find(|card| card.entry.pod == bid.pod);
+            bid.cost = card.map_or(f64::MAX, |card| self.cost(card, -bid.cost.max(1e-9).ln(), round));
+        }
+        round.mail.put(To::Gate, Note::Ask { hit, bids, turn });
     }
 
     /// Of the pods of the base, and of the trial: the lowest rank that this sidecar uses, and which part of
@@ -846,13 +862,13 @@
         if !matches!(news.phase, Phase::OnTrial | Phase::Released) {
             return Verdict::Withhold;
         }
-        let short = self.new.all().seen < least_sample(figures) || !self.settled(now);
+        let short = || self.new.all().seen < least_sample(figures) || !self.settled(now);
         if self.bad {
             return Verdict::Back;
         }
         match (news.phase, figures.clock) {
-            (Phase::OnTrial, false) if !short => Verdict::On,
-            (Phase::OnTrial, true) if short && now < self.since + LONGEST_HOLD => Verdict::Hold,
+            (Phase::OnTrial, false) if !short() => Verdict::On,
+            (Phase::OnTrial, true) if now < self.since + LONGEST_HOLD && short() => Verdict::Hold,
             _ => Verdict::Withhold,
         }
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -391,8 +391,8 @@
     let mut firsts = BTreeMap::new();
     for _ in 0..500 {
         desk.place(HitId(0), &mut round);
-        let Some((_, Note::Ask { pods, .. })) = round.mail.take() else { panic!("no pod asked for") };
-        *firsts.entry(pods[0].0).or_insert(0) += 1;
+        let Some((_, Note::Ask { bids, .. })) = round.mail.take() else { panic!("no pod asked for") };
+        *firsts.entry(Bid::best(&bids).map(|best| bids[best].pod)).or_insert(0) += 1;
     }
     assert!(firsts.len() == 5 && firsts.values().all(|n| (50..200).contains(n)), "{firsts:?}");
 }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -110,7 +110,11 @@
 
     /// How strong a pod surely is by now: cold ones grow at least evenly from a share to the whole.
     pub fn strength(&self, started: Option<Duration>, now: Duration) -> f64 {
-        let Some(started) = started else { return 1.0 };
+        // Long ago is told by a comparison alone: this is asked for each pod and hit.
+        let Some(started) = started.filter(|at| now.saturating_sub(*at) < self.cold_for.saturating_mul(2))
+        else {
+            return 1.0;
+        };
         let age = now.saturating_sub(started).as_secs_f64() / self.cold_for.as_secs_f64().max(1e-6);
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -26,13 +26,14 @@
     /// A pod that has been gone for long.
     Forget(PodId),
     Taken(Hit),
-    /// Desk to gate: a forward to the first of these pods that the rules allow; with each, the part of its
-    /// build's pods that this sidecar uses.
+    /// Desk to gate: a forward to the best of the bids of this turn that the rules allow. The others wait.
     Ask {
         hit: HitId,
-        pods: Vec<(PodId, f64)>,
+        bids: Vec<Bid>,
+        turn: u8,
     },
-    Refused(HitId),
+    /// Gate to desk: none of that turn was allowed; here are the others.
+    Refused(HitId, Vec<Bid>),
     Sent {
         hit: HitId,
         no: ForwardNo,
@@ -184,6 +185,28 @@
     }
 }
 
+/// A pod that a hit may go to.
+#[derive(Clone, Copy)]
+pub struct Bid {
+    pub pod: PodId,
+    /// Those of the lowest turn are asked for first.
+    pub turn: u8,
+    /// The draw that stands for load not seen, then what the hit would bear there.
+    pub cost: f64,
+    /// The part of its build's pods that this sidecar uses.
+    pub part: f64,
+}
+
+impl Bid {
+    /// Where the best of some bids stands: of the lowest turn, then the cheapest, then of the lowest pod.
+    pub fn best(bids: &[Bid]) -> Option<usize> {
+        let order = |a: &Bid, b: &Bid| {
+            a.turn.cmp(&b.turn).then_with(|| a.cost.total_cmp(&b.cost)).then_with(|| a.pod.cmp(&b.pod))
+        };
+        bids.iter().enumerate().min_by(|a, b| order(a.1, b.1)).map(|(place, _)| place)
+    }
+}
+
 /// The last card of each pod, by pod.
 #[derive(Default)]
 pub struct Cards {
