The best bid is found without a chain of comparisons, and the beat makes no list

Cause: what was left at 91 pods was the gate's look for the best bid and a list of pods made at each beat. Change: bids are compared as plain tuples; the beat posts to the pods that watch as it meets them.

--- a/src/notes.rs
+++ b/src/notes.rs
@@ -200,10 +200,8 @@
 impl Bid {
     /// Where the best of some bids stands: of the lowest turn, then the cheapest, then of the lowest pod.
     pub fn best(bids: &[Bid]) -> Option<usize> {
-        let order = |a: &Bid, b: &Bid| {
-            a.turn.cmp(&b.turn).then_with(|| a.cost.total_cmp(&b.cost)).then_with(|| a.pod.cmp(&b.pod))
-        };
-        bids.iter().enumerate().min_by(|a, b| order(a.1, b.1)).map(|(place, _)| place)
+        let order = |place: usize| (bids[place].turn, bids[place].cost, bids[place].pod);
+        (0..bids.len()).reduce(|best, next| if order(next) < order(best) { next } else { best })
     }
 }
 
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -44,9 +44,9 @@
         if now >= self.next_beat {
             self.next_beat = now + BEAT;
             self.round.out.push(Action::Wake { at: self.next_beat, id: TimerId(0) });
-            let watching = self.pods.iter().filter(|(_, pod)| pod.watches());
-            let pods: Vec<PodId> = watching.map(|(id, _)| *id).collect();
-            pods.into_iter().for_each(|pod| self.round.mail.put(To::Pod(pod), Note::Beat));
+            for (id, _) in self.pods.iter().filter(|(_, pod)| pod.watches()) {
+                self.round.mail.put(To::Pod(*id), Note::Beat);
+            }
             self.round.tell([To::Gate, To::Desk, To::Judge], &Note::Beat);
             self.empty();
         }
