Bids are put in order only after a refusal, and a build refused for its cap is asked for once

Cause: at 91 pods most of the cost above that at 14 was order among bids and a refusal for each pod of a build whose share was spent; and no command told the ratio of two fleets.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -30,12 +30,15 @@
     /// Each key stays with the newest build that has answered it
     #[arg(long)]
     keys_stay: bool,
-    /// The most that the last day may cost, as a multiple of the third
+    /// The most that the last day may cost, as a multiple of the third; with --beside, the larger fleet
     #[arg(long, default_value_t = 1.1)]
     most: f64,
     /// Only print, do not judge
     #[arg(long)]
     look: bool,
+    /// Plays each day with so many pods too, and tells what a hit costs there as a multiple
+    #[arg(long)]
+    beside: Option<usize>,
 }
 
 struct Seen {
@@ -55,19 +58,48 @@
     stats.bytes_allocated.saturating_sub(stats.bytes_deallocated)
 }
 
+/// Days of two fleets in turns, so that a machine that slows down slows both; the middle one of the ratios.
+fn compare(cli: &Cli, more: usize, [mut few, mut many]: [Soak; 2], clock: impl Fn() -> Duration) -> ExitCode {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header(["day", "us a hit", "us a hit beside", "ratio"]);
+    let mut ratios = Vec::new();
+    for number in 1..=cli.days {
+        let [one, other] = [&mut few, &mut many].map(|soak| {
+            let day = soak.play_day(&clock);
+            day.handling.as_secs_f64() * 1e6 / day.hits.max(1) as f64
+        });
+        ratios.push(other / one);
+        let cells = [one, other, other / one].map(|figure| format!("{figure:.2}"));
+        table.add_row([number.to_string()].into_iter().chain(cells));
+    }
+    ratios.sort_unstable_by(f64::total_cmp);
+    let middle = ratios[ratios.len() / 2];
+    println!("{table}\ncost of a hit with {more} pods against {}: {middle:.2}", cli.pods);
+    match cli.look || middle <= cli.most {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (pods, hits_per_s, hits_per_day, seed) = (cli.pods, cli.hits_per_s, cli.hits_per_day, cli.seed);
-    let mut soak = Soak::new(Terms {
-        pods,
-        hits_per_s,
-        hits_per_day,
-        build: cli.build,
-        keys_stay: cli.keys_stay,
-        seed,
-        idle_step: Duration::from_millis(500),
-    });
+    let soak = |pods: usize| {
+        Soak::new(Terms {
+            pods,
+            hits_per_s: cli.hits_per_s,
+            hits_per_day: cli.hits_per_day,
+            build: cli.build,
+            keys_stay: cli.keys_stay,
+            seed: cli.seed,
+            idle_step: Duration::from_millis(500),
+        })
+    };
     let start = Instant::now();
+    if let Some(more) = cli.beside {
+        return compare(&cli, more, [soak(cli.pods), soak(more)], || start.elapsed());
+    }
+    let mut soak = soak(cli.pods);
     let mut seen: Vec<Seen> = Vec::new();
     for number in 1..=cli.days {
         let before = HEAP.stats().allocations;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -222,11 +222,21 @@
             Note::Forget(pod) => drop(self.places.remove(&pod)),
             Note::Taken(hit) => self.open(hit, round),
             Note::Ask { hit, mut bids, turn } => {
-                // The best may nearly always have it: the others need no order.
-                while let Some(best) = Bid::best(&bids).filter(|best| bids[*best].turn == turn) {
-                    let Bid { pod, part, .. } = bids.remove(best);
-                    if self.allow(hit, (pod, part), round).is_ok() {
-                        return self.send(hit, pod, round);
+                // Nearly always the best may have it: only if not, the others are put in order.
+                if let Some(best) = (0..bids.len()).max_by(|a, b| bids[*a].cmp(&bids[*b])) {
+                    let last = bids.len() - 1;
+                    bids.swap(best, last);
+                }
+                let mut sorted = false;
+                while let Some(Bid { pod, build, part, .. }) = bids.pop_if(|bid| bid.turn == turn) {
+                    match self.allow(hit, (pod, part), round) {
+                        Ok(()) => return self.send(hit, pod, round),
+                        // That holds for all of its build.
+                        Err(Refusal::Exposed | Refusal::KeyStays) => bids.retain(|bid| bid.build != build),
+                        Err(_) => {}
+                    }
+                    if !std::mem::replace(&mut sorted, true) {
+                        bids.sort_unstable();
                     }
                 }
                 round.mail.put(To::Desk, Note::Refused(hit, bids));
@@ -582,23 +592,24 @@
             _ if !on_trial(c) && open.out == 0 => Some(4),
             _ => None,
         };
-        let mut bids = Vec::with_capacity(self.cards.iter().len());
+        let (mut bids, mut first) = (Vec::with_capacity(self.cards.iter().len()), u8::MAX);
         for card in self.cards.iter() {
-            let cost = round.chance();
-            let bid = turn(card).map(|turn| Bid { pod: card.entry.pod, turn, cost, part: among(card).1 });
-            bids.extend(bid);
+            let chance = round.chance();
+            let Some(turn) = turn(card) else { continue };
+            first = first.min(turn);
+            let cost = if turn == first { self.cost(card, chance, round) } else { 0.0 };
+            let (pod, build, part) = (card.entry.pod, card.entry.build, among(card).1);
+            bids.push(Bid { pod, build, turn, chance, cost, part });
         }
-        self.ask(hit, bids, round);
+        round.mail.put(To::Gate, Note::Ask { hit, bids, turn: first });
     }
 
-    /// Asks for the pods whose turn it is; only they are priced.
+    /// Asks for the pods whose turn is next; they had no price before.
     fn ask(&self, hit: HitId, mut bids: Vec<Bid>, round: &mut Round) {
         let turn = bids.iter().map(|bid| bid.turn).min().unwrap_or(0);
-        let mut cards = self.cards.iter();
         for bid in bids.iter_mut().filter(|bid| bid.turn == turn) {
-            // Both are in the order of pods.
-            let card = cards.find(|card| card.entry.pod == bid.pod);
-            bid.cost = card.map_or(f64::MAX, |card| self.cost(card, -bid.cost.max(1e-9).ln(), round));
+            let card = self.cards.get(bid.pod);
+            bid.cost = card.map_or(f64::MAX, |card| self.cost(card, bid.chance, round));
         }
         round.mail.put(To::Gate, Note::Ask { hit, bids, turn });
     }
@@ -650,10 +661,11 @@
     }
 
     /// What one more hit would bear at a pod, at its pace and present strength. Of the load a sidecar knows
-    /// its own part only, one in so many; chance stands for the rest (`luck`, 1 in the mean): pods alike get
+    /// its own part only, one in so many; chance stands for the rest (luck, 1 in the mean): pods alike get
     /// hits in proportion to strength, and sidecars that rank alike don't herd. A pace known from few answers
     /// leans on the kind's: a new pod would be flooded while cold.
-    fn cost(&self, card: &Card, luck: f64, round: &Round) -> f64 {
+    fn cost(&self, card: &Card, chance: f64, round: &Round) -> f64 {
+        let luck = -chance.max(1e-9).ln();
         let kind = self.kinds.get(&card.entry.kind).map_or(1.0, |mean| mean.value);
         let known = card.pace.of.min(PACE_OVER) as f64;
         let pace = (card.pace.value * known + kind * 3.0) / (known + 3.0);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -173,6 +173,35 @@
     assert_eq!(gate.allow(HitId(0), (PodId(3), 1.0), &round(1.5)), want);
 }
 
+fn bid(pod: u64, build: u16, turn: u8, cost: f64) -> Bid {
+    Bid { pod: PodId(pod), build: BuildId(build), turn, chance: 0.5, cost, part: 1.0 }
+}
+
+/// Build 2 may have nothing: what the gate says to bids of the first turn, of 1.
+#[rstest]
+#[case::cheapest(&[bid(0, 1, 1, 2.0), bid(1, 1, 1, 1.0), bid(2, 1, 1, 3.0)], Some(1), 0)]
+#[case::of_two_alike_the_lower(&[bid(2, 1, 1, 1.0), bid(1, 1, 1, 1.0)], Some(1), 0)]
+#[case::next_after_a_refusal(&[bid(3, 2, 1, 0.1), bid(2, 1, 1, 3.0), bid(0, 1, 1, 2.0)], Some(0), 0)]
+#[case::next_turn_waits(&[bid(3, 2, 1, 0.1), bid(0, 1, 2, 0.0)], None, 1)]
+#[case::a_refused_build_does_not(&[bid(3, 2, 1, 0.1), bid(4, 2, 2, 0.0), bid(0, 1, 3, 0.0)], None, 1)]
+fn the_best_bid_that_is_allowed_gets_the_hit(
+    #[case] bids: &[Bid],
+    #[case] to: Option<u64>,
+    #[case] rest: usize,
+) {
+    let (mut gate, mut round) = (gate(0, Phase::OnTrial, 0.0), round(1.0));
+    gate.take(Note::Ask { hit: HitId(0), bids: bids.to_vec(), turn: 1 }, &mut round);
+    let sent = round.out.first().map(|action| match action {
+        Action::Forward { pod, .. } => pod.0,
+        _ => panic!("{action:?}"),
+    });
+    assert_eq!(sent, to);
+    if sent.is_none() {
+        let Some((_, Note::Refused(_, left))) = round.mail.take() else { panic!("no word to the desk") };
+        assert_eq!(left.len(), rest);
+    }
+}
+
 #[test]
 fn a_build_without_news_counts_as_in_the_first_stage() {
     let gate = Gate { news: None, ..gate(0, Phase::OnTrial, 1.0) };
@@ -392,7 +421,7 @@
     for _ in 0..500 {
         desk.place(HitId(0), &mut round);
         let Some((_, Note::Ask { bids, .. })) = round.mail.take() else { panic!("no pod asked for") };
-        *firsts.entry(Bid::best(&bids).map(|best| bids[best].pod)).or_insert(0) += 1;
+        *firsts.entry(bids.iter().max().map(|best| best.pod)).or_insert(0) += 1;
     }
     assert!(firsts.len() == 5 && firsts.values().all(|n| (50..200).contains(n)), "{firsts:?}");
 }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -31,6 +31,8 @@
     pub grace: Duration,
     pub cold_from: f64,
     pub cold_for: Duration,
+    /// Twice that: a pod of such an age is warm for certain.
+    pub long_warm: Duration,
     pub fall_within: Duration,
     pub clock: bool,
     pub step_after: Duration,
@@ -77,6 +79,7 @@
             grace: rules.drain_grace,
             cold_from: rules.cold_from,
             cold_for: rules.cold_for,
+            long_warm: rules.cold_for.saturating_mul(2),
             fall_within: rules.fall_within,
             clock: release.control == Control::Clock,
             step_after: release.step_after,
@@ -109,12 +112,11 @@
     }
 
     /// How strong a pod surely is by now: cold ones grow at least evenly from a share to the whole.
+    #[inline]
     pub fn strength(&self, started: Option<Duration>, now: Duration) -> f64 {
         // Long ago is told by a comparison alone: this is asked for each pod and hit.
-        let Some(started) = started.filter(|at| now.saturating_sub(*at) < self.cold_for.saturating_mul(2))
-        else {
-            return 1.0;
-        };
+        let grows = |at: &Duration| now.saturating_sub(*at) < self.long_warm;
+        let Some(started) = started.filter(grows) else { return 1.0 };
         let age = now.saturating_sub(started).as_secs_f64() / self.cold_for.as_secs_f64().max(1e-6);
         (self.cold_from + (1.0 - self.cold_from) * age).min(1.0)
     }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -5,6 +5,7 @@
 use crate::interface::*;
 use crate::ledger::{median, DueTimes, Mean, Window};
 use nanorand::{Rng, WyRand};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -189,22 +190,39 @@
 #[derive(Clone, Copy)]
 pub struct Bid {
     pub pod: PodId,
+    pub build: BuildId,
     /// Those of the lowest turn are asked for first.
     pub turn: u8,
-    /// The draw that stands for load not seen, then what the hit would bear there.
+    /// The draw that stands for load not seen.
+    pub chance: f64,
+    /// What the hit would bear there; not told before its turn.
     pub cost: f64,
     /// The part of its build's pods that this sidecar uses.
     pub part: f64,
 }
 
-impl Bid {
-    /// Where the best of some bids stands: of the lowest turn, then the cheapest, then of the lowest pod.
-    pub fn best(bids: &[Bid]) -> Option<usize> {
-        let order = |place: usize| (bids[place].turn, bids[place].cost, bids[place].pod);
-        (0..bids.len()).reduce(|best, next| if order(next) < order(best) { next } else { best })
+/// The greatest is asked for first: of the lowest turn, then the cheapest, then of the lowest pod.
+impl Ord for Bid {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let (turn, pod) = (|| other.turn.cmp(&self.turn), || other.pod.cmp(&self.pod));
+        turn().then_with(|| other.cost.total_cmp(&self.cost)).then_with(pod)
+    }
+}
+
+impl PartialOrd for Bid {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
     }
 }
 
+impl PartialEq for Bid {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Bid {}
+
 /// The last card of each pod, by pod.
 #[derive(Default)]
 pub struct Cards {
