--- a/crates/account/src/record.rs
+++ b/crates/account/src/record.rs
@@ -178,6 +178,9 @@
     },
     StageTold {
         sidecar: SidecarNo,
+        /// Grows with each change: what comes after a higher one is old.
+        #[serde(default)]
+        number: u64,
         build: u16,
         stage: u8,
         phase: Phase,
--- a/crates/account/src/rules.rs
+++ b/crates/account/src/rules.rs
@@ -448,6 +448,8 @@
 struct Exposed {
     /// News by the time it was told.
     news: Vec<(Duration, u16, u8, Phase, f64)>,
+    /// The number of the last of them.
+    told: u64,
     taken: BTreeMap<usize, VecDeque<Duration>>,
     sent: BTreeMap<(u16, usize), VecDeque<Duration>>,
     met: BTreeMap<u64, u16>,
@@ -507,9 +509,12 @@
                 let here = ready.iter().chain(draining).filter_map(|pod| builds.get(pod)).min();
                 of.lowest = here.copied();
             }
-            Entry::StageTold { sidecar, build, stage, phase, cap } => {
-                let news = (at, *build, *stage, *phase, *cap);
-                sidecars.entry(*sidecar).or_default().news.push(news);
+            Entry::StageTold { sidecar, number, build, stage, phase, cap } => {
+                let this = sidecars.entry(*sidecar).or_default();
+                if *number >= this.told {
+                    this.told = *number;
+                    this.news.push((at, *build, *stage, *phase, *cap));
+                }
             }
             Entry::Asked { sidecar, of, group, key, .. } => {
                 let taken = &mut sidecars.entry(*sidecar).or_default().taken;
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -4,9 +4,9 @@
 use super::{Due, Peer, Service};
 use crate::memory;
 use crate::pods;
-use crate::stages::{vote_answer, EventReader, VoteMessage};
+use crate::stages::{vote_answer, EventReader, StageMessage, VoteMessage};
 use bytes::BytesMut;
-use limewing::interface::{BuildId, Event, ListNews, StageNews, StageNo, Verdict, VoteAnswer};
+use limewing::interface::{BuildId, Event, ListNews, StageNo, Verdict, VoteAnswer};
 use limewing_net::body::{BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits};
 use limewing_net::message::Responses;
@@ -193,9 +193,10 @@
                 Err(why) => Err(why.to_string()),
             };
             match news {
-                Ok(news) => self.events.extend(
-                    news.into_iter().map(|news| Event::Stage { news: Some(news.news()), answer: None }),
-                ),
+                Ok(news) => {
+                    let news = news.into_iter().filter_map(|news| self.latest.take(news));
+                    self.events.extend(news.map(|news| Event::Stage { news: Some(news), answer: None }));
+                }
                 Err(why) => return self.news_lost(link, &why),
             }
         }
@@ -260,11 +261,12 @@
         }
     }
 
-    pub(super) fn vote_over(&mut self, link: SocketId, answer: VoteAnswer, news: Option<StageNews>) {
+    pub(super) fn vote_over(&mut self, link: SocketId, answer: VoteAnswer, news: Option<StageMessage>) {
         let Some(Peer::Vote(of)) = self.peers.remove(&link) else { return };
         self.wheel.cancel(of.timer);
         self.sockets.close(link);
         tracing::debug!(?answer, "a vote was answered");
+        let news = news.and_then(|news| self.latest.take(news));
         self.events.push(Event::Stage { news, answer: Some(answer) });
     }
 }
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -12,6 +12,7 @@
 use crate::memory;
 use crate::pods::{PodBook, Row};
 use crate::routes::Routes;
+use crate::stages::Latest;
 use asks::{ListLink, NewsLink, VoteLink};
 use back::PodLink;
 use front::{Client, OpenHit, Reports};
@@ -105,6 +106,7 @@
     module: Box<dyn Decisions + Send>,
     wake: Duration,
     events: Vec<Event>,
+    latest: Latest,
     terms: Terms,
     routes: Routes,
     peers: FxHashMap<SocketId, Peer>,
@@ -181,6 +183,7 @@
             module: decisions(now, settings.start_terms(seed)),
             wake: now,
             events: Vec::new(),
+            latest: Latest::default(),
             terms,
             routes,
             peers: FxHashMap::default(),
--- a/crates/sidecar/src/stages.rs
+++ b/crates/sidecar/src/stages.rs
@@ -17,6 +17,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StageMessage {
+    /// Grows with each change of the state; 0 from an installer that does not count them.
+    #[serde(default)]
+    pub number: u64,
     pub build: u16,
     pub stage: u8,
     pub phase: PhaseName,
@@ -43,6 +46,26 @@
     }
 }
 
+/// Lets only news through that is no older than what came before. The stream and the answers to votes are
+/// connections of their own: a late answer may tell a cap that has been lowered since. Where the count began
+/// anew, as an installer lost it, this hurts: its news is taken for old until it has caught up, and is logged.
+#[derive(Default)]
+pub struct Latest {
+    number: u64,
+}
+
+impl Latest {
+    pub fn take(&mut self, message: StageMessage) -> Option<StageNews> {
+        let old = message.number != 0 && message.number < self.number;
+        if old {
+            tracing::warn!(number = message.number, known = self.number, "old stage news left out");
+            return None;
+        }
+        self.number = self.number.max(message.number);
+        Some(message.news())
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VerdictName {
@@ -88,14 +111,14 @@
 }
 
 /// What an installer's answer to a vote says.
-pub fn vote_answer(status: u16, body: &[u8]) -> (VoteAnswer, Option<StageNews>) {
+pub fn vote_answer(status: u16, body: &[u8]) -> (VoteAnswer, Option<StageMessage>) {
     match (status, serde_json::from_slice::<VoteReply>(body)) {
         (200, Ok(reply)) => {
             let answer = match reply.answer {
                 CountName::Counted => VoteAnswer::Counted,
                 CountName::Moot => VoteAnswer::Moot,
             };
-            (answer, reply.stage.map(StageMessage::news))
+            (answer, reply.stage)
         }
         (429, _) => (VoteAnswer::Full, None),
         _ => (VoteAnswer::Failed, None),
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -4,7 +4,7 @@
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{rows, PodBook};
 use limewing_sidecar::routes::path_of;
-use limewing_sidecar::stages::{vote_answer, EventReader};
+use limewing_sidecar::stages::{vote_answer, EventReader, Latest, PhaseName, StageMessage};
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::time::{Duration, SystemTime};
@@ -114,3 +114,19 @@
     std::fs::write(&file, &text[..text.len() / 2]).unwrap();
     assert!(memory::recall(&file).is_err());
 }
+
+fn message(number: u64, cap: f64) -> StageMessage {
+    StageMessage { number, build: 2, stage: 0, phase: PhaseName::OnTrial, cap, age_ms: 0 }
+}
+
+/// Which of some news, given by number, is let through.
+#[rstest]
+#[case::in_order(&[1, 2, 3], &[true, true, true])]
+#[case::told_again(&[2, 2], &[true, true])]
+#[case::a_late_answer(&[1, 3, 2, 3], &[true, true, false, true])]
+#[case::not_counted(&[0, 0], &[true, true])]
+fn news_never_goes_back(#[case] numbers: &[u64], #[case] want: &[bool]) {
+    let mut latest = Latest::default();
+    let taken: Vec<bool> = numbers.iter().map(|n| latest.take(message(*n, 0.5)).is_some()).collect();
+    assert_eq!(taken, want);
+}
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -17,7 +17,7 @@
 use processes::Process;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
-use services::{ListLink, NewsLink, Published, VoteLink};
+use services::{LateAnswer, ListLink, NewsLink, Published, VoteLink};
 use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::io::{self, BufWriter};
@@ -80,6 +80,7 @@
     PodRead(SocketId),
     PodRest(SocketId),
     Rest(SocketId),
+    VoteAnswer(Box<LateAnswer>),
     Offer(usize),
     Trouble(usize),
     TroubleEnds(usize),
@@ -316,6 +317,7 @@
             Due::PodRead(link) => self.pod_ready(link),
             Due::PodRest(link) => self.pod_rest(link),
             Due::Rest(link) => self.write_rest(link),
+            Due::VoteAnswer(answer) => self.answer_vote(*answer),
             Due::Offer(number) => {
                 let build = self.script.offers[number].build;
                 self.installer.offer(build, self.now);
--- a/crates/standins/src/day/services.rs
+++ b/crates/standins/src/day/services.rs
@@ -2,7 +2,7 @@
 
 use super::pods::sidecar_of;
 use super::{Day, DayTrouble, Due, End};
-use crate::installer::{Step, Verdict};
+use crate::installer::{State, Step, Verdict};
 use crate::script::Trouble;
 use bytes::BytesMut;
 use limewing_account::record::{Entry, Phase, PodNo, SidecarNo};
@@ -30,6 +30,8 @@
     pub told: BTreeSet<SidecarNo>,
     pub show: bool,
     votes: u64,
+    /// When votes were taken, while there is an allowance.
+    taken: Vec<Duration>,
 }
 
 /// A list as it will be told once its lag is over.
@@ -61,6 +63,14 @@
     }
 }
 
+/// What is still to be said to a vote.
+pub struct LateAnswer {
+    id: SocketId,
+    sidecar: SidecarNo,
+    state: State,
+    reply: String,
+}
+
 pub struct NewsLink {
     sidecar: SidecarNo,
 }
@@ -85,6 +95,7 @@
             told: BTreeSet::new(),
             show: false,
             votes: 0,
+            taken: Vec::new(),
         }
     }
 }
@@ -285,13 +296,19 @@
             Phase::Withdrawn => "withdrawn",
         };
         let age = self.now.saturating_sub(state.since).as_millis() as u64;
-        json!({"build": state.build, "stage": state.stage, "phase": phase, "cap": state.cap, "age_ms": age})
+        let State { number, build, stage, cap, .. } = state;
+        json!({
+            "number": number, "build": build, "stage": stage, "phase": phase, "cap": cap, "age_ms": age
+        })
     }
 
     fn note_stage_told(&mut self, sidecar: SidecarNo) {
         let state = self.installer.state();
-        let (build, stage, phase, cap) = (state.build, state.stage, state.phase, state.cap);
-        self.note(Entry::StageTold { sidecar, build, stage, phase, cap });
+        self.note_told(sidecar, state);
+    }
+
+    fn note_told(&mut self, sidecar: SidecarNo, State { number, build, stage, phase, cap, .. }: State) {
+        self.note(Entry::StageTold { sidecar, number, build, stage, phase, cap });
     }
 
     fn tell_stage(&mut self, id: SocketId) {
@@ -345,6 +362,18 @@
         if self.is_present(|t| matches!(t, Trouble::VotesRefused)) {
             return self.plain(id, 429, b"");
         }
+        let allowance = self.present.values().find_map(|trouble| match trouble {
+            Trouble::VotesAllowed { most, within } => Some((*most, Duration::from(*within))),
+            _ => None,
+        });
+        if let Some((most, within)) = allowance {
+            let from = self.now.saturating_sub(within);
+            self.list.taken.retain(|at| *at > from);
+            if self.list.taken.len() >= most {
+                return self.plain(id, 429, b"");
+            }
+            self.list.taken.push(self.now);
+        }
         let silent = self.is_present(|t| matches!(t, Trouble::VotesUnanswered));
         if silent && self.list.votes.is_multiple_of(2) {
             return;
@@ -356,9 +385,25 @@
         if silent {
             return;
         }
-        self.note_stage_told(sidecar);
-        let reply = json!({"answer": answer, "stage": self.stage_json()});
-        self.plain(id, 200, reply.to_string().as_bytes());
+        let reply = json!({"answer": answer, "stage": self.stage_json()}).to_string();
+        let late = self.present.values().find_map(|trouble| match trouble {
+            Trouble::VotesLate(late) => Some(Duration::from(*late)),
+            _ => None,
+        });
+        let answer = LateAnswer { id, sidecar, state: self.installer.state(), reply };
+        match late {
+            Some(late) => drop(self.wheel.arm(self.now + late, Due::VoteAnswer(Box::new(answer)))),
+            None => self.answer_vote(answer),
+        }
+    }
+
+    /// An answer tells the stage as it was when the vote came.
+    pub(super) fn answer_vote(&mut self, LateAnswer { id, sidecar, state, reply }: LateAnswer) {
+        // The sidecar may have gone, or wait no more.
+        if matches!(self.ends.get(&id), Some(End::Installer(_))) {
+            self.note_told(sidecar, state);
+            self.plain(id, 200, reply.as_bytes());
+        }
     }
 
     pub(super) fn tick(&mut self) -> Result<(), DayTrouble> {
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -171,6 +171,13 @@
     InstallerStandsStill,
     /// Votes are never answered; every other one counts all the same.
     VotesUnanswered,
+    /// Votes count at once, and are answered so much later, with the stage of then.
+    VotesLate(Seconds),
+    /// Of the votes of all sidecars, so many are taken within a span; the others are refused.
+    VotesAllowed {
+        most: usize,
+        within: Seconds,
+    },
     /// Votes are refused, as over the allowance.
     VotesRefused,
     /// News of stages comes so much later.
