A lost installer is asked again after waits that double, by the instance's seed

Cause: the wait was a constant with an unseeded draw in the driver, the same for the first loss and the hundredth, and a fleet would have come back at an installer within the same second for as long as it was gone.

--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -194,6 +194,9 @@
             };
             match news {
                 Ok(news) => {
+                    if !news.is_empty() {
+                        self.lost_news.answered();
+                    }
                     let news = news.into_iter().filter_map(|news| self.latest.take(news));
                     self.events.extend(news.map(|news| Event::Stage { news: Some(news), answer: None }));
                 }
@@ -219,8 +222,7 @@
 
     fn news_again(&mut self, why: &str) {
         tracing::warn!(why, "no stage news; asked for again");
-        // Spread out, so that not all sidecars ask at once.
-        let wait = Duration::from_millis(300 + u64::from(rand::random::<u8>()) * 3);
+        let wait = self.lost_news.wait();
         self.wheel.arm(self.now + wait, Due::AskNews);
     }
 
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -8,6 +8,7 @@
 mod back;
 mod front;
 
+use crate::again::Again;
 use crate::clock::Clock;
 use crate::memory;
 use crate::pods::{PodBook, Row};
@@ -107,6 +108,7 @@
     wake: Duration,
     events: Vec<Event>,
     latest: Latest,
+    lost_news: Again,
     terms: Terms,
     routes: Routes,
     peers: FxHashMap<SocketId, Peer>,
@@ -184,6 +186,7 @@
             wake: now,
             events: Vec::new(),
             latest: Latest::default(),
+            lost_news: Again::new(seed),
             terms,
             routes,
             peers: FxHashMap::default(),
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -1,6 +1,7 @@
 //! Lists, stage news, votes and the state file: bytes in, words out.
 
 use limewing::interface::{PodState, VoteAnswer};
+use limewing_sidecar::again::Again;
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{rows, PodBook};
 use limewing_sidecar::routes::path_of;
@@ -130,3 +131,23 @@
     let taken: Vec<bool> = numbers.iter().map(|n| latest.take(message(*n, 0.5)).is_some()).collect();
     assert_eq!(taken, want);
 }
+
+#[rstest]
+fn waits_for_a_lost_service_grow_to_a_bound_and_differ() {
+    let waits = |seed| {
+        let mut again = Again::new(seed);
+        (0..8).map(|_| again.wait()).collect::<Vec<_>>()
+    };
+    let (one, other) = (waits(1), waits(2));
+    let (least, most) = (Duration::from_millis(250), Duration::from_secs(4));
+    assert!(one.iter().all(|wait| (least..=most).contains(wait)), "{one:?}");
+    assert!(one[7] >= Duration::from_secs(2) && one != other && one == waits(1), "{one:?} {other:?}");
+}
+
+#[rstest]
+fn a_service_that_answered_is_soon_asked_again() {
+    let mut again = Again::new(7);
+    (0..8).for_each(|_| assert!(again.wait() > Duration::ZERO));
+    again.answered();
+    assert!(again.wait() <= Duration::from_millis(500));
+}
