limewing load idle tells what a sleeping connection costs a sidecar

Change: a command opens few, then many connections, each with one hit before if asked for, and tells the slope of the sidecar's own resident memory and its CPU while all sleep; what the system tells of a process is read by procfs, in the load comparison too.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use limewing_load::compare;
 use limewing_load::generate::{self, Load};
+use limewing_load::idle;
 use limewing_settings::SidecarSettings;
 use limewing_sidecar::service::Service;
 use limewing_standins::script::DayScript;
@@ -100,6 +101,19 @@
         #[arg(long, default_value_t = 7)]
         seed: u64,
     },
+    /// What a sleeping connection costs a sidecar in memory and CPU
+    Idle {
+        #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u16).range(1..))]
+        few: u16,
+        #[arg(long, default_value_t = 15_000, value_parser = clap::value_parser!(u16).range(2..))]
+        many: u16,
+        /// Each connection has had one hit before it sleeps
+        #[arg(long)]
+        after_hit: bool,
+        /// Seconds of sleep that are watched
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=3600))]
+        rests: u64,
+    },
     /// Hits on a schedule at one address
     Hits {
         to: SocketAddr,
@@ -199,6 +213,17 @@
             println!("{}", compare::compare(&program, folder.path(), &plan).map_err(Stop::failed)?);
             Ok(())
         }
+        Command::Load(LoadCommand::Idle { few, many, after_hit, rests }) => {
+            if few >= many {
+                return Err(Stop::input(format!("--few {few}: expected fewer than --many {many}")));
+            }
+            let program = std::env::current_exe().map_err(Stop::failed)?;
+            let folder = tempfile::tempdir().map_err(Stop::failed)?;
+            let rests = Duration::from_secs(rests);
+            let plan = idle::Plan { few: few.into(), many: many.into(), after_hit, rests };
+            println!("{}", idle::measure(&program, folder.path(), &plan).map_err(Stop::failed)?);
+            Ok(())
+        }
         Command::Load(LoadCommand::Hits { to, hits_per_s, seconds, connections, seed, target }) => {
             let (warm_up, lasts) = (Duration::ZERO, Duration::from_secs(seconds));
             let connections = connections.into();
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -21,11 +21,13 @@
     System(#[from] io::Error),
     #[error("{what} does not listen")]
     Silent { what: String },
+    #[error("what the system tells of a process can't be had: {0}")]
+    Process(#[from] procfs::ProcError),
     #[error("the settings can't be used: {0}")]
     Settings(#[from] serde_json::Error),
 }
 
-struct Part(Child);
+pub(crate) struct Part(Child);
 
 impl Drop for Part {
     fn drop(&mut self) {
@@ -35,7 +37,11 @@
 }
 
 impl Part {
-    fn start(program: &Path, args: &[&str], many: usize) -> Result<(Self, Vec<SocketAddr>), Trouble> {
+    pub(crate) fn start(
+        program: &Path,
+        args: &[&str],
+        many: usize,
+    ) -> Result<(Self, Vec<SocketAddr>), Trouble> {
         let mut command = Command::new(program);
         command.args(args).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::null());
         let mut child = command.spawn()?;
@@ -52,12 +58,18 @@
     }
 
     /// Seconds of CPU that it has used, as the system counts them.
-    fn cpu(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = |place: usize| fields.get(place).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-        // User and system time.
-        (ticks(11) + ticks(12)) / rustix::param::clock_ticks_per_second() as f64
+    pub(crate) fn cpu(&self) -> Result<f64, Trouble> {
+        let stat = self.process()?.stat()?;
+        Ok((stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64)
+    }
+
+    /// Bytes of memory that it has in use, as the system counts them.
+    pub(crate) fn resident(&self) -> Result<u64, Trouble> {
+        Ok(self.process()?.statm()?.resident * procfs::page_size())
+    }
+
+    fn process(&self) -> Result<procfs::process::Process, Trouble> {
+        Ok(procfs::process::Process::new(self.0.id() as i32)?)
     }
 }
 
@@ -100,7 +112,7 @@
 
     fn saturate(&mut self, load: &Load) -> Result<(), Trouble> {
         let (mut before, mut after) = (0.0, 0.0);
-        let cpu = || self.part.as_ref().map_or(f64::NAN, Part::cpu);
+        let cpu = || self.part.as_ref().and_then(|part| part.cpu().ok()).unwrap_or(f64::NAN);
         let outcome = run(&Load { to: self.to, ..load.clone() }, || before = cpu(), || after = cpu())?;
         self.per_s.push(outcome.per_s());
         self.per_core.push(outcome.answered as f64 / (after - before).max(0.01));
