A connection between two messages keeps only a pointer to what is being read

Change: what is being read stands apart and exists only while a message has begun and is not whole; a message that comes in one piece needs no allocation for it.

--- a/crates/load/src/idle.rs
+++ b/crates/load/src/idle.rs
@@ -58,7 +58,7 @@
                 last = Instant::now();
                 match what {
                     Happening::Connected(id) if self.request.is_empty() => self.sleep(id),
-                    Happening::Connected(id) => drop(self.sockets.send(id, &self.request)),
+                    Happening::Connected(id) => self.sockets.send(id, &self.request),
                     Happening::Readable(id) => self.read(id)?,
                     Happening::Lost { why, .. } => {
                         return Err(io::Error::other(format!("after {} connections: {why}", self.asleep)))
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -6,11 +6,17 @@
 
 /// Gathers one message after the other off a connection's bytes.
 pub struct Gather<H> {
-    open: Option<(H, BodyReader)>,
-    body: BytesMut,
+    /// Apart, so that a connection between two messages is small.
+    open: Option<Box<Open<H>>>,
     most: usize,
 }
 
+struct Open<H> {
+    head: H,
+    reader: BodyReader,
+    body: BytesMut,
+}
+
 trait Framed {
     fn framing(&self) -> Framing;
 }
@@ -33,7 +39,7 @@
 impl<H> Gather<H> {
     /// Bodies may have `most` bytes.
     pub fn new(most: usize) -> Self {
-        Self { open: None, body: BytesMut::new(), most }
+        Self { open: None, most }
     }
 
     /// Whether a message has begun and is not whole.
@@ -44,39 +50,53 @@
     /// The message that is being read, with what of its body has come and the reader of the rest: for those
     /// too large to be gathered.
     pub fn give_up(&mut self) -> Option<(H, BytesMut, BodyReader)> {
-        let (head, reader) = self.open.take()?;
-        Some((head, std::mem::take(&mut self.body), reader))
+        let Open { head, reader, body } = *self.open.take()?;
+        Some((head, body, reader))
     }
 
-    fn rest(&mut self, input: &mut BytesMut, closed: bool) -> Result<Option<(H, BytesMut)>, Refused> {
-        let Some((_, reader)) = &mut self.open else {
-            return if closed && !input.is_empty() { Err(Refused::Early) } else { Ok(None) };
-        };
-        while let Some(piece) = reader.next(input)? {
-            self.body.extend_from_slice(&piece);
-            if self.body.len() > self.most {
+    fn rest(
+        &mut self,
+        mut open: Open<H>,
+        input: &mut BytesMut,
+        closed: bool,
+    ) -> Result<Option<(H, BytesMut)>, Refused> {
+        while let Some(piece) = open.reader.next(input)? {
+            open.body.extend_from_slice(&piece);
+            if open.body.len() > self.most {
+                self.open = Some(Box::new(open));
                 return Err(Refused::BodyTooLarge);
             }
         }
         if closed {
-            reader.close()?;
+            open.reader.close()?;
         }
-        let ended = reader.ended();
-        let whole = if ended { self.open.take() } else { None };
-        Ok(whole.map(|(head, _)| (head, std::mem::take(&mut self.body))))
+        if open.reader.ended() {
+            return Ok(Some((open.head, open.body)));
+        }
+        self.open = Some(Box::new(open));
+        Ok(None)
+    }
+}
+
+/// Nothing has begun: what is there of a head when no more comes is no message.
+fn none<T>(input: &BytesMut, closed: bool) -> Result<Option<T>, Refused> {
+    if closed && !input.is_empty() {
+        Err(Refused::Early)
+    } else {
+        Ok(None)
     }
 }
 
-fn opened<H: Framed>(head: H) -> (H, BodyReader) {
+fn opened<H: Framed>(head: H) -> Open<H> {
     let reader = BodyReader::new(head.framing());
-    (head, reader)
+    Open { head, reader, body: BytesMut::new() }
 }
 
 impl Requests {
     /// Whether a client waits for a word before it sends the body (RFC 9110, 10.1.1); told once a request.
     pub fn wants_continue(&mut self) -> bool {
-        let waits = self.open.as_mut().filter(|(_, reader)| !reader.ended());
-        waits.is_some_and(|(head, _)| std::mem::take(&mut head.expects_continue))
+        let waits = self.open.as_mut().filter(|open| !open.reader.ended());
+        waits.is_some_and(|open| std::mem::take(&mut open.head.expects_continue))
     }
 
     /// The next whole request.
@@ -88,11 +108,14 @@
         input: &mut BytesMut,
         closed: bool,
     ) -> Result<Option<(RequestHead, BytesMut)>, Refused> {
-        if self.open.is_none() {
-            let head = http::request(input, HeadLimits::default())?;
-            self.open = head.map(opened);
-        }
-        self.rest(input, closed)
+        let open = match self.open.take() {
+            Some(open) => *open,
+            None => match http::request(input, HeadLimits::default())? {
+                Some(head) => opened(head),
+                None => return none(input, closed),
+            },
+        };
+        self.rest(open, input, closed)
     }
 }
 
@@ -106,10 +129,13 @@
         input: &mut BytesMut,
         closed: bool,
     ) -> Result<Option<(ResponseHead, BytesMut)>, Refused> {
-        if self.open.is_none() {
-            let head = http::response(input, false, HeadLimits::default())?;
-            self.open = head.map(opened);
-        }
-        self.rest(input, closed)
+        let open = match self.open.take() {
+            Some(open) => *open,
+            None => match http::response(input, false, HeadLimits::default())? {
+                Some(head) => opened(head),
+                None => return none(input, closed),
+            },
+        };
+        self.rest(open, input, closed)
     }
 }
