--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -27,9 +27,21 @@
     assert_eq!(text.matches("| kept").count(), 5, "{text}");
 }
 
+#[rstest]
+#[case::never_spoke(&[])]
+#[case::after_a_hit(&["--after-hit"])]
+fn connections_sleep_and_are_counted(#[case] more: &[&str]) {
+    let args = ["load", "idle", "--few", "10", "--many", "200", "--rests", "1"];
+    let out = limewing(&[&args, more].concat());
+    let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.success() && text.contains("| 200 "), "{text}");
+}
+
 #[rstest]
 #[case::no_file(&["sidecar", "/nowhere.json"], 2, "expected a file")]
 #[case::no_record(&["day", "check", "/nowhere"], 2, "/nowhere")]
+#[case::idle_the_wrong_way_round(&["load", "idle", "--few", "10", "--many", "5"], 2, "expected fewer")]
+#[case::idle_beyond_its_descriptors(&["load", "idle", "--few", "10", "--many", "65000"], 1, "connections")]
 #[case::no_command(&["fly"], 2, "unrecognized subcommand")]
 fn bad_input_is_told_and_ends_with_a_code(#[case] args: &[&str], #[case] code: i32, #[case] says: &str) {
     let out = limewing(args);
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -111,11 +111,13 @@
     }
 
     fn saturate(&mut self, load: &Load) -> Result<(), Trouble> {
-        let (mut before, mut after) = (0.0, 0.0);
-        let cpu = || self.part.as_ref().and_then(|part| part.cpu().ok()).unwrap_or(f64::NAN);
+        let (mut before, mut after) = (Ok(None), Ok(None));
+        let cpu = || self.part.as_ref().map(Part::cpu).transpose();
         let outcome = run(&Load { to: self.to, ..load.clone() }, || before = cpu(), || after = cpu())?;
         self.per_s.push(outcome.per_s());
-        self.per_core.push(outcome.answered as f64 / (after - before).max(0.01));
+        if let (Some(before), Some(after)) = (before?, after?) {
+            self.per_core.push(outcome.answered as f64 / (after - before).max(0.01));
+        }
         self.failed += outcome.failed;
         Ok(())
     }
--- a/crates/load/src/idle.rs
+++ b/crates/load/src/idle.rs
@@ -51,7 +51,8 @@
         let mut last = Instant::now();
         while self.asleep < many {
             while self.busy.len() < LOT.min(many - self.asleep) {
-                let id = self.sockets.connect(to)?;
+                let failed = |e| io::Error::other(format!("after {} connections: {e}", self.asleep));
+                let id = self.sockets.connect(to).map_err(failed)?;
                 self.busy.insert(id, Responses::new(1 << 20));
             }
             for what in self.sockets.wait(Some(Duration::from_millis(100)))? {
@@ -73,6 +74,14 @@
         Ok(())
     }
 
+    /// That none was woken: what a closed connection costs would pass for one that sleeps.
+    fn all_sleep(&mut self) -> io::Result<()> {
+        match self.sockets.wait(Some(Duration::ZERO))?.first() {
+            None => Ok(()),
+            Some(what) => Err(io::Error::other(format!("of {} connections one woke: {what:?}", self.asleep))),
+        }
+    }
+
     fn sleep(&mut self, id: SocketId) {
         self.asleep += usize::from(self.busy.remove(&id).is_some());
     }
@@ -110,6 +119,7 @@
         std::thread::sleep(plan.rests);
         let busy = (sidecar.cpu()? - before) / began.elapsed().as_secs_f64() * 1e3;
         let resident = sidecar.resident()?;
+        sleepers.all_sleep()?;
         seen.push(resident);
         table.add_row([many.to_string(), (resident / 1024).to_string(), format!("{busy:.1}")]);
     }
--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -17,17 +17,30 @@
     body: BytesMut,
 }
 
-trait Framed {
+/// The head of a message, as it is read off a connection's bytes.
+pub trait Head: Sized {
+    /// # Errors
+    /// What is refused; the connection is of no further use.
+    fn read(input: &mut BytesMut) -> Result<Option<Self>, Refused>;
+
     fn framing(&self) -> Framing;
 }
 
-impl Framed for RequestHead {
+impl Head for RequestHead {
+    fn read(input: &mut BytesMut) -> Result<Option<Self>, Refused> {
+        http::request(input, HeadLimits::default())
+    }
+
     fn framing(&self) -> Framing {
         self.framing
     }
 }
 
-impl Framed for ResponseHead {
+impl Head for ResponseHead {
+    fn read(input: &mut BytesMut) -> Result<Option<Self>, Refused> {
+        http::response(input, false, HeadLimits::default())
+    }
+
     fn framing(&self) -> Framing {
         self.framing
     }
@@ -36,7 +49,7 @@
 pub type Requests = Gather<RequestHead>;
 pub type Responses = Gather<ResponseHead>;
 
-impl<H> Gather<H> {
+impl<H: Head> Gather<H> {
     /// Bodies may have `most` bytes.
     pub fn new(most: usize) -> Self {
         Self { open: None, most }
@@ -54,12 +67,19 @@
         Some((head, body, reader))
     }
 
-    fn rest(
-        &mut self,
-        mut open: Open<H>,
-        input: &mut BytesMut,
-        closed: bool,
-    ) -> Result<Option<(H, BytesMut)>, Refused> {
+    /// The next whole message; `closed` tells that no more bytes will come.
+    ///
+    /// # Errors
+    /// What is refused; the connection is of no further use, but for a body that is too large (see `give_up`).
+    pub fn take(&mut self, input: &mut BytesMut, closed: bool) -> Result<Option<(H, BytesMut)>, Refused> {
+        let mut open = match self.open.take() {
+            Some(open) => *open,
+            None => match H::read(input)? {
+                Some(head) => Open { reader: BodyReader::new(head.framing()), head, body: BytesMut::new() },
+                None if closed && !input.is_empty() => return Err(Refused::Early),
+                None => return Ok(None),
+            },
+        };
         while let Some(piece) = open.reader.next(input)? {
             open.body.extend_from_slice(&piece);
             if open.body.len() > self.most {
@@ -78,64 +98,10 @@
     }
 }
 
-/// Nothing has begun: what is there of a head when no more comes is no message.
-fn none<T>(input: &BytesMut, closed: bool) -> Result<Option<T>, Refused> {
-    if closed && !input.is_empty() {
-        Err(Refused::Early)
-    } else {
-        Ok(None)
-    }
-}
-
-fn opened<H: Framed>(head: H) -> Open<H> {
-    let reader = BodyReader::new(head.framing());
-    Open { head, reader, body: BytesMut::new() }
-}
-
 impl Requests {
     /// Whether a client waits for a word before it sends the body (RFC 9110, 10.1.1); told once a request.
     pub fn wants_continue(&mut self) -> bool {
         let waits = self.open.as_mut().filter(|open| !open.reader.ended());
         waits.is_some_and(|open| std::mem::take(&mut open.head.expects_continue))
     }
-
-    /// The next whole request.
-    ///
-    /// # Errors
-    /// What is refused; the connection is of no further use.
-    pub fn take(
-        &mut self,
-        input: &mut BytesMut,
-        closed: bool,
-    ) -> Result<Option<(RequestHead, BytesMut)>, Refused> {
-        let open = match self.open.take() {
-            Some(open) => *open,
-            None => match http::request(input, HeadLimits::default())? {
-                Some(head) => opened(head),
-                None => return none(input, closed),
-            },
-        };
-        self.rest(open, input, closed)
-    }
-}
-
-impl Responses {
-    /// The next whole response; `closed` tells that no more bytes will come.
-    ///
-    /// # Errors
-    /// What is refused; the connection is of no further use.
-    pub fn take(
-        &mut self,
-        input: &mut BytesMut,
-        closed: bool,
-    ) -> Result<Option<(ResponseHead, BytesMut)>, Refused> {
-        let open = match self.open.take() {
-            Some(open) => *open,
-            None => match http::response(input, false, HeadLimits::default())? {
-                Some(head) => opened(head),
-                None => return none(input, closed),
-            },
-        };
-        self.rest(open, input, closed)
-    }
 }
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -4,9 +4,9 @@
 use super::{Due, Peer, Service};
 use crate::memory;
 use crate::pods;
-use crate::stages::{vote_answer, EventReader, StageMessage, VoteMessage};
+use crate::stages::{vote_answer, EventReader, Latest, StageMessage, VoteMessage};
 use bytes::BytesMut;
-use limewing::interface::{BuildId, Event, ListNews, StageNo, Verdict, VoteAnswer};
+use limewing::interface::{BuildId, Event, ListNews, StageNews, StageNo, Verdict, VoteAnswer};
 use limewing_net::body::{BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits};
 use limewing_net::message::Responses;
@@ -37,6 +37,14 @@
     timer: TimerKey,
 }
 
+fn not_old(latest: &mut Latest, message: StageMessage) -> Option<StageNews> {
+    let news = latest.take(message);
+    if news.is_none() {
+        tracing::warn!(number = message.number, "old stage news left out");
+    }
+    news
+}
+
 impl Service {
     fn request_head(&self, method: &str, target: &str, host: String, framing: Framing) -> BytesMut {
         let agent = format!("limewing ({})", self.terms.name);
@@ -197,7 +205,7 @@
                     if !news.is_empty() {
                         self.lost_news.answered();
                     }
-                    let news = news.into_iter().filter_map(|news| self.latest.take(news));
+                    let news = news.into_iter().filter_map(|news| not_old(&mut self.latest, news));
                     self.events.extend(news.map(|news| Event::Stage { news: Some(news), answer: None }));
                 }
                 Err(why) => return self.news_lost(link, &why),
@@ -268,7 +276,7 @@
         self.wheel.cancel(of.timer);
         self.sockets.close(link);
         tracing::debug!(?answer, "a vote was answered");
-        let news = news.and_then(|news| self.latest.take(news));
+        let news = news.and_then(|news| not_old(&mut self.latest, news));
         self.events.push(Event::Stage { news, answer: Some(answer) });
     }
 }
--- a/crates/sidecar/src/stages.rs
+++ b/crates/sidecar/src/stages.rs
@@ -56,9 +56,7 @@
 
 impl Latest {
     pub fn take(&mut self, message: StageMessage) -> Option<StageNews> {
-        let old = message.number != 0 && message.number < self.number;
-        if old {
-            tracing::warn!(number = message.number, known = self.number, "old stage news left out");
+        if message.number != 0 && message.number < self.number {
             return None;
         }
         self.number = self.number.max(message.number);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for all that a sidecar speaks with, and the days that they play.
 //!
-//! `pod`, `marks` and `installer` are models without I/O; `script` is what a day's file says; `day` drives them all on
-//! one loop, with the sidecars as processes of their own, and writes the record.
+//! `pod`, `marks` and `installer` are models without I/O; `script` is what a day's file says; `day` drives them
+//! all on one loop, with the sidecars as processes of their own, and writes the record.
 
 pub mod day;
 pub mod installer;
