--- a/tools/instructions.sh
+++ b/tools/instructions.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Instructions that a sidecar spends on a hit, by valgrind's callgrind: nearly the same for the same text, whatever else
-# the machine does. A run with many hits less one with few, so that start and idle time do not count.
+# Instructions that a sidecar spends on a hit, by valgrind's callgrind: within 4% for the same text, whatever else the
+# machine does. A run with many hits less one with few, so that start and idle time do not count.
 # Usage: tools/instructions.sh [PODS]; needs valgrind and target/release/limewing.
 set -euo pipefail
 cd "$(dirname "$0")/.."
