Lists and stage news are read before the outcomes of the same moment

In both an outcome and the list or stage news that forbade the forward had come in one moment.

Ruled out: a wrong count of the model (the news of that moment is what the rule speaks of; the drain grace covers caps and drains, not guarded stages and keys), and lists that came late (they stood in the same batch).

At fault: `in_order` in src/choice.rs put outcomes before everything, so that a hit sent on by an outcome went by the list and the stage that had just been replaced. Now lists and stage news come first, then outcomes, then the rest.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -185,9 +185,14 @@
 }
 
 /// What is known comes before what is to be decided: a sidecar that stood still finds answers and hits at
-/// once.
+/// once. List and stage news come first of all: a forward that an outcome brings about must not go by a list or
+/// cap that has been replaced. Hurts by nothing: both speak of the same moment.
 pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
-    events.sort_by_key(|event| !matches!(event, Event::Outcome(_)));
+    events.sort_by_key(|event| match event {
+        Event::List(_) | Event::Stage { .. } => 0,
+        Event::Outcome(_) => 1,
+        _ => 2,
+    });
     events
 }
 
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -533,6 +533,17 @@
     assert!(matches!(events[..], [Event::Outcome(_), Event::Hit(_), Event::Left(_)]));
 }
 
+#[test]
+fn lists_and_stage_news_are_read_before_outcomes_that_send_hits_on() {
+    let news = Some(news(Phase::OnTrial, 0.0));
+    let events = in_order(vec![
+        Event::Outcome(ended(Fate::Unreached).outcome),
+        Event::Stage { news, answer: None },
+        Event::List(ListNews::Change(vec![pod(0, 2)])),
+    ]);
+    assert!(matches!(events[..], [Event::Stage { .. }, Event::List(_), Event::Outcome(_)]));
+}
+
 #[rstest]
 #[case::just_started(10.0, false)]
 #[case::settled(13.0, true)]
