Keys of a build that the news has not named yet are not forgotten

At fault: `Gate::forget_keys` in src/choice.rs. While the last build told was released and no older one ran, each beat cleared all marks, also those of a build that the list already showed and the news did not. With news 4 to 8 s late, as the deployments have it, every key that the new build answered meanwhile was free to go back. Now only marks of builds up to the released one are replaced by the single mark that stands for them.

Sites without one-way keys hold no marks: nothing changes there.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -285,7 +285,8 @@
         let (now, grace) = (round.now, round.figures.grace);
         let usable = |p: &Place| p.ended.is_none_or(|told| now < told + grace);
         if self.places.values().all(|p| p.entry.build >= news.build || !usable(p)) {
-            self.met.clear();
+            // A later build that the list showed before the news did has keys of its own.
+            self.met.retain(|_, met| *met > news.build);
             self.all_met = Some(news.build);
         }
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -544,6 +544,18 @@
     assert!(matches!(events[..], [Event::Stage { .. }, Event::List(_), Event::Outcome(_)]));
 }
 
+/// The list shows a build before the news does: its keys outlive the marks of the build released before it.
+#[test]
+fn keys_of_a_build_not_announced_yet_are_kept() {
+    let mut gate = gate(0, Phase::Released, 1.0);
+    gate.met.insert(KeyId(5), BuildId(3));
+    gate.places.retain(|_, place| place.entry.build == BuildId(2));
+    gate.forget_keys(&round(1.0));
+    let news = StageNews { build: BuildId(3), ..news(Phase::OnTrial, 0.5) };
+    gate.take(Note::Stage(news), &mut round(1.1));
+    assert_eq!(gate.allow(HitId(0), (PodId(3), 1.0), &round(1.2)), Err(Refusal::KeyStays));
+}
+
 #[rstest]
 #[case::just_started(10.0, false)]
 #[case::settled(13.0, true)]
