A plain model of the five rules, stepped beside the decisions over drawn runs

Change: `crates/referee`, for tests only. `world` draws from a seed a fleet of two to four sidecars, six to ten pods, a list that is late, stale, breaks and is asked for, releases that step, go back and lower their caps, pods that die, hang, slow, lose answers and come back with another build under the same id, votes refused, unanswered and late, sidecars that stand still and restart, streams that break, clients that leave and retry.

--- /dev/null
+++ b/crates/referee/src/crooked.rs
@@ -0,0 +1,123 @@
+//! Breaks of each rule, put between the decisions and the world: what the model must catch.
+
+use limewing::interface::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crook {
+    Honest,
+    /// Swallows final answers.
+    Silent,
+    /// Answers twice.
+    Twice,
+    /// Sends on after the answer.
+    AfterTheEnd,
+    /// Sends mutating hits to two pods.
+    Resends,
+    /// Bounces what may have run.
+    BouncesAll,
+    /// Sends a tagged hit to pods that do not know its mark.
+    OutOfReach,
+    /// Sends to pods that have left the list.
+    Drained,
+    /// Sends all to the youngest pod.
+    Cold,
+    /// Sends most to the newest build.
+    Cap,
+    /// Sends mutating hits to the newest build.
+    Guarded,
+    /// Sends keyed hits to the oldest build.
+    Keys,
+}
+
+/// What becomes of actions; `held` is the list as this instance has it, of pods that are not gone.
+pub fn crook(
+    how: Crook,
+    turn: u64,
+    actions: Vec<Action>,
+    held: &[PodEntry],
+    hits: &BTreeMap<HitId, (GroupId, Option<KeyId>)>,
+    terms: &StartTerms,
+    now: Duration,
+) -> Vec<Action> {
+    let repeat = |hit: &HitId| hits.get(hit).map(|(group, _)| terms.groups[usize::from(group.0)].repeat);
+    let mutating = |hit: &HitId| repeat(hit) == Some(Repeat::Mutating);
+    let ready = || held.iter().filter(|row| row.state == PodState::Ready);
+    let newest = ready().max_by_key(|row| row.build);
+    let oldest = ready().min_by_key(|row| row.build);
+    let forward = |hit: HitId, pod: PodId| Action::Forward { hit, pod, within: Duration::ZERO };
+    let mut out = Vec::new();
+    for action in actions {
+        match (how, &action) {
+            (Crook::Silent, Action::Bounce { .. } | Action::Fail { .. }) => continue,
+            (Crook::Twice, Action::Bounce { hit, .. }) => out.push(Action::Fail { hit: *hit }),
+            (Crook::AfterTheEnd, Action::Bounce { hit, .. }) => {
+                out.push(action.clone());
+                out.extend(ready().next().map(|row| forward(*hit, row.pod)));
+                continue;
+            }
+            (Crook::Resends, Action::Forward { hit, pod, .. }) if mutating(hit) => {
+                out.extend(ready().find(|row| row.pod != *pod).map(|row| forward(*hit, row.pod)));
+            }
+            (Crook::BouncesAll, Action::Fail { hit }) => {
+                out.push(Action::Bounce { hit: *hit, retry_after: Duration::ZERO });
+                continue;
+            }
+            (Crook::OutOfReach, Action::Forward { hit, pod, .. }) => {
+                let from = held.iter().find(|row| row.pod == *pod);
+                let reach = match repeat(hit) {
+                    Some(Repeat::Tagged { drops_repeats, .. }) if terms.second_copies => drops_repeats,
+                    _ => Reach::All,
+                };
+                let away = |row: &&PodEntry| match (reach, from) {
+                    (Reach::Zone, Some(from)) => row.zone != from.zone,
+                    (Reach::Cell, Some(from)) => row.cell != from.cell,
+                    _ => false,
+                };
+                out.push(action.clone());
+                out.extend(ready().find(away).map(|row| forward(*hit, row.pod)));
+                continue;
+            }
+            (Crook::Drained, Action::Forward { hit, .. }) => {
+                // Pods are numbered as they come: one that is not held any more has been told gone.
+                let gone = (1..1000).map(PodId).find(|pod| held.iter().all(|row| row.pod != *pod));
+                let known = gone.filter(|pod| held.iter().any(|row| row.pod > *pod));
+                if let Some(pod) = known {
+                    out.push(forward(*hit, pod));
+                    continue;
+                }
+            }
+            (Crook::Cold, Action::Forward { hit, .. }) => {
+                // Of the earlier build, or the cap would be broken first.
+                let base = oldest.map(|row| row.build);
+                let young = ready().filter(|row| Some(row.build) == base);
+                let young =
+                    young.filter(|row| row.started.is_some_and(|at| now < at + Duration::from_secs(3)));
+                if let Some(row) = young.max_by_key(|row| row.started) {
+                    out.push(forward(*hit, row.pod));
+                    continue;
+                }
+            }
+            (Crook::Cap, Action::Forward { hit, .. }) if turn.is_multiple_of(2) && !mutating(hit) => {
+                out.extend(newest.map(|row| forward(*hit, row.pod)));
+                continue;
+            }
+            (Crook::Guarded, Action::Forward { hit, .. }) if turn.is_multiple_of(20) && mutating(hit) => {
+                out.extend(newest.map(|row| forward(*hit, row.pod)));
+                continue;
+            }
+            (Crook::Keys, Action::Forward { hit, .. })
+                if hit.0.is_multiple_of(2)
+                    && repeat(hit) == Some(Repeat::Repeatable)
+                    && hits.get(hit).is_some_and(|(_, key)| key.is_some()) =>
+            {
+                out.extend(oldest.map(|row| forward(*hit, row.pod)));
+                continue;
+            }
+            _ => {}
+        }
+        out.push(action);
+    }
+    out
+}
--- /dev/null
+++ b/crates/referee/src/lib.rs
@@ -0,0 +1,7 @@
+//! The five rules once more, written to be read: `rules` keeps whole histories and recounts them at each step;
+//! `world` draws a fleet and its troubles from a seed and steps the real decisions in it; `crooked` breaks each
+//! rule on purpose. Of the real code only the words of its interface are used.
+
+pub mod crooked;
+pub mod rules;
+pub mod world;
--- /dev/null
+++ b/crates/referee/src/rules.rs
@@ -0,0 +1,507 @@
+//! The rules, as plainly as they can be put. Nothing is summed up or forgotten: what an instance was told and did
+//! in its life stands in lists, and each question is answered by going through them.
+
+use limewing::interface::*;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    pub rule: u8,
+    pub sidecar: usize,
+    pub at: Duration,
+    pub what: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "rule {} at {:?} by sidecar {}: {}", self.rule, self.at, self.sidecar, self.what)
+    }
+}
+
+/// How often each rule was really put to the test.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tested {
+    pub hits: usize,
+    /// Final answers that an instance gave itself.
+    pub answers: usize,
+    /// Streams that began.
+    pub streams: usize,
+    /// Forwards of a hit of which an earlier forward may have run.
+    pub repeats: usize,
+    /// Mutating hits sent again after proof that no earlier forward ran.
+    pub proofs: usize,
+    /// Answers to hits that may have run.
+    pub after_run: usize,
+    /// Forwards while a pod was known that had drained past its grace.
+    pub drained_beside: usize,
+    /// Forwards at cold pods.
+    pub cold: usize,
+    pub on_trial: usize,
+    /// Caps that fell.
+    pub lowered: usize,
+    /// Hits that may not be repeated, taken while a guarded stage was told.
+    pub guarded: usize,
+    /// Forwards of a key that the newest build had answered, while an older build ran.
+    pub met: usize,
+}
+
+impl Tested {
+    pub fn add(&mut self, other: Tested) {
+        self.hits += other.hits;
+        self.answers += other.answers;
+        self.streams += other.streams;
+        self.repeats += other.repeats;
+        self.proofs += other.proofs;
+        self.after_run += other.after_run;
+        self.drained_beside += other.drained_beside;
+        self.cold += other.cold;
+        self.on_trial += other.on_trial;
+        self.lowered += other.lowered;
+        self.guarded += other.guarded;
+        self.met += other.met;
+    }
+}
+
+/// One forward, with what the instance's list said of its pod.
+struct Sent {
+    entry: PodEntry,
+    at: Duration,
+    fate: Option<Fate>,
+    /// The turn in which the fate was told.
+    told: usize,
+}
+
+struct Story {
+    hit: Hit,
+    sent: Vec<Sent>,
+    /// Until when it waits: longer than its client where the instance did not run.
+    owed: Duration,
+    /// The turn in which the instance answered it itself.
+    answered: Option<usize>,
+    /// The turn in which it was told that the hit is over.
+    over: Option<usize>,
+    streams: Option<usize>,
+}
+
+/// One life of an instance.
+struct Life {
+    terms: StartTerms,
+    turn: usize,
+    stories: BTreeMap<HitId, Story>,
+    /// All that was told of each pod.
+    rows: BTreeMap<PodId, Vec<(Duration, PodEntry)>>,
+    news: Vec<(Duration, StageNews)>,
+    taken: Vec<(Duration, GroupId)>,
+    forwards: Vec<(Duration, BuildId, GroupId)>,
+    /// Where the list is to be asked for: when it was, and since when it is watched.
+    asked: Duration,
+    failed: bool,
+    watched: bool,
+}
+
+/// A start of a pod, and what came to it since.
+struct Start {
+    at: Duration,
+    capacity: f64,
+    /// When, and whether the sender had been told of this start.
+    got: Vec<(Duration, bool)>,
+}
+
+#[derive(Default)]
+pub struct Referee {
+    lives: BTreeMap<usize, Life>,
+    starts: BTreeMap<PodId, Start>,
+    /// What the list service holds, since when.
+    truth: Vec<(Duration, Vec<PodEntry>)>,
+    pub tested: Tested,
+}
+
+/// Outcomes that prove that a forward never ran.
+fn never_ran(fate: Option<Fate>) -> bool {
+    matches!(fate, Some(Fate::TurnedAway | Fate::Unreached | Fate::Void))
+}
+
+impl Story {
+    fn may_have_run(&self) -> impl Iterator<Item = &Sent> {
+        self.sent.iter().filter(|sent| !never_ran(sent.fate))
+    }
+}
+
+impl Life {
+    fn row(&self, pod: PodId) -> Option<&PodEntry> {
+        self.rows.get(&pod).and_then(|rows| rows.last()).map(|(_, row)| row)
+    }
+
+    /// Since when this instance knows that a pod drains or is gone.
+    fn ended(&self, pod: PodId) -> Option<Duration> {
+        let rows = self.rows.get(&pod)?;
+        let ended = rows.iter().rev().take_while(|(_, row)| row.state != PodState::Ready);
+        ended.last().map(|(at, _)| *at)
+    }
+
+    fn list(&mut self, now: Duration, news: &ListNews) {
+        let rows = match news {
+            ListNews::Failed => {
+                (self.failed, self.watched) = (true, false);
+                return;
+            }
+            ListNews::Change(rows) => rows.clone(),
+            ListNews::Whole(rows) | ListNews::Remembered(rows) => {
+                let missing = self.rows.iter().filter_map(|(pod, told)| {
+                    let (_, last) = told.last()?;
+                    let missing = rows.iter().all(|row| row.pod != *pod) && last.state != PodState::Gone;
+                    missing.then(|| PodEntry { state: PodState::Gone, ..last.clone() })
+                });
+                missing.collect::<Vec<_>>().into_iter().chain(rows.iter().cloned()).collect()
+            }
+        };
+        if !matches!(news, ListNews::Remembered(_)) {
+            (self.failed, self.watched) = (false, true);
+        }
+        for row in rows {
+            self.rows.entry(row.pod).or_default().push((now, row));
+        }
+    }
+
+    /// The cap and stage of a build by the news of one moment; none for a build that is not on trial.
+    fn trial(&self, build: BuildId, news: &StageNews) -> Option<(f64, u8)> {
+        if build < news.build || (build == news.build && news.phase == Phase::Released) {
+            return None;
+        }
+        let first = (self.terms.release.caps[0], 0);
+        Some(if build == news.build { (news.cap, news.stage.0) } else { first })
+    }
+
+    /// The cap that binds now, and since when forwards count: a lower cap binds after the grace, and the count
+    /// begins anew then. None: the build is not on trial.
+    fn cap(&self, build: BuildId, now: Duration) -> Option<(f64, Duration)> {
+        let grace = self.terms.rules.drain_grace;
+        let told: Vec<(Duration, f64)> = self
+            .news
+            .iter()
+            .map(|(at, news)| (*at, self.trial(build, news).map_or(f64::INFINITY, |(cap, _)| cap)))
+            .collect();
+        let (_, last) = told.last()?;
+        let (mut most, mut since) = (*last, Duration::ZERO);
+        for pair in told.windows(2) {
+            let ((_, before), (at, after)) = (pair[0], pair[1]);
+            if after < before {
+                if at + grace >= now {
+                    most = most.max(before);
+                } else {
+                    since = since.max(at + grace);
+                }
+            }
+        }
+        most.is_finite().then_some((most, since))
+    }
+}
+
+impl Referee {
+    pub fn start(&mut self, sidecar: usize, now: Duration, terms: StartTerms) {
+        let life = Life {
+            terms,
+            turn: 0,
+            stories: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            news: Vec::new(),
+            taken: Vec::new(),
+            forwards: Vec::new(),
+            asked: now,
+            failed: false,
+            watched: false,
+        };
+        self.lives.insert(sidecar, life);
+    }
+
+    pub fn stop(&mut self, sidecar: usize) {
+        self.lives.remove(&sidecar);
+    }
+
+    /// An instance that stood still runs again: what fell due meanwhile is owed now.
+    pub fn goes_on(&mut self, sidecar: usize, now: Duration) {
+        let Some(life) = self.lives.get_mut(&sidecar) else { return };
+        life.stories.values_mut().for_each(|story| story.owed = story.owed.max(now));
+    }
+
+    /// A pod began to run, with so many hits a second when warm.
+    pub fn pod_started(&mut self, pod: PodId, at: Duration, capacity: f64) {
+        self.starts.insert(pod, Start { at, capacity, got: Vec::new() });
+    }
+
+    pub fn list_is(&mut self, now: Duration, rows: Vec<PodEntry>) {
+        self.truth.push((now, rows));
+    }
+
+    pub fn told(&mut self, sidecar: usize, now: Duration, events: &[Event]) {
+        let Some(life) = self.lives.get_mut(&sidecar) else { return };
+        life.turn += 1;
+        let turn = life.turn;
+        for event in events {
+            match event {
+                Event::List(news) => life.list(now, news),
+                Event::Hit(hit) => {
+                    self.tested.hits += 1;
+                    let last = life.news.last().map(|(_, news)| news);
+                    let stage = last.filter(|news| news.phase == Phase::OnTrial).map(|news| news.stage.0);
+                    let firm = life.terms.groups[usize::from(hit.group.0)].repeat != Repeat::Repeatable;
+                    if firm && stage.is_some_and(|stage| stage < life.terms.release.guarded_stages) {
+                        self.tested.guarded += 1;
+                    }
+                    life.taken.push((now, hit.group));
+                    let (sent, answered, over, streams) = (Vec::new(), None, None, None);
+                    let owed = hit.due.max(now);
+                    let story = Story { hit: hit.clone(), sent, owed, answered, over, streams };
+                    life.stories.insert(hit.id, story);
+                }
+                Event::Outcome(outcome) => {
+                    let Some(story) = life.stories.get_mut(&outcome.hit) else { continue };
+                    if let Some(sent) = story.sent.get_mut(usize::from(outcome.no.0)) {
+                        (sent.fate, sent.told) = (Some(outcome.fate), turn);
+                    }
+                    if outcome.over {
+                        story.over = story.over.or(Some(turn));
+                    }
+                }
+                Event::StreamStarted { hit } => {
+                    self.tested.streams += 1;
+                    life.stories.entry(*hit).and_modify(|story| story.streams = Some(turn));
+                }
+                Event::Left(hit) => {
+                    life.stories.entry(*hit).and_modify(|story| story.over = story.over.or(Some(turn)));
+                }
+                Event::Stage { news: Some(news), .. } => {
+                    let before = life.cap(news.build, now).map(|(cap, _)| cap);
+                    self.tested.lowered += usize::from(before.is_some_and(|before| news.cap < before));
+                    life.news.push((now, *news));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// # Errors
+    /// The first rule that these actions break.
+    pub fn did(&mut self, sidecar: usize, now: Duration, actions: &[Action]) -> Result<(), Breach> {
+        for action in actions {
+            let broken = match action {
+                Action::Forward { hit, pod, .. } => self.forward(sidecar, now, *hit, *pod),
+                Action::Bounce { hit, .. } => self.answer(sidecar, now, *hit, true),
+                Action::Fail { hit } => self.answer(sidecar, now, *hit, false),
+                Action::Watch => {
+                    if let Some(life) = self.lives.get_mut(&sidecar) {
+                        (life.asked, life.failed) = (now, false);
+                    }
+                    Ok(())
+                }
+                _ => Ok(()),
+            };
+            broken.map_err(|(rule, what)| Breach { rule, sidecar, at: now, what })?;
+        }
+        Ok(())
+    }
+
+    /// Whether a hit that fell due has no answer. `excused` instances did not run.
+    ///
+    /// # Errors
+    /// The hit that waits longest.
+    pub fn settled(&self, now: Duration, excused: impl Fn(usize) -> bool) -> Result<(), Breach> {
+        for (sidecar, life) in self.lives.iter().filter(|(sidecar, _)| !excused(**sidecar)) {
+            let open = |s: &&Story| s.answered.is_none() && s.over.is_none() && s.streams.is_none();
+            for story in life.stories.values().filter(open) {
+                if now > story.owed + life.terms.rules.answer_slack {
+                    let what = format!("{:?}, due at {:?}, has no answer", story.hit.id, story.hit.due);
+                    return Err(Breach { rule: 1, sidecar: *sidecar, at: now, what });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(
+        &mut self,
+        sidecar: usize,
+        now: Duration,
+        hit: HitId,
+        bounce: bool,
+    ) -> Result<(), (u8, String)> {
+        let life = self.lives.get_mut(&sidecar).ok_or((1, "an instance that is dead acts".to_owned()))?;
+        let turn = life.turn;
+        let slack = life.terms.rules.answer_slack;
+        let story = life.stories.get_mut(&hit).ok_or((1, format!("{hit:?} was never taken")))?;
+        if story.answered.is_some() {
+            return Err((1, format!("{hit:?} is answered twice")));
+        }
+        if story.over.is_some_and(|told| told < turn) {
+            return Err((1, format!("{hit:?} is answered after its end was told")));
+        }
+        if story.streams.is_some_and(|told| told < turn) {
+            return Err((1, format!("{hit:?} is answered while its stream runs")));
+        }
+        if now > story.owed + slack {
+            return Err((1, format!("{hit:?} is answered late")));
+        }
+        self.tested.answers += 1;
+        let ran = story.may_have_run().count() > 0;
+        self.tested.after_run += usize::from(ran);
+        let harmless = match life.terms.groups[usize::from(story.hit.group.0)].repeat {
+            Repeat::Repeatable | Repeat::Tagged { drops_repeats: Reach::All, .. } => true,
+            Repeat::Tagged { .. } | Repeat::Mutating => !ran,
+        };
+        if bounce && !harmless {
+            return Err((2, format!("{hit:?} is bounced though it may have run")));
+        }
+        story.answered = Some(turn);
+        Ok(())
+    }
+
+    fn forward(&mut self, sidecar: usize, now: Duration, hit: HitId, pod: PodId) -> Result<(), (u8, String)> {
+        let life = self.lives.get(&sidecar).ok_or((1, "an instance that is dead acts".to_owned()))?;
+        let story = life.stories.get(&hit).ok_or((1, format!("{hit:?} was never taken")))?;
+        let terms = &life.terms;
+        let entry = life.row(pod).ok_or((3, format!("{pod:?} was in no list")))?.clone();
+
+        // 1. Nothing after the end.
+        if story.answered.is_some() {
+            return Err((1, format!("{hit:?} goes out after its answer")));
+        }
+        if story.over.is_some_and(|told| told < life.turn) {
+            return Err((1, format!("{hit:?} goes out after its end was told")));
+        }
+        if story.streams.is_some_and(|told| told < life.turn) {
+            return Err((1, format!("{hit:?} goes out while its stream runs")));
+        }
+
+        // 2. No effect twice.
+        let group = story.hit.group;
+        let repeat = terms.groups[usize::from(group.0)].repeat;
+        let ran: Vec<&Sent> = story.may_have_run().collect();
+        if !terms.second_copies && story.sent.iter().any(|sent| sent.fate.is_none()) {
+            return Err((2, format!("{hit:?} is out twice at once")));
+        }
+        match repeat {
+            Repeat::Repeatable => {}
+            Repeat::Mutating if ran.is_empty() => {}
+            Repeat::Mutating => return Err((2, format!("{hit:?} goes out again though it may have run"))),
+            Repeat::Tagged { drops_repeats, memory } => {
+                for sent in &ran {
+                    let reached = match drops_repeats {
+                        Reach::All => true,
+                        Reach::Zone => sent.entry.zone == entry.zone,
+                        Reach::Cell => sent.entry.cell == entry.cell,
+                    };
+                    if !reached || now > sent.at + memory {
+                        let what = format!("{hit:?} goes to {pod:?}, which may not know its mark");
+                        return Err((2, what));
+                    }
+                }
+            }
+        }
+        self.tested.repeats += usize::from(!ran.is_empty());
+        self.tested.proofs +=
+            usize::from(repeat == Repeat::Mutating && ran.is_empty() && !story.sent.is_empty());
+
+        // 3. Drains.
+        let grace = terms.rules.drain_grace;
+        let past = |pod: PodId| life.ended(pod).is_some_and(|told| now > told + grace);
+        if past(pod) {
+            return Err((3, format!("{pod:?} is sent to past the grace")));
+        }
+        // Who watches no list and has not asked for long counts as told of what was in it then.
+        let within = terms.rules.ask_list_within * if life.failed { 4 } else { 1 };
+        if terms.list_on_request && !life.watched && now > life.asked + within {
+            let then = now - within;
+            let known = self.truth.iter().rev().find(|(at, _)| *at <= then);
+            let row = known.and_then(|(_, rows)| rows.iter().find(|row| row.pod == pod));
+            let ended = row.is_none_or(|row| row.state != PodState::Ready);
+            let old = known.is_some_and(|(at, _)| now > *at + within + grace);
+            if ended && old {
+                return Err((3, format!("{pod:?} had gone from a list that was not asked for")));
+            }
+        }
+        self.tested.drained_beside += usize::from(life.rows.keys().any(|pod| past(*pod)));
+
+        // 5. Exposure. (Rule 4 speaks of all instances and comes last.)
+        let build = entry.build;
+        if let Some((at, last)) = life.news.last() {
+            let (phase, newest, since) = (last.phase, last.build, *at);
+            if let Some((_, stage)) = life.trial(build, last) {
+                let firm = repeat != Repeat::Repeatable;
+                if firm && stage < terms.release.guarded_stages {
+                    let what =
+                        format!("{hit:?} goes to {build:?} in guarded stage {stage}, told at {since:?}");
+                    return Err((5, what));
+                }
+            }
+            if let Some((cap, from)) = life.cap(build, now) {
+                let same = |of: GroupId| !terms.release.cap_by_group || of == group;
+                let window = terms.release.cap_window;
+                let taken = life.taken.iter().filter(|(at, of)| *at + window >= now && same(*of)).count();
+                let sent = life.forwards.iter().filter(|(at, of, group)| {
+                    *at + window > now && *at >= from && *of == build && same(*group)
+                });
+                let sent = sent.count() + 1;
+                let most = terms.release.cap_free + cap * taken as f64;
+                if sent as f64 > most + 1e-9 || cap <= 0.0 {
+                    let what = format!("{sent} forwards at {build:?}, {most:.2} allowed by cap {cap}");
+                    return Err((5, what));
+                }
+                self.tested.on_trial += 1;
+            }
+            let stays = terms.release.keys_stay && matches!(phase, Phase::OnTrial | Phase::Released);
+            if let Some(key) = story.hit.key.filter(|_| stays) {
+                let answered = |other: &Story| {
+                    let here = |sent: &Sent| {
+                        let ok = sent.fate == Some(Fate::Delivered) && sent.told < life.turn;
+                        ok && sent.entry.build == newest
+                    };
+                    other.hit.key == Some(key) && other.sent.iter().any(here)
+                };
+                if life.stories.values().any(answered) {
+                    let older = life.rows.values().filter_map(|rows| rows.last());
+                    let older = older.filter(|(_, row)| row.build < newest && row.state == PodState::Ready);
+                    self.tested.met += usize::from(older.count() > 0);
+                    if build < newest {
+                        return Err((5, format!("{key:?} met {newest:?} and goes back to {build:?}")));
+                    }
+                }
+            }
+        }
+
+        // 4. Cold pods, by what all instances together send.
+        let rules = terms.rules.clone();
+        if let Some(start) = self.starts.get_mut(&pod) {
+            let age = now.saturating_sub(start.at);
+            let grown = (age.as_secs_f64() / rules.cold_for.as_secs_f64()).min(1.0);
+            let informed = entry.started == Some(start.at);
+            start.got.push((now, informed));
+            if grown < 1.0 {
+                let strength = rules.cold_from + (1.0 - rules.cold_from) * grown;
+                let span = rules.fall_within;
+                let got: Vec<bool> = start
+                    .got
+                    .iter()
+                    .filter(|(at, _)| *at + span > now)
+                    .map(|(_, informed)| *informed)
+                    .collect();
+                let knowing = got.iter().filter(|informed| **informed).count();
+                let most = rules.fall_multiple * start.capacity * strength * span.as_secs_f64();
+                // A little slack for chance.
+                let most = most + most.sqrt();
+                if got.len() as f64 > most && knowing * 3 >= got.len() * 2 {
+                    let what = format!("{} forwards at cold {pod:?}, {most:.1} allowed", got.len());
+                    return Err((4, what));
+                }
+                self.tested.cold += usize::from(informed);
+            }
+        }
+        let Some(life) = self.lives.get_mut(&sidecar) else { return Ok(()) };
+        life.forwards.push((now, build, group));
+        if let Some(story) = life.stories.get_mut(&hit) {
+            story.sent.push(Sent { entry, at: now, fate: None, told: 0 });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/referee/tests/runs.rs
@@ -0,0 +1,50 @@
+//! The real decisions beside the model, over drawn runs; and breaks of each rule that the model must catch.
+
+use limewing_referee::crooked::Crook;
+use limewing_referee::rules::Tested;
+use limewing_referee::world::play;
+use rstest::rstest;
+
+/// Runs of one case; cases go side by side.
+const RUNS: u64 = 12;
+
+#[rstest]
+fn every_step_of_drawn_runs_keeps_the_rules(#[values(0, 1, 2, 3, 4, 5, 6, 7)] part: u64) {
+    let mut all = Tested::default();
+    for seed in part * RUNS..(part + 1) * RUNS {
+        match play(seed, Crook::Honest) {
+            Ok(tested) => all.add(tested),
+            Err(broken) => panic!("seed {}, step {}: {}", broken.seed, broken.step, broken.breach),
+        }
+    }
+    // None of the rules passes by not arising.
+    let Tested { hits, answers, streams, repeats, proofs, after_run, drained_beside, cold, on_trial, .. } =
+        all;
+    assert!(hits > 10_000 && answers > 500 && streams > 1_000, "{all:?}");
+    assert!(repeats > 100 && proofs > 3 && after_run > 50, "{all:?}");
+    assert!(drained_beside > 5_000 && cold > 1_000 && on_trial > 1_000, "{all:?}");
+    assert!(all.lowered > 5 && all.guarded > 100 && all.met > 50, "{all:?}");
+}
+
+#[rstest]
+#[case::silent(Crook::Silent, 1)]
+#[case::answers_twice(Crook::Twice, 1)]
+#[case::sends_after_the_end(Crook::AfterTheEnd, 1)]
+#[case::resends(Crook::Resends, 2)]
+#[case::bounces_what_ran(Crook::BouncesAll, 2)]
+#[case::out_of_reach(Crook::OutOfReach, 2)]
+#[case::drained(Crook::Drained, 3)]
+#[case::cold(Crook::Cold, 4)]
+#[case::cap(Crook::Cap, 5)]
+#[case::guarded(Crook::Guarded, 5)]
+#[case::keys(Crook::Keys, 5)]
+fn a_planted_break_is_caught_as_what_it_is(#[case] crook: Crook, #[case] rule: u8) {
+    // Not every run has the terms that its rule speaks of.
+    let mut caught = (0..40).filter_map(|seed| Some(play(seed, crook).err()?.breach.rule));
+    assert!(caught.any(|broken| broken == rule));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    assert_eq!(play(3, Crook::Honest).ok(), play(3, Crook::Honest).ok());
+}
