Logs that go nowhere no longer end or hold up a sidecar

Seen, each in a test on a process of its own: standard error on a full disk (/dev/full) ended the sidecar with a panic (exit 101) at its first line; a log file at its size limit (ulimit -f) ended it by SIGXFSZ; a pipe that nobody reads stopped its loop at the 64 KiB that the pipe holds, and with it all answers. All three lose every hit held.

Ruled out: standard error that is closed (the test's fourth case passed before), and standard output, which was already written with its errors let go.

At fault: `sidecar` in crates/cli/src/main.rs. Lines were written to standard error by the loop itself; the layer told a failed write by `eprintln!`, which panics when that fails as well; SIGXFSZ was not watched. Logs go by a thread of their own now (tracing-appender), lines that are not taken in time are left out, and SIGXFSZ is watched.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,11 +10,14 @@
 use limewing_settings::SidecarSettings;
 use limewing_sidecar::service::Service;
 use limewing_standins::script::DayScript;
+use signal_hook::consts::SIGXFSZ;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
 
 #[derive(Parser)]
@@ -253,7 +256,13 @@
 fn sidecar(file: &std::path::Path, with_parent: bool) -> Result<(), Stop> {
     let settings: SidecarSettings = limewing_settings::read(file).map_err(Stop::input)?;
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
+    // Logs go by a thread of their own, and lines that standard error does not take in time are left out: a full
+    // disk or a reader that stands still must not end or hold up a sidecar. Hurts by lines that are missing.
+    let (log, _writes) = NonBlockingBuilder::default().lossy(true).finish(std::io::stderr());
+    let lines = tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(log);
+    lines.log_internal_errors(false).init();
+    // A file at its size limit is told as an error of the write, as any other is; unwatched it ends the process.
+    signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(Stop::failed)?;
     let service = Service::start(&settings).map_err(|e| Stop::input(format!("{}: {e}", file.display())))?;
     let address = service.address();
     tracing::info!(%address, name = settings.name, "listening");
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/command/days.rs
@@ -1,19 +1,15 @@
 //! Whole days through the command, with the sidecars as processes of their own.
 
+use crate::help::{in_repo, settings, settings_with, status, Running};
 use rstest::rstest;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
 fn limewing(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_limewing")).args(args).output().expect("the command starts")
 }
 
-fn in_repo(file: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(file)
-}
-
 #[rstest]
 #[case("short-quiet")]
 #[case("short-troubled")]
@@ -66,34 +62,19 @@
     assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
 }
 
-/// A file of settings with the address to listen on put in.
-fn settings(folder: &Path, listen: &str) -> PathBuf {
-    let file = folder.join("sidecar.json");
-    let example = std::fs::read_to_string(in_repo("deploy/sidecar.example.json")).unwrap();
-    let example = example.replace("127.0.0.1:8080", listen).replace("sidecar-0.state.json", "/dev/null/none");
-    std::fs::write(&file, example).unwrap();
-    file
-}
-
 #[test]
 fn a_sidecar_out_of_descriptors_goes_on_when_some_are_free() {
     let folder = tempfile::tempdir().unwrap();
     let file = settings(folder.path(), "127.0.0.1:0");
     let log = folder.path().join("log");
-    let run = format!("ulimit -n 40; exec {} sidecar {}", env!("CARGO_BIN_EXE_limewing"), file.display());
     let out = std::fs::File::create(&log).unwrap();
-    let mut child = Command::new("sh").args(["-c", &run]).stdout(Stdio::piped()).stderr(out).spawn().unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let at = line.trim().strip_prefix("listening ").unwrap().to_owned();
-    let held: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(&at).unwrap()).collect();
+    let sidecar = Running::start("ulimit -n 40;", &file, out.into());
+    let held: Vec<TcpStream> = (0..60).map(|_| sidecar.connect()).collect();
     while !std::fs::read_to_string(&log).unwrap().contains("can't accept") {
         std::thread::yield_now();
     }
     drop(held);
-    let answer = status(&at);
-    child.kill().unwrap();
-    child.wait().unwrap();
+    let answer = status(&sidecar.at);
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
@@ -101,15 +82,10 @@
 fn a_sidecar_told_to_leave_ends_well() {
     let folder = tempfile::tempdir().unwrap();
     let file = settings(folder.path(), "127.0.0.1:0");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_limewing"));
-    command.args(["sidecar", file.to_str().unwrap()]).stdout(Stdio::piped()).stderr(Stdio::null());
-    let mut child = command.spawn().unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let at = line.trim().strip_prefix("listening ").unwrap().to_owned();
-    let mut idle = TcpStream::connect(&at).unwrap();
-    let told = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
-    assert!(told.success() && child.wait().unwrap().success());
+    let mut sidecar = Running::start("", &file, Stdio::null());
+    let mut idle = sidecar.connect();
+    let told = Command::new("kill").args(["-TERM", &sidecar.child.id().to_string()]).status().unwrap();
+    assert!(told.success() && sidecar.child.wait().unwrap().success());
     assert_eq!(idle.read(&mut [0]).unwrap_or(0), 0);
 }
 
@@ -119,14 +95,7 @@
     let pod = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = pod.local_addr().unwrap();
     let folder = tempfile::tempdir().unwrap();
-    let state = folder.path().join("state.json");
-    let row = format!(
-        r#"{{"address":"{at}","drains":false,"build":1,"size":1,"started":null,"zone":"east","cell":0,"kind":""}}"#
-    );
-    std::fs::write(&state, format!(r#"{{"version":1,"pods":[{row}]}}"#)).unwrap();
-    let file = settings(folder.path(), "127.0.0.1:0");
-    let text = std::fs::read_to_string(&file).unwrap().replace("/dev/null/none", state.to_str().unwrap());
-    std::fs::write(&file, text).unwrap();
+    let file = settings_with(folder.path(), &[(at, 1)]);
     std::thread::spawn(move || {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY}\r\n\r\n");
         let answer = [head.as_bytes(), &[b'#'; BODY]].concat();
@@ -134,35 +103,22 @@
             while matches!(link.read(&mut [0; 4096]), Ok(1..)) && link.write_all(&answer).is_ok() {}
         }
     });
-    let mut command = Command::new(env!("CARGO_BIN_EXE_limewing"));
-    command.args(["sidecar", file.to_str().unwrap()]).stdout(Stdio::piped()).stderr(Stdio::null());
-    let mut child = command.spawn().unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let to = line.trim().strip_prefix("listening ").unwrap();
+    let mut sidecar = Running::start("", &file, Stdio::null());
     // More answers than the system holds for a client that does not read: the rest waits in the sidecar.
-    let mut client = TcpStream::connect(to).unwrap();
+    let mut client = sidecar.connect();
     client.write_all("GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n".repeat(600).as_bytes()).unwrap();
-    while !status(to).contains("\"open_hits\":0,") || status(to).contains("\"unsent\":0}") {
+    while !status(&sidecar.at).contains("\"open_hits\":0,") || status(&sidecar.at).contains("\"unsent\":0}") {
         std::thread::yield_now();
     }
-    let told = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    let told = Command::new("kill").args(["-TERM", &sidecar.child.id().to_string()]).status().unwrap();
     let mut text = Vec::new();
     client.read_to_end(&mut text).unwrap();
-    assert!(told.success() && child.wait().unwrap().success());
+    assert!(told.success() && sidecar.child.wait().unwrap().success());
     let (heads, bodies) =
         (text.windows(9).filter(|w| w == b"HTTP/1.1 ").count(), text.iter().filter(|b| **b == b'#').count());
     assert!(heads > 0 && bodies == heads * BODY, "{heads} heads, {bodies} bytes of bodies");
 }
 
-fn status(of: &str) -> String {
-    let mut client = TcpStream::connect(of).unwrap();
-    client.write_all(b"GET /limewing/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").unwrap();
-    let mut answer = String::new();
-    client.read_to_string(&mut answer).unwrap();
-    answer
-}
-
 #[test]
 fn a_port_in_use_is_told() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- /dev/null
+++ b/crates/cli/tests/command/help.rs
@@ -0,0 +1,106 @@
+//! Sidecars as processes of their own, with what the system grants them.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+pub fn in_repo(file: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(file)
+}
+
+/// A file of settings with the address to listen on put in.
+pub fn settings(folder: &Path, listen: &str) -> PathBuf {
+    let file = folder.join("sidecar.json");
+    let example = std::fs::read_to_string(in_repo("deploy/sidecar.example.json")).unwrap();
+    let example = example.replace("127.0.0.1:8080", listen).replace("sidecar-0.state.json", "/dev/null/none");
+    std::fs::write(&file, example).unwrap();
+    file
+}
+
+/// Settings of a sidecar that knows these pods, each with a build.
+pub fn settings_with(folder: &Path, pods: &[(SocketAddr, u16)]) -> PathBuf {
+    let state = folder.join("state.json");
+    let row = |(at, build): &(SocketAddr, u16)| {
+        format!(
+            r#"{{"address":"{at}","drains":false,"build":{build},"size":1,"started":null,"zone":"east","cell":0,"kind":""}}"#
+        )
+    };
+    let rows: Vec<String> = pods.iter().map(row).collect();
+    std::fs::write(&state, format!(r#"{{"version":1,"pods":[{}]}}"#, rows.join(","))).unwrap();
+    let file = settings(folder, "127.0.0.1:0");
+    change(&file, "/dev/null/none", state.to_str().unwrap());
+    file
+}
+
+/// Puts something else into a file of settings.
+pub fn change(file: &Path, what: &str, by: &str) {
+    let text = std::fs::read_to_string(file).unwrap();
+    assert!(text.contains(what), "{what} in {text}");
+    std::fs::write(file, text.replace(what, by)).unwrap();
+}
+
+/// A sidecar that ends with its test.
+pub struct Running {
+    pub child: Child,
+    pub at: String,
+}
+
+impl Running {
+    /// Starts one within the limits that a shell sets first (`ulimit -n 40;`), and waits until it listens.
+    pub fn start(limits: &str, file: &Path, log: Stdio) -> Self {
+        let run = format!("{limits} exec {} sidecar {}", env!("CARGO_BIN_EXE_limewing"), file.display());
+        let mut command = Command::new("sh");
+        command.args(["-c", &run]).stdout(Stdio::piped()).stderr(log);
+        let mut child = command.spawn().unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let at = line.trim().strip_prefix("listening ").unwrap_or("it does not listen").to_owned();
+        Self { child, at }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.at).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        stream
+    }
+
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn status(of: &str) -> String {
+    let mut client = TcpStream::connect(of).unwrap();
+    client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    client.write_all(b"GET /limewing/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// One request on a connection that stays; the head of its answer, whose body has a length.
+pub fn ask(stream: &mut TcpStream, request: &str) -> std::io::Result<String> {
+    stream.write_all(request.as_bytes())?;
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head
+        .to_ascii_lowercase()
+        .split("content-length: ")
+        .nth(1)
+        .map_or(0, |rest| rest.split("\r\n").next().and_then(|length| length.parse().ok()).unwrap_or(0));
+    stream.read_exact(&mut vec![0; length])?;
+    Ok(head)
+}
--- /dev/null
+++ b/crates/cli/tests/command/main.rs
@@ -0,0 +1,5 @@
+//! The command as its users call it.
+
+mod days;
+mod help;
+mod wants;
--- a/crates/sidecar/tests/hard_cases.rs
+++ b/crates/sidecar/tests/sockets/hard_cases.rs
@@ -1,8 +1,6 @@
 //! The hard cases on sockets: what proves that a forward never ran, answers that are none, clients that go.
 
-mod help;
-
-use help::{run, settings, sidecar, sidecar_to_all, sidecar_with, Client, Does, Pod};
+use crate::help::{run, settings, sidecar, sidecar_to_all, sidecar_with, Client, Does, Pod};
 use limewing_sidecar::service::Service;
 use rstest::rstest;
 use std::io::{Read, Write};
--- /dev/null
+++ b/crates/sidecar/tests/sockets/main.rs
@@ -0,0 +1,4 @@
+//! A sidecar on sockets, with pods, list and installer that do as they are told.
+
+mod hard_cases;
+mod help;
