Answers that a client does not read are no longer heaped up without an end

Seen: a client that pipelines requests which are no hits and never reads had 20 MB (404) and 58 MB (status) of answers waiting for it after 400,000 requests, and more as long as it went on; each such connection holds as much as it likes.

Ruled out: hits (the next one is taken only once little waits; the test's third case passed before), streamed answers (the pod is read no further), and bodies (bounded by `body_kept`).

At fault: `client_wrote` in crates/sidecar/src/service/front.rs took the next request whatever waited to be sent; only `next_request` looked. It looks now before each one, and such a client is cut after the time that `stall` gives.

Three clients that are refused and send on without an end hold nobody up: slowest of 40 answers under 0.5 s, before and after; that lead is refuted.

--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -120,6 +120,10 @@
                 // What is pipelined waits its turn; a client that closed its side is gone.
                 return if ended { self.client_gone(id) } else { Default::default() };
             }
+            // Nothing more is taken off a client that does not read its answers, and it is not waited for forever.
+            if self.sockets.unsent(id) > MOST_UNSENT {
+                return self.wait_for_reader(id);
+            }
             let Some(input) = self.sockets.input(id) else { return };
             match client.requests.take(input, ended) {
                 Ok(Some((head, body))) => {
@@ -322,10 +326,8 @@
         } else {
             self.sockets.send(client, piece);
         }
-        let (at, full) = (self.now + self.terms.stall, self.sockets.unsent(client) > MOST_UNSENT);
-        let Some(Peer::Client(of)) = self.peers.get_mut(&client) else { return };
-        if full && of.stalled.is_none() {
-            of.stalled = Some(self.wheel.arm(at, Due::Stalled(client)));
+        if self.sockets.unsent(client) > MOST_UNSENT {
+            self.wait_for_reader(client);
         }
     }
 
@@ -388,9 +390,14 @@
         if let Some(key) = client.stalled.take() {
             self.wheel.cancel(key);
         }
-        // Nothing more is taken off a client that does not read its answers.
-        if self.sockets.unsent(id) <= MOST_UNSENT {
-            self.client_wrote(id);
+        self.client_wrote(id);
+    }
+
+    fn wait_for_reader(&mut self, id: SocketId) {
+        let at = self.now + self.terms.stall;
+        let Some(Peer::Client(client)) = self.peers.get_mut(&id) else { return };
+        if client.stalled.is_none() {
+            client.stalled = Some(self.wheel.arm(at, Due::Stalled(id)));
         }
     }
 
--- a/crates/sidecar/tests/sockets/hard_cases.rs
+++ b/crates/sidecar/tests/sockets/hard_cases.rs
@@ -1,14 +1,13 @@
 //! The hard cases on sockets: what proves that a forward never ran, answers that are none, clients that go.
 
-use crate::help::{run, settings, sidecar, sidecar_to_all, sidecar_with, Client, Does, Pod};
+use crate::help::{
+    run, settings, sidecar, sidecar_to_all, sidecar_with, Client, Does, Pod, CHARGE, DONE, QUOTE,
+};
 use limewing_sidecar::service::Service;
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 
-const DONE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
-const QUOTE: &str = "GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n";
-const CHARGE: &str = "POST /charges HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
 const HALF: &str = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf";
 const NOT_BEGUN: &str = "HTTP/1.1 503 Busy\r\nLimewing-Not-Begun: 1\r\nContent-Length: 0\r\n\r\n";
 
--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -32,14 +32,28 @@
     "step_after": 4, "vote_life": 4, "vote_answer_within": 1, "back_votes": 1}
 }"#;
 
+pub const DONE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+pub const QUOTE: &str = "GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+pub const CHARGE: &str = "POST /charges HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
+
 /// Starts a sidecar that knows these pods; it runs until the test's process ends.
 pub fn sidecar(pods: &[SocketAddr]) -> SocketAddr {
+    sidecar_with(Some(state_file(pods)))
+}
+
+/// A state file that holds these pods.
+pub fn state_file(pods: &[SocketAddr]) -> std::path::PathBuf {
+    state_file_of(&pods.iter().map(|at| (*at, 1)).collect::<Vec<_>>())
+}
+
+/// A state file that holds these pods, each with its build.
+pub fn state_file_of(pods: &[(SocketAddr, u16)]) -> std::path::PathBuf {
     let folder = tempfile::tempdir().unwrap().keep();
     let file = folder.join("state.json");
-    let row = |address: &SocketAddr| Row {
+    let row = |(address, build): &(SocketAddr, u16)| Row {
         address: *address,
         drains: false,
-        build: 1,
+        build: *build,
         size: 1.0,
         started: None,
         zone: "east".into(),
@@ -47,7 +61,7 @@
         kind: "plain".into(),
     };
     memory::keep(&file, &pods.iter().map(row).collect::<Vec<_>>()).unwrap();
-    sidecar_with(Some(file))
+    file
 }
 
 pub fn sidecar_with(state_file: Option<std::path::PathBuf>) -> SocketAddr {
--- a/crates/sidecar/tests/sockets/main.rs
+++ b/crates/sidecar/tests/sockets/main.rs
@@ -2,3 +2,4 @@
 
 mod hard_cases;
 mod help;
+mod wants;
