A sidecar's own want of descriptors shuts no pod, and clients can't take those of news and pods

Seen, in tests on processes with few descriptors: with none left, a forward was told as unreached, so that its pod was shut for half a second and more; pods on trial are then not used at all. With 100 idle clients at a limit of 64, one of 20 hits got no connection to its pod, and stage news that broke could not be asked for again as long as the clients stayed: a lowered cap would not have come through.

Settled: the hit is not sent on without an end: further forwards are paid for by the spare, and by `max_forwards`.

At fault: `forward` in crates/sidecar/src/service/back.rs took any failure of `connect` for the pod's; `accept` in crates/net/src/sockets.rs took whatever the system gave, and let a connection that could not be registered fall without a word. Now what fails for want of descriptors, memory, ports or watches is told as never sent; `room` keeps a part of the descriptors for pods and eight for list, news and votes, and accepting pauses at its bound, and after a registration that failed.

Hurts: at a low limit fewer clients are let in (18,952 of 20,000 descriptors; 30 of 64); the others wait in the backlog.

--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -56,6 +56,7 @@
     ended: bool,
     /// The system has told that the peer closed its side: the end stands behind what is left to read.
     closed: bool,
+    accepted: bool,
     written: u64,
     /// Closes when the output is gone; then what still comes in is thrown away until the peer closes.
     finishing: Option<Instant>,
@@ -88,6 +89,9 @@
     mark: u32,
     told: VecDeque<Happening>,
     finishing: VecDeque<SocketId>,
+    /// Connections that were accepted and are open, and how many there may be: of these, and of all.
+    accepted: usize,
+    most: (usize, usize),
     accept_at: Option<Instant>,
     signals: Option<Signals>,
     scratch: Box<[u8]>,
@@ -104,6 +108,8 @@
             mark: 0,
             told: VecDeque::new(),
             finishing: VecDeque::new(),
+            accepted: 0,
+            most: (usize::MAX, usize::MAX),
             accept_at: None,
             signals: None,
             scratch: vec![0; 16 * 1024].into_boxed_slice(),
@@ -130,6 +136,12 @@
         Ok((id, address))
     }
 
+    /// Accepts no connection while so many accepted ones are open, or so many of any kind: what waits stays in the
+    /// backlog.
+    pub fn accept_up_to(&mut self, accepted: usize, all: usize) {
+        self.most = (accepted, all);
+    }
+
     /// Begins a connection; `Connected` or `Lost` follows.
     ///
     /// # Errors
@@ -231,7 +243,10 @@
             let mut slot = self.slots.remove(id.0 as u32 as usize);
             let _ = match &mut slot.socket {
                 Socket::Listener { listener, .. } => self.poll.registry().deregister(listener),
-                Socket::Link(link) => self.poll.registry().deregister(&mut link.stream),
+                Socket::Link(link) => {
+                    self.accepted -= usize::from(link.accepted);
+                    self.poll.registry().deregister(&mut link.stream)
+                }
             };
         }
     }
@@ -414,6 +429,7 @@
 
     fn accept(&mut self, id: SocketId) {
         for turn in 0..=ACCEPT_BATCH {
+            let open = self.slots.len();
             let Some(slot) = self.slots.get_mut(id.0 as u32 as usize) else { return };
             let Socket::Listener { listener, waiting } = &mut slot.socket else { return };
             if turn == ACCEPT_BATCH {
@@ -423,31 +439,68 @@
                 return;
             }
             *waiting = false;
+            let (accepted, all) = self.most;
+            if self.accepted >= accepted || open >= all {
+                return self.pause(id, ErrorKind::QuotaExceeded);
+            }
             match listener.accept() {
                 Ok((stream, from)) => {
-                    if let Ok(socket) = self.insert(Socket::Link(Box::new(Link::new(stream, false)))) {
-                        self.told.push_back(Happening::Accepted { listener: id, socket, from });
+                    let link = Link { accepted: true, ..Link::new(stream, false) };
+                    match self.insert(Socket::Link(Box::new(link))) {
+                        Ok(socket) => {
+                            self.accepted += 1;
+                            self.told.push_back(Happening::Accepted { listener: id, socket, from });
+                        }
+                        // Its peer sees it closed unanswered: better that the others wait.
+                        Err(e) => return self.pause(id, e.kind()),
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    // Edge-triggered: nobody tells again of what waits, so it is tried again after a while.
-                    *waiting = true;
-                    self.accept_at = Some(Instant::now() + ACCEPT_AGAIN);
-                    self.told.push_back(Happening::Pressed { listener: id, why: e.kind() });
-                    return;
-                }
+                Err(e) => return self.pause(id, e.kind()),
             }
         }
     }
+
+    /// Edge-triggered: nobody tells again of what waits, so it is tried again after a while.
+    fn pause(&mut self, id: SocketId, why: ErrorKind) {
+        if let Some(Slot { socket: Socket::Listener { waiting, .. }, .. }) =
+            self.slots.get_mut(id.0 as u32 as usize)
+        {
+            *waiting = true;
+        }
+        self.accept_at = Some(Instant::now() + ACCEPT_AGAIN);
+        self.told.push_back(Happening::Pressed { listener: id, why });
+    }
+}
+
+/// How many descriptors this process may hold.
+pub fn descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX))
+}
+
+/// Whether what failed is for want of something of this process or its machine, and says nothing of the peer.
+pub fn is_own_want(trouble: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let own = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::NOSPC,
+        Errno::ADDRNOTAVAIL,
+        Errno::AGAIN,
+    ];
+    Errno::from_io_error(trouble).is_some_and(|errno| own.contains(&errno))
 }
 
 impl Link {
     fn new(stream: TcpStream, connecting: bool) -> Self {
         let (input, output) = (BytesMut::new(), BytesMut::new());
-        let (more, ended, closed, written, finishing, shut) = (false, false, false, 0, None, false);
-        Self { stream, input, output, connecting, more, ended, closed, written, finishing, shut }
+        let (more, ended, closed, accepted, written) = (false, false, false, false, 0);
+        let (finishing, shut) = (None, false);
+        Self { stream, input, output, connecting, more, ended, closed, accepted, written, finishing, shut }
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod memory;
 pub mod pods;
+pub mod room;
 pub mod routes;
 pub mod service;
 pub mod stages;
--- /dev/null
+++ b/crates/sidecar/src/room.rs
@@ -0,0 +1,28 @@
+//! Who may have how many of the process's descriptors.
+
+/// Kept for what is no connection: poll, signals, standard streams, the state file.
+const OWN: usize = 16;
+/// Kept for the list, the news and votes: a lowered cap must come through whatever clients and pods take.
+const SERVICES: usize = 8;
+/// Kept from clients for the pods: a part of all, and no more than this.
+const PODS_PART: usize = 4;
+const MOST_FOR_PODS: usize = 1024;
+
+/// Guards against clients that take the descriptors that their hits need at pods, and against both taking those
+/// that news come by. Hurts where the limit is low: fewer clients are let in than the system would allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Connections that were accepted, at most.
+    pub accepted: usize,
+    /// Connections of any kind beyond which none is made to a pod, and none accepted.
+    pub shared: usize,
+}
+
+impl Room {
+    /// Of a process that may hold so many descriptors.
+    pub fn of(descriptors: usize) -> Self {
+        let shared = descriptors.saturating_sub(OWN + SERVICES).max(2);
+        let for_pods = (shared / PODS_PART).clamp(1, MOST_FOR_PODS);
+        Self { accepted: shared - for_pods, shared }
+    }
+}
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -10,7 +10,7 @@
 use limewing::interface::{Event, Fate, ForwardNo, HitId, LoadReport, Outcome, PodId};
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits, ResponseHead};
-use limewing_net::sockets::SocketId;
+use limewing_net::sockets::{is_own_want, SocketId};
 use limewing_net::wheel::TimerKey;
 use std::time::Duration;
 
@@ -66,6 +66,10 @@
                 self.wheel.cancel(timer);
                 link
             }
+            // What is left is for list, news and votes.
+            None if self.sockets.open() >= self.room.shared => {
+                return self.end_forward(hit, no, Fate::Void, LoadReport::default());
+            }
             None => match self.book.address(pod).map(|to| self.sockets.connect(to)) {
                 Some(Ok(link)) => {
                     let connecting =
@@ -75,8 +79,12 @@
                     link
                 }
                 failed => {
-                    tracing::warn!(trouble = ?failed.and_then(Result::err), "no way to a pod");
-                    return self.end_forward(hit, no, Fate::Unreached, LoadReport::default());
+                    let trouble = failed.and_then(Result::err);
+                    // Our own want is no sign of the pod: it must not be shut for it.
+                    let own = trouble.as_ref().is_some_and(is_own_want);
+                    tracing::warn!(?trouble, own, "no way to a pod");
+                    let fate = if own { Fate::Void } else { Fate::Unreached };
+                    return self.end_forward(hit, no, fate, LoadReport::default());
                 }
             },
         };
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -12,6 +12,7 @@
 use crate::clock::Clock;
 use crate::memory;
 use crate::pods::{PodBook, Row};
+use crate::room::Room;
 use crate::routes::Routes;
 use crate::stages::Latest;
 use asks::{ListLink, NewsLink, VoteLink};
@@ -19,7 +20,7 @@
 use front::{Client, OpenHit, Reports};
 use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, PodId, StartTerms, VoteAnswer};
 use limewing::sidecar::Sidecar;
-use limewing_net::sockets::{Happening, SocketId, Sockets};
+use limewing_net::sockets::{descriptors, Happening, SocketId, Sockets};
 use limewing_net::wheel::{TimerKey, Wheel};
 use limewing_settings::{Misfit, SidecarSettings};
 use rustc_hash::FxHashMap;
@@ -128,6 +129,7 @@
     list_known: bool,
     list_link: Option<SocketId>,
     list_asked: Duration,
+    room: Room,
     reports: Reports,
     leaving: bool,
     left: bool,
@@ -155,6 +157,8 @@
         sockets.watch_signals(&LEAVE_ON)?;
         let at = settings.listen;
         let (listener, address) = sockets.listen(at).map_err(|why| StartTrouble::Listen { at, why })?;
+        let room = Room::of(descriptors());
+        sockets.accept_up_to(room.accepted, room.shared);
         let clock = Clock::default();
         let now = clock.now();
         let seed = settings.seed.unwrap_or_else(rand::random);
@@ -204,6 +208,7 @@
             list_known: false,
             list_link: None,
             list_asked: Duration::ZERO,
+            room,
             reports: Reports::default(),
             leaving: false,
             left: false,
--- a/crates/sidecar/tests/sockets/wants.rs
+++ b/crates/sidecar/tests/sockets/wants.rs
@@ -1,11 +1,69 @@
 //! What a sidecar lacks is its own trouble: descriptors, disk, memory. And how it comes back.
 
 use crate::help::{run, settings, state_file, Client, Does, Pod, DONE, QUOTE};
-use limewing_sidecar::service::Service;
+use limewing::interface::{Action, Event, Fate};
+use limewing::sidecar::Sidecar;
+use limewing_sidecar::service::{Decisions, Service};
 use rstest::rstest;
+use std::fs::File;
 use std::io::Write;
+use std::process::Command;
+use std::sync::mpsc::{channel, Sender};
 use std::time::Duration;
 
+/// The real decisions, and a word of each outcome that they are told.
+struct Overheard(Sidecar, Sender<Fate>);
+
+impl Decisions for Overheard {
+    fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        for event in &events {
+            if let Event::Outcome(outcome) = event {
+                let _ = self.1.send(outcome.fate);
+            }
+        }
+        self.0.handle(now, events)
+    }
+}
+
+/// Plays a test of this program in a process of its own, within limits that a shell sets.
+fn within(limits: &str, name: &str, body: impl FnOnce()) {
+    if std::env::var_os("LIMEWING_WITHIN").is_some() {
+        return body();
+    }
+    let exe = std::env::current_exe().unwrap();
+    let run = format!("{limits} exec {} wants::{name} --exact --nocapture", exe.display());
+    let out = Command::new("sh").args(["-c", &run]).env("LIMEWING_WITHIN", "1").output().unwrap();
+    let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.success() && text.contains("1 passed"), "{text}");
+}
+
+#[test]
+fn no_descriptor_for_a_forward_says_nothing_of_its_pod() {
+    within("ulimit -n 60;", "no_descriptor_for_a_forward_says_nothing_of_its_pod", || {
+        let pods = [Pod::new(vec![Does::Says(DONE)]), Pod::new(vec![Does::Says(DONE)])];
+        let mut settings = settings();
+        settings.state_file = Some(state_file(&[pods[0].at, pods[1].at]));
+        let (tell, told) = channel();
+        let service = Service::start_with(&settings, |now, terms| {
+            Box::new(Overheard(Sidecar::new(now, terms), tell)) as Box<dyn Decisions + Send>
+        });
+        let at = run(service.unwrap());
+        let mut client = Client::new(at);
+        // A first answer: from here on the connection is the sidecar's.
+        client.says("GET /limewing/status HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert!(client.hears().0.starts_with("HTTP/1.1 200"));
+        let held: Vec<File> = std::iter::from_fn(|| File::open("/dev/null").ok()).collect();
+        client.says(QUOTE);
+        let (head, _) = client.hears();
+        assert!(head.starts_with("HTTP/1.1 503") && head.contains("a retry is harmless"), "{head}");
+        let fates: Vec<Fate> = told.try_iter().collect();
+        assert!(!fates.is_empty() && fates.iter().all(|fate| *fate == Fate::Void), "{fates:?}");
+        drop(held);
+        client.says(QUOTE);
+        assert_eq!(client.hears().1, "done");
+    });
+}
+
 /// Answers that a client does not read are not heaped up without an end.
 #[rstest]
 #[case::no_hits("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n")]
