A node list that could not be kept is tried again until it is on disk

Seen: with the state file's folder gone for a moment (a full disk does the same) the list was not kept, and not tried again until the list itself changed; a restart in between begins with an older one, whose pods may have gone long ago.

Ruled out: half a file (written beside and renamed; the old one stays).

At fault: `new_list` in crates/sidecar/src/service/asks.rs kept the list on a change only. What fails is now tried again each second.

--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -19,6 +19,8 @@
 const MOST_VOTE: usize = 16 * 1024;
 /// Queries are no closer together than this, whatever the service answers.
 const LIST_EVERY: Duration = Duration::from_millis(20);
+/// Between two tries to keep a list on a disk that takes nothing.
+const KEEP_AGAIN: Duration = Duration::from_secs(1);
 
 pub struct ListLink {
     answers: Responses,
@@ -137,13 +139,20 @@
         self.events.push(Event::List(news));
         self.idle.retain(|_, kept| !kept.is_empty());
         if rows != self.rows {
-            if let Some(Err(trouble)) = self.terms.state_file.as_deref().map(|file| memory::keep(file, &rows))
-            {
-                tracing::warn!(%trouble, "the list could not be kept");
-            }
-            tracing::info!(pods = rows.len(), index = self.list_index, "a new list");
+            self.rows = rows;
+            tracing::info!(pods = self.rows.len(), index = self.list_index, "a new list");
+            self.keep_list();
+        }
+    }
+
+    /// Puts the list on disk; what can't be put there now is tried again, or a restart would begin with an older one.
+    pub(super) fn keep_list(&mut self) {
+        let Some(file) = self.terms.state_file.as_deref() else { return };
+        self.unkept.take().map(|timer| self.wheel.cancel(timer));
+        if let Err(trouble) = memory::keep(file, &self.rows) {
+            tracing::warn!(%trouble, "the list could not be kept; tried again");
+            self.unkept = Some(self.wheel.arm(self.now + KEEP_AGAIN, Due::KeepList));
         }
-        self.rows = rows;
     }
 
     fn drop_list(&mut self) {
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -77,6 +77,7 @@
     AskNews,
     NewsQuiet(SocketId),
     VoteLate(SocketId),
+    KeepList,
     Leave,
 }
 
@@ -129,6 +130,8 @@
     list_known: bool,
     list_link: Option<SocketId>,
     list_asked: Duration,
+    /// The list is not on disk as it is: when that is tried again.
+    unkept: Option<TimerKey>,
     room: Room,
     reports: Reports,
     leaving: bool,
@@ -208,6 +211,7 @@
             list_known: false,
             list_link: None,
             list_asked: Duration::ZERO,
+            unkept: None,
             room,
             reports: Reports::default(),
             leaving: false,
@@ -336,6 +340,10 @@
             Due::AskNews => self.ask_news(),
             Due::NewsQuiet(id) => self.news_quiet(id),
             Due::VoteLate(id) => self.vote_over(id, VoteAnswer::Unanswered, None),
+            Due::KeepList => {
+                self.unkept = None;
+                self.keep_list();
+            }
             Due::Leave => self.left = true,
         }
     }
--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -64,6 +64,19 @@
     file
 }
 
+/// An answer of the list service that names these pods.
+pub fn listing(index: u64, pods: &[SocketAddr]) -> String {
+    let entry = |at: &SocketAddr| {
+        format!(
+            r#"{{"Service":{{"ID":"{at}","Address":"{}","Port":{},"Meta":{{"build":"1"}}}}}}"#,
+            at.ip(),
+            at.port()
+        )
+    };
+    let body = format!("[{}]", pods.iter().map(entry).collect::<Vec<_>>().join(","));
+    format!("HTTP/1.1 200 OK\r\nX-Consul-Index: {index}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
 pub fn sidecar_with(state_file: Option<std::path::PathBuf>) -> SocketAddr {
     let mut settings = settings();
     settings.state_file = state_file;
--- a/crates/sidecar/tests/sockets/wants.rs
+++ b/crates/sidecar/tests/sockets/wants.rs
@@ -1,12 +1,13 @@
 //! What a sidecar lacks is its own trouble: descriptors, disk, memory. And how it comes back.
 
-use crate::help::{run, settings, state_file, Client, Does, Pod, DONE, QUOTE};
+use crate::help::{listing, run, settings, state_file, Client, Does, Pod, DONE, QUOTE};
 use limewing::interface::{Action, Event, Fate};
 use limewing::sidecar::Sidecar;
 use limewing_sidecar::service::{Decisions, Service};
 use rstest::rstest;
 use std::fs::File;
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::process::Command;
 use std::sync::mpsc::{channel, Sender};
 use std::time::Duration;
@@ -64,6 +65,30 @@
     });
 }
 
+#[test]
+fn a_list_that_could_not_be_kept_is_kept_once_it_can_be() {
+    let folder = tempfile::tempdir().unwrap();
+    let pod = Pod::new(vec![Does::Says(DONE)]);
+    let list = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut settings = settings();
+    settings.list.address = list.local_addr().unwrap();
+    let file = folder.path().join("not/yet/state.json");
+    settings.state_file = Some(file.clone());
+    let mut client = Client::new(run(Service::start(&settings).unwrap()));
+    let (mut link, _) = list.accept().unwrap();
+    let _ = link.read(&mut [0; 500]).unwrap();
+    link.write_all(listing(7, &[pod.at]).as_bytes()).unwrap();
+    client.says(QUOTE);
+    assert_eq!(client.hears().1, "done");
+    std::fs::create_dir_all(file.parent().unwrap()).unwrap();
+    // The list does not change any more.
+    let kept = (0..500).any(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        limewing_sidecar::memory::recall(&file).is_ok_and(|rows| rows.is_some_and(|rows| rows.len() == 1))
+    });
+    assert!(kept);
+}
+
 /// Answers that a client does not read are not heaped up without an end.
 #[rstest]
 #[case::no_hits("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n")]
