A pod on trial that was shut is proven again

Seen, in a test over sockets: one connection to the only pod of a build on trial breaks; the pod is shut, and never gets another hit while it is on trial (2 forwards in 1,500 hits, none after the break). The judge sees nothing more of the build; under a clock it is let through unseen, with votes it stands for ever.

Ruled out: the gate (cap and guarded stage allowed it), and the pod (it answered).

At fault: `Desk::place` in src/choice.rs: hits that prove shut pods went to pods of the base only, and a share of hits for the trial is drawn by its usable pods alone. Proofs go to pods on trial too now, repeatable and tagged hits only, one at a time after growing waits, within cap and guarded stages as every forward.

Also tested now, and found well: every way that a forward to the build on trial can fail (no connection, reset before and after the first byte, half an answer, garbage, an error, silence, not begun), and votes that are lost, refused, err, break in the middle, are not answered, or are answered after the next stage began.

--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -7,8 +7,10 @@
 use limewing_sidecar::service::{Decisions, Service};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"{
   "name": "sidecar-0", "listen": "127.0.0.1:0", "seed": 1,
@@ -138,6 +140,7 @@
     /// The head of each request that came, and `gone` when a connection ended.
     pub seen: Receiver<String>,
     pub go_on: Sender<()>,
+    heads: Arc<AtomicUsize>,
 }
 
 impl Pod {
@@ -146,12 +149,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         let ((tell, seen), (go_on, word)) = (channel(), channel());
+        let heads = Arc::new(AtomicUsize::new(0));
+        let count = heads.clone();
         std::thread::spawn(move || {
             let mut script = script.into_iter().peekable();
             for stream in listener.incoming() {
                 let Ok(mut stream) = stream else { continue };
                 while let Some(head) = read_head(&mut stream, matches!(script.peek(), Some(Does::Counts))) {
                     let does = if script.len() > 1 { script.next() } else { script.peek().cloned() };
+                    count.fetch_add(1, Ordering::Relaxed);
                     let _ = tell.send(head);
                     if !act(&mut stream, does.unwrap(), &word) {
                         break;
@@ -160,13 +166,18 @@
                 let _ = tell.send("gone".into());
             }
         });
-        Self { at, seen, go_on }
+        Self { at, seen, go_on, heads }
     }
 
     pub fn hears(&self) -> String {
         self.seen.recv_timeout(Duration::from_secs(10)).expect("the pod hears something")
     }
 
+    /// Requests heard since the start.
+    pub fn count(&self) -> usize {
+        self.heads.load(Ordering::Relaxed)
+    }
+
     pub fn heard_nothing(&self) -> bool {
         self.seen.try_recv().is_err()
     }
@@ -283,3 +294,94 @@
         matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
     }
 }
+
+/// What an installer does with a vote.
+#[derive(Clone, Debug)]
+pub enum Vote {
+    Counted,
+    Moot,
+    Closes,
+    Says(&'static str),
+    SaysAndCloses(&'static str),
+    Waits,
+    /// Counts it, and says so later.
+    After(Duration),
+}
+
+pub struct Installer {
+    at: SocketAddr,
+    asked: Receiver<()>,
+    votes: Receiver<(Instant, String)>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Installer {
+    /// Says this state on each stream; does these with votes in turn, and the last of them ever after.
+    pub fn new(state: &'static str, script: Vec<Vote>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let ((tell_asked, asked), (tell_vote, votes)) = (channel(), channel());
+        let streams = Arc::new(Mutex::new(Vec::new()));
+        let kept = streams.clone();
+        std::thread::spawn(move || {
+            let mut script = script.into_iter().peekable();
+            for mut link in listener.incoming().map_while(Result::ok) {
+                let mut asked = vec![0; 2000];
+                let length = link.read(&mut asked).unwrap_or(0);
+                let text = String::from_utf8_lossy(&asked[..length]).into_owned();
+                if text.starts_with("GET") {
+                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+                    let _ = write!(link, "{head}data: {state}\n\n");
+                    kept.lock().unwrap().push(link);
+                    let _ = tell_asked.send(());
+                } else if !text.is_empty() {
+                    let _ = tell_vote.send((Instant::now(), text));
+                    let does = if script.len() > 1 { script.next() } else { script.peek().cloned() };
+                    std::thread::spawn(move || votes_on(link, does.unwrap()));
+                }
+            }
+        });
+        Self { at, asked, votes, streams }
+    }
+
+    pub fn settings(&self) -> limewing_settings::Installer {
+        let quiet_at_most = limewing_settings::Seconds::try_from(30.0).unwrap();
+        limewing_settings::Installer { address: self.at, quiet_at_most }
+    }
+
+    /// Waits until stage news have been asked for, and a moment for them to be read.
+    pub fn is_asked(&self) {
+        self.asked.recv_timeout(Duration::from_secs(10)).expect("stage news are asked for");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+
+    pub fn says(&self, state: &str) {
+        for link in self.streams.lock().unwrap().iter_mut() {
+            let _ = write!(link, "data: {state}\n\n");
+        }
+    }
+
+    pub fn vote(&self, within: Duration) -> Option<(Instant, String)> {
+        self.votes.recv_timeout(within).ok()
+    }
+}
+
+fn votes_on(mut link: TcpStream, does: Vote) {
+    let says = |link: &mut TcpStream, what: &str| {
+        let body = format!(r#"{{"answer":"{what}"}}"#);
+        write!(link, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let _ = match does {
+        Vote::Counted => says(&mut link, "counted"),
+        Vote::Moot => says(&mut link, "moot"),
+        Vote::Closes => return,
+        Vote::Says(text) => link.write_all(text.as_bytes()),
+        Vote::SaysAndCloses(text) => return drop(link.write_all(text.as_bytes())),
+        Vote::Waits => Ok(()),
+        Vote::After(wait) => {
+            std::thread::sleep(wait);
+            says(&mut link, "counted")
+        }
+    };
+    let _ = link.read(&mut [0; 100]);
+}
--- a/crates/sidecar/tests/sockets/main.rs
+++ b/crates/sidecar/tests/sockets/main.rs
@@ -2,4 +2,5 @@
 
 mod hard_cases;
 mod help;
+mod on_trial;
 mod wants;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -590,7 +590,7 @@
         let among = |c: &Card| used[usize::from(on_trial(c))];
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
-            _ if proves && c.wants_proof && !on_trial(c) => Some(0),
+            _ if proves && c.wants_proof => Some(0),
             _ if c.usable && on_trial(c) == want_trial && c.ranked() >= among(c).0 => Some(1),
             _ if c.usable && on_trial(c) == want_trial => Some(2),
             _ if c.usable && !open.no_trial => Some(3),
