Inputs and settings that nothing reads are taken out

A reader takes them for inputs of decisions.

Change: they are gone from interface, notes and figures. The wire adapter accepts whatever the wire may bring and passes over it. The sidecar no longer reads ORCA load out of answers, and the stand-in pods no longer write it. Settings taken out: `limits.over_quota_worth`, `customers[].quota_per_s`, `rules.ask_list_within`, `releases.flagged_share`; a file that has one is refused with line and path. No test was dropped.

--- a/crates/cli/tests/command/wants.rs
+++ b/crates/cli/tests/command/wants.rs
@@ -90,7 +90,7 @@
     let file = settings_with(folder.path(), &[(base, 1), (trial, 2)]);
     change(&file, "127.0.0.1:8600", &installer.local_addr().unwrap().to_string());
     let sidecar = Running::start("ulimit -n 64;", &file, Stdio::null());
-    let on_trial = r#"{"number":1,"build":2,"stage":2,"phase":"on_trial","cap":1,"age_ms":0}"#;
+    let on_trial = r#"{"number":1,"build":2,"stage":2,"phase":"on_trial","cap":1}"#;
     let news = says_stage(&installer, on_trial);
     let mut client = sidecar.connect();
     let mut hits = |many: usize| {
@@ -104,7 +104,7 @@
     let crowd: Vec<TcpStream> = (0..100).map(|_| sidecar.connect()).collect();
     assert_eq!(hits(20), 20);
     drop(news);
-    let back = r#"{"number":2,"build":2,"stage":2,"phase":"going_back","cap":0,"age_ms":0}"#;
+    let back = r#"{"number":2,"build":2,"stage":2,"phase":"going_back","cap":0}"#;
     let _news = says_stage(&installer, back);
     // The rule grants a second; by then nothing goes there any more.
     std::thread::sleep(Duration::from_secs(1));
--- a/crates/referee/src/rules.rs
+++ b/crates/referee/src/rules.rs
@@ -6,6 +6,10 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Figures of the rules that the decisions need not know.
+const ANSWER_SLACK: Duration = Duration::from_millis(20);
+const ASK_LIST_WITHIN: Duration = Duration::from_secs(10);
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Breach {
     pub rule: u8,
@@ -311,7 +315,7 @@
         for (sidecar, life) in self.lives.iter().filter(|(sidecar, _)| !excused(**sidecar)) {
             let open = |s: &&Story| s.answered.is_none() && s.over.is_none() && s.streams.is_none();
             for story in life.stories.values().filter(open) {
-                if now > story.owed + life.terms.rules.answer_slack {
+                if now > story.owed + ANSWER_SLACK {
                     let what = format!("{:?}, due at {:?}, has no answer", story.hit.id, story.hit.due);
                     return Err(Breach { rule: 1, sidecar: *sidecar, at: now, what });
                 }
@@ -329,7 +333,7 @@
     ) -> Result<(), (u8, String)> {
         let life = self.lives.get_mut(&sidecar).ok_or((1, "an instance that is dead acts".to_owned()))?;
         let turn = life.turn;
-        let slack = life.terms.rules.answer_slack;
+        let slack = ANSWER_SLACK;
         let story = life.stories.get_mut(&hit).ok_or((1, format!("{hit:?} was never taken")))?;
         if story.answered.is_some() {
             return Err((1, format!("{hit:?} is answered twice")));
@@ -410,7 +414,7 @@
             return Err((3, format!("{pod:?} is sent to past the grace")));
         }
         // Who watches no list and has not asked for long counts as told of what was in it then.
-        let within = terms.rules.ask_list_within * if life.failed { 4 } else { 1 };
+        let within = ASK_LIST_WITHIN * if life.failed { 4 } else { 1 };
         if terms.list_on_request && !life.watched && now > life.asked + within {
             let then = now - within;
             let known = self.truth.iter().rev().find(|(at, _)| *at <= then);
--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -13,6 +13,8 @@
 const STEP: Duration = Duration::from_millis(5);
 const START: Duration = Duration::from_secs(1000);
 const LASTS: Duration = Duration::from_secs(24);
+/// How long a stage lasts.
+const STAGE: Duration = Duration::from_secs(3);
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -181,22 +183,17 @@
             own_number: 0,
             zone: ZoneId(0),
             groups,
-            customers: (0..3).map(|_| Customer { quota_per_s: 50.0 }).collect(),
-            over_quota_worth: 0.1,
             list_on_request: chance.random_bool(0.6),
-            may_probe: false,
             may_cancel: chance.random_bool(0.7),
             second_copies: chance.random_bool(0.6),
             retry_after: chance.random_bool(0.5).then_some(ms(500)),
             max_forwards: chance.random_range(2..=6),
             rules: RuleTerms {
-                answer_slack: ms(20),
                 drain_grace: ms([500, 1000][chance.random_range(0..2)]),
                 cold_from: 0.35,
                 cold_for: ms(3400),
                 fall_multiple: [2.0, 2.5][chance.random_range(0..2)],
                 fall_within: ms([1000, 1500, 3000][chance.random_range(0..3)]),
-                ask_list_within: ms(10_000),
             },
             release: ReleaseTerms {
                 control: if clock { Control::Clock } else { Control::Votes },
@@ -207,10 +204,8 @@
                 cap_by_group: chance.random_bool(0.5),
                 guarded_stages: chance.random_range(0..3),
                 keys_stay: chance.random_bool(0.5),
-                step_after: ms(3000),
                 vote_life: ms(4000),
                 vote_answer_within: ms(1000),
-                flagged_share: 0.3,
                 back_votes: 1,
             },
         };
@@ -218,8 +213,7 @@
         let pods = chance.random_range(6..=10usize);
         let rate = pods as f64 * cores as f64 / work * chance.random_range(0.25..0.8);
         let (now, build) = (START, BuildId(1));
-        let news =
-            StageNews { build, stage: StageNo(2), phase: Phase::Released, cap: 1.0, age: Duration::ZERO };
+        let news = StageNews { build, stage: StageNo(2), phase: Phase::Released, cap: 1.0 };
         let mut world = Self {
             chance,
             now,
@@ -451,7 +445,7 @@
                 let wait = ms(self.chance.random_range(40..400));
                 self.later(wait, Happens::Call(sidecar, life));
             }
-            Action::Wake { at, .. } => self.hosts[sidecar].wake = at,
+            Action::Wake { at } => self.hosts[sidecar].wake = at,
             _ => {}
         }
     }
@@ -483,9 +477,8 @@
     }
 
     fn tell_outcome(&mut self, job: &Job, fate: Fate, over: bool, took: Duration) {
-        let load = LoadReport::default();
         let (hit, no, pod) = (job.hit, job.no, job.pod);
-        let event = Event::Outcome(Outcome { hit, no, pod, fate, took, over, load });
+        let event = Event::Outcome(Outcome { hit, no, pod, fate, took, over });
         let late = if fate != Fate::TimedOut && self.chance.random_bool(0.02) {
             ms(self.chance.random_range(5..15))
         } else {
@@ -829,7 +822,7 @@
     }
 
     fn change(&mut self, news: StageNews) {
-        self.news = StageNews { age: Duration::ZERO, ..news };
+        self.news = news;
         self.state += 1;
         self.held_for = Duration::ZERO;
         for sidecar in 0..self.hosts.len() {
@@ -945,7 +938,7 @@
                 let of = of.map(|pod| pod.entry.build.0).min().unwrap_or(1);
                 self.bring_in(of, next.0, shares[0]);
                 let (stage, phase, cap) = (StageNo(0), Phase::OnTrial, caps[0]);
-                self.change(StageNews { build: next, stage, phase, cap, age: Duration::ZERO });
+                self.change(StageNews { build: next, stage, phase, cap });
             }
             Phase::OnTrial if stage + 1 < shares.len() => {
                 let before = self.pods.iter().filter(|pod| pod.runs && pod.entry.build < build);
@@ -958,7 +951,7 @@
             Phase::GoingBack => self.change(StageNews { phase: Phase::Withdrawn, cap: 0.0, ..self.news }),
         }
         let state = self.state;
-        let wait = self.terms.release.step_after;
+        let wait = STAGE;
         self.later(wait, Happens::Steps(state));
     }
 }
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -159,8 +159,6 @@
 #[serde(deny_unknown_fields)]
 pub struct Customer {
     pub name: String,
-    /// Hits a second that all sidecars together owe it.
-    pub quota_per_s: f64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -174,8 +172,6 @@
     /// What a bounced client is told to wait; none tells nothing.
     #[serde(default)]
     pub retry_after: Option<Seconds>,
-    #[serde(default = "one")]
-    pub over_quota_worth: f64,
     pub connect_timeout: Seconds,
     /// Idle connections to pods are closed after this.
     pub idle_close: Seconds,
@@ -198,10 +194,6 @@
     pub clients: usize,
 }
 
-fn one() -> f64 {
-    1.0
-}
-
 fn ten() -> Seconds {
     Seconds(10.0)
 }
@@ -218,13 +210,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Rules {
+    /// How late an answer may be; for the account of a day, as a sidecar answers at the deadline.
     pub answer_slack: Seconds,
     pub drain_grace: Seconds,
     pub cold_from: f64,
     pub cold_for: Seconds,
     pub fall_multiple: f64,
     pub fall_within: Seconds,
-    pub ask_list_within: Seconds,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -249,11 +241,10 @@
     pub guarded_stages: u8,
     #[serde(default)]
     pub keys_stay: bool,
+    /// How long a stage lasts under a clock; for the installer of a day, as a sidecar goes by its news.
     pub step_after: Seconds,
     pub vote_life: Seconds,
     pub vote_answer_within: Seconds,
-    #[serde(default)]
-    pub flagged_share: f64,
     pub back_votes: u32,
 }
 
@@ -329,10 +320,6 @@
                 );
             }
         }
-        for (place, customer) in self.customers.iter().enumerate() {
-            let fits = customer.quota_per_s.is_finite() && customer.quota_per_s >= 0.0;
-            need(fits, &format!("/customers/{place}/quota_per_s"), "0 or more hits a second");
-        }
         need(self.limits.max_forwards >= 1, "/limits/max_forwards", "1 or more");
         need(self.limits.clients >= 1, "/limits/clients", "1 or more");
         need(f64::from(self.limits.connect_timeout) > 0.0, "/limits/connect_timeout", "more than 0 seconds");
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -14,28 +14,18 @@
             own_number: self.fleet.own_number,
             zone: words::ZoneId(zone as u16),
             groups: self.path_groups.iter().map(group).collect(),
-            customers: self
-                .customers
-                .iter()
-                .map(|c| words::Customer { quota_per_s: c.quota_per_s })
-                .collect(),
-            over_quota_worth: limits.over_quota_worth,
             // Whoever hosts the module asks the list service whenever the module says so.
             list_on_request: true,
-            // The module asks for none, and no host makes any yet.
-            may_probe: false,
             may_cancel: limits.may_cancel,
             second_copies: limits.second_copies,
             retry_after: limits.retry_after.map(Into::into),
             max_forwards: limits.max_forwards,
             rules: words::RuleTerms {
-                answer_slack: rules.answer_slack.into(),
                 drain_grace: rules.drain_grace.into(),
                 cold_from: rules.cold_from,
                 cold_for: rules.cold_for.into(),
                 fall_multiple: rules.fall_multiple,
                 fall_within: rules.fall_within.into(),
-                ask_list_within: rules.ask_list_within.into(),
             },
             release: words::ReleaseTerms {
                 control: match releases.control {
@@ -49,10 +39,8 @@
                 cap_by_group: releases.cap_by_group,
                 guarded_stages: releases.guarded_stages,
                 keys_stay: releases.keys_stay,
-                step_after: releases.step_after.into(),
                 vote_life: releases.vote_life.into(),
                 vote_answer_within: releases.vote_answer_within.into(),
-                flagged_share: releases.flagged_share,
                 back_votes: releases.back_votes,
             },
         }
--- a/crates/settings/tests/reading.rs
+++ b/crates/settings/tests/reading.rs
@@ -13,7 +13,7 @@
   ],
   "limits": {"max_forwards": 3, "connect_timeout": 0.2, "idle_close": 10, "deadline_margin": 0.02},
   "rules": {"answer_slack": 0.02, "drain_grace": 1, "cold_from": 0.4, "cold_for": 3, "fall_multiple": 2,
-            "fall_within": 3, "ask_list_within": 10},
+            "fall_within": 3},
   "releases": {"control": "clock", "stages": [{"share": 0.1, "cap": 0.2}, {"share": 1, "cap": 1}],
                "cap_window": 2, "cap_free": 1, "step_after": 4, "vote_life": 4, "vote_answer_within": 1,
                "back_votes": 1}
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -7,7 +7,7 @@
 use super::front::{Forward, FORWARD};
 use super::{Due, Peer, Service};
 use bytes::BytesMut;
-use limewing::interface::{Event, Fate, ForwardNo, HitId, LoadReport, Outcome, PodId};
+use limewing::interface::{Event, Fate, ForwardNo, HitId, Outcome, PodId};
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits, ResponseHead};
 use limewing_net::sockets::{is_own_want, SocketId};
@@ -16,8 +16,6 @@
 
 /// A pod says with this field that it has not begun a hit.
 pub const NOT_BEGUN: &str = "limewing-not-begun";
-/// A pod's load in its answers, as Open Request Cost Aggregation has it.
-const LOAD: &str = "endpoint-load-metrics";
 
 pub struct PodLink {
     pod: PodId,
@@ -34,7 +32,6 @@
     answer: Option<(ResponseHead, BodyReader)>,
     gathered: BytesMut,
     passing: bool,
-    load: LoadReport,
 }
 
 /// How reading an answer went on.
@@ -58,7 +55,7 @@
         // A body that was passed on is gone: nothing is left for another forward.
         let gone = !open.whole && open.carrier.is_some();
         if open.over || open.passing.is_some() || spent || gone || self.now >= due {
-            return self.end_forward(hit, no, Fate::Void, LoadReport::default());
+            return self.end_forward(hit, no, Fate::Void);
         }
         let kept = self.idle.get_mut(&pod).and_then(Vec::pop);
         let link = match kept {
@@ -68,7 +65,7 @@
             }
             // What is left is for list, news and votes.
             None if self.sockets.open() >= self.room.shared => {
-                return self.end_forward(hit, no, Fate::Void, LoadReport::default());
+                return self.end_forward(hit, no, Fate::Void);
             }
             None => match self.book.address(pod).map(|to| self.sockets.connect(to)) {
                 Some(Ok(link)) => {
@@ -84,7 +81,7 @@
                     let own = trouble.as_ref().is_some_and(is_own_want);
                     tracing::warn!(?trouble, own, "no way to a pod");
                     let fate = if own { Fate::Void } else { Fate::Unreached };
-                    return self.end_forward(hit, no, fate, LoadReport::default());
+                    return self.end_forward(hit, no, fate);
                 }
             },
         };
@@ -92,9 +89,9 @@
         if let Some(forward) = self.forward_of(hit, no) {
             forward.link = Some(link);
         }
-        let (answer, gathered, load) = (None, BytesMut::new(), LoadReport::default());
+        let (answer, gathered) = (None, BytesMut::new());
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
-        of.job = Some(Job { hit, no, from, answer, gathered, passing: false, load });
+        of.job = Some(Job { hit, no, from, answer, gathered, passing: false });
         // A connection that is being made gets its bytes only once it stands: until then nothing is written.
         if of.connecting.is_none() {
             self.write_forward(link);
@@ -158,7 +155,7 @@
             Some(job) if job.passing => self.end_passed(job, Fate::Broken),
             Some(job) => {
                 let fate = if written <= job.from { Fate::Unreached } else { Fate::Broken };
-                self.end_forward(job.hit, job.no, fate, LoadReport::default());
+                self.end_forward(job.hit, job.no, fate);
             }
             None => self.forget_idle(link, of.pod),
         }
@@ -179,7 +176,7 @@
             Step::Broken => self.answer_broken(link),
             Step::Unwanted => {
                 self.drop_job(Some(link));
-                self.end_forward(hit, no, Fate::Cancelled, LoadReport::default());
+                self.end_forward(hit, no, Fate::Cancelled);
             }
         }
     }
@@ -195,7 +192,6 @@
         if job.answer.is_none() {
             match http::response(input, to_head, HeadLimits::default()) {
                 Ok(Some(head)) => {
-                    job.load = load_report(&head);
                     let reader = BodyReader::new(head.framing);
                     job.answer = Some((head, reader));
                 }
@@ -292,7 +288,7 @@
         if fate == Fate::Delivered {
             self.deliver(job.hit, job.no, head, &job.gathered);
         }
-        self.end_forward(job.hit, job.no, fate, job.load);
+        self.end_forward(job.hit, job.no, fate);
     }
 
     /// Whether a part of the body of the hit on this connection is still to come.
@@ -316,7 +312,7 @@
         let Some(Peer::Pod(of)) = self.peers.remove(&link) else { return };
         match of.job {
             Some(job) if job.passing => self.end_passed(job, Fate::Broken),
-            Some(job) => self.end_forward(job.hit, job.no, Fate::Broken, job.load),
+            Some(job) => self.end_forward(job.hit, job.no, Fate::Broken),
             None => {}
         }
     }
@@ -325,11 +321,11 @@
         if let Some((head, _)) = &job.answer {
             self.end_passing(job.hit, head, fate == Fate::Delivered);
         }
-        self.end_forward(job.hit, job.no, fate, job.load);
+        self.end_forward(job.hit, job.no, fate);
     }
 
     /// Tells the module how a forward ended; each ends once.
-    fn end_forward(&mut self, hit: HitId, no: ForwardNo, fate: Fate, load: LoadReport) {
+    fn end_forward(&mut self, hit: HitId, no: ForwardNo, fate: Fate) {
         let now = self.now;
         let Some(open) = self.hits.get_mut(&hit) else { return };
         let Some(forward) = open.forwards.get_mut(usize::from(no.0)).filter(|f| !f.ended) else { return };
@@ -337,7 +333,7 @@
         forward.link = None;
         forward.timer.take().map(|timer| self.wheel.cancel(timer));
         let (pod, took, over) = (forward.pod, now.saturating_sub(forward.sent), open.over);
-        self.events.push(Event::Outcome(Outcome { hit, no, pod, fate, took, over, load }));
+        self.events.push(Event::Outcome(Outcome { hit, no, pod, fate, took, over }));
         self.tidy(hit);
     }
 
@@ -350,7 +346,7 @@
         forward.timer = None;
         let link = forward.link.take();
         let fate = self.drop_job(link).unwrap_or(Fate::TimedOut);
-        self.end_forward(hit, no, fate, LoadReport::default());
+        self.end_forward(hit, no, fate);
     }
 
     pub(super) fn cancel(&mut self, hit: HitId, no: ForwardNo) {
@@ -361,14 +357,14 @@
         }
         let link = forward.link;
         let fate = self.drop_job(link).unwrap_or(Fate::Cancelled);
-        self.end_forward(hit, no, fate, LoadReport::default());
+        self.end_forward(hit, no, fate);
     }
 
     /// Ends a forward whose answer was passed on to a client that went.
     pub(super) fn cut(&mut self, hit: HitId, no: ForwardNo) {
         let link = self.forward_of(hit, no).and_then(|forward| forward.link);
         self.drop_job(link);
-        self.end_forward(hit, no, Fate::Cancelled, LoadReport::default());
+        self.end_forward(hit, no, Fate::Cancelled);
     }
 
     /// Takes a forward off its connection. One that is still being made is left to be used by others, and
@@ -416,29 +412,3 @@
         }
     }
 }
-
-/// The load in a pod's answer: `TEXT cpu_utilization=0.3, named_metrics.held=4`, or the same as JSON.
-fn load_report(head: &ResponseHead) -> LoadReport {
-    let Some(text) = head.fields.text(LOAD) else { return LoadReport::default() };
-    let mut load = LoadReport::default();
-    let mut note = |name: &str, value: Option<f64>| {
-        let value = value.filter(|value| value.is_finite() && *value >= 0.0);
-        match name.trim() {
-            "cpu_utilization" => load.busy = value,
-            "named_metrics.held" => load.held = value,
-            "named_metrics.waiting" => load.waiting = value,
-            _ => {}
-        }
-    };
-    if let Some(rest) = text.strip_prefix("TEXT ") {
-        for (name, value) in rest.split(',').filter_map(|pair| pair.split_once('=')) {
-            note(name, value.trim().parse().ok());
-        }
-    } else if let Some(rest) = text.strip_prefix("JSON ") {
-        let json: serde_json::Value = serde_json::from_str(rest).unwrap_or_default();
-        note("cpu_utilization", json["cpu_utilization"].as_f64());
-        note("named_metrics.held", json["named_metrics"]["held"].as_f64());
-        note("named_metrics.waiting", json["named_metrics"]["waiting"].as_f64());
-    }
-    load
-}
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -70,13 +70,13 @@
 
 /// Which pod each answer given lately came from, so that reports can be understood.
 #[derive(Default)]
-pub struct Reports(BTreeMap<(HitId, ForwardNo), (PodId, GroupId, Duration)>);
+pub struct Reports(BTreeMap<(HitId, ForwardNo), (PodId, GroupId)>);
 
 /// Answers remembered for reports.
 const REMEMBERED: usize = 50_000;
 
 impl Reports {
-    fn note(&mut self, hit: HitId, no: ForwardNo, of: (PodId, GroupId, Duration)) {
+    fn note(&mut self, hit: HitId, no: ForwardNo, of: (PodId, GroupId)) {
         self.0.insert((hit, no), of);
         if self.0.len() > REMEMBERED {
             self.0.pop_first();
@@ -357,7 +357,7 @@
     fn answered(&mut self, hit: HitId, no: ForwardNo) {
         let Some(open) = self.hits.get(&hit) else { return };
         let Some(forward) = open.forwards.get(usize::from(no.0)) else { return };
-        self.reports.note(hit, no, (forward.pod, open.group, forward.sent));
+        self.reports.note(hit, no, (forward.pod, open.group));
     }
 
     /// The head of an answer that a pod gave, as its client gets it.
@@ -427,8 +427,8 @@
         let report = serde_json::from_slice::<Report>(body);
         let Ok(report) = report else { return self.reply(id, 400, &[], b"expected {\"forward\": mark}\n") };
         let of = self.unmark(&report.forward).and_then(|key| self.reports.0.remove(&key));
-        let Some((pod, group, sent)) = of else { return self.reply(id, 404, &[], b"no such forward\n") };
-        self.events.push(Event::Flagged { pod, group, age: self.now.saturating_sub(sent) });
+        let Some((pod, group)) = of else { return self.reply(id, 404, &[], b"no such forward\n") };
+        self.events.push(Event::Flagged { pod, group });
         self.reply(id, 202, &[], b"");
     }
 
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -356,9 +356,7 @@
             Action::Fail { hit } => self.fail(hit),
             Action::Vote { verdict, build, stage } => self.vote(verdict, build, stage),
             Action::Watch => self.ask_list(),
-            // The start terms allow no health calls.
-            Action::Probe(_) => {}
-            Action::Wake { at, .. } => self.wake = at,
+            Action::Wake { at } => self.wake = at,
             Action::Log(line) => tracing::info!(target: "limewing::decisions", "{line}"),
         }
     }
--- a/crates/sidecar/src/stages.rs
+++ b/crates/sidecar/src/stages.rs
@@ -4,7 +4,6 @@
 use bytes::BytesMut;
 use limewing::interface::{BuildId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -25,8 +24,6 @@
     pub phase: PhaseName,
     /// The most of a sidecar's hits that may go to the build, 0 to 1.
     pub cap: f64,
-    /// Milliseconds since the state began.
-    pub age_ms: u64,
 }
 
 impl StageMessage {
@@ -41,7 +38,6 @@
                 PhaseName::Withdrawn => Phase::Withdrawn,
             },
             cap: if self.cap.is_finite() { self.cap.clamp(0.0, 1.0) } else { 0.0 },
-            age: Duration::from_millis(self.age_ms),
         }
     }
 }
--- a/crates/sidecar/tests/any_bytes.rs
+++ b/crates/sidecar/tests/any_bytes.rs
@@ -26,7 +26,7 @@
         "event: stage\n",
         "\n",
         "\n\n",
-        "{\"build\":1,\"stage\":0,\"phase\":\"released\",\"cap\":1,\"age_ms\":0}",
+        "{\"build\":1,\"stage\":0,\"phase\":\"released\",\"cap\":1}",
         "{\"answer\":\"moot\"}",
     ]);
     prop::collection::vec(parts, 0..16).prop_map(|parts| parts.concat())
--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -1,6 +1,6 @@
 //! A sidecar on a thread, pods that do as they are told, and a client that reads answer by answer.
 
-use limewing::interface::{Action, Event, PodId, TimerId};
+use limewing::interface::{Action, Event, PodId};
 use limewing_settings::{read_text, SidecarSettings};
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{PodBook, Row};
@@ -29,7 +29,7 @@
   "limits": {"max_forwards": 6, "second_copies": false, "may_cancel": true, "connect_timeout": 1, "idle_close": 30,
     "retry_after": 0.5, "deadline_margin": 0.02, "body_kept": 1000, "request_within": 0.5, "stall": 0.5},
   "rules": {"answer_slack": 0.02, "drain_grace": 1, "cold_from": 0.35, "cold_for": 3, "fall_multiple": 2,
-    "fall_within": 3, "ask_list_within": 10},
+    "fall_within": 3},
   "releases": {"control": "clock", "stages": [{"share": 1, "cap": 1}], "cap_window": 2, "cap_free": 1,
     "step_after": 4, "vote_life": 4, "vote_answer_within": 1, "back_votes": 1}
 }"#;
@@ -103,7 +103,7 @@
         let forwards = forwards.flat_map(|hit| {
             pods.iter().map(move |pod| Action::Forward { hit, pod: *pod, within: Duration::ZERO })
         });
-        let beat = Action::Wake { at: now + Duration::from_millis(20), id: TimerId(0) };
+        let beat = Action::Wake { at: now + Duration::from_millis(20) };
         forwards.chain([beat]).collect()
     }
 }
--- a/crates/sidecar/tests/sockets/on_trial.rs
+++ b/crates/sidecar/tests/sockets/on_trial.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
-const ON_TRIAL: &str = r#"{"number":1,"build":2,"stage":0,"phase":"on_trial","cap":1,"age_ms":0}"#;
+const ON_TRIAL: &str = r#"{"number":1,"build":2,"stage":0,"phase":"on_trial","cap":1}"#;
 
 /// A sidecar that knows these pods and asks this installer.
 fn sidecar(pods: &[(SocketAddr, u16)], installer: &Installer) -> SocketAddr {
@@ -141,7 +141,7 @@
     let installer = Installer::new(ON_TRIAL, vec![late, Vote::Counted]);
     sidecar(&[(pod.at, 1)], &installer);
     installer.vote(Duration::from_secs(5)).expect("a vote");
-    installer.says(r#"{"number":2,"build":2,"stage":1,"phase":"on_trial","cap":1,"age_ms":0}"#);
+    installer.says(r#"{"number":2,"build":2,"stage":1,"phase":"on_trial","cap":1}"#);
     let (_, body) = installer.vote(Duration::from_secs(3)).expect("a vote for the next stage");
     assert!(body.contains("\"stage\":1"), "{body}");
 }
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -55,7 +55,7 @@
 #[test]
 fn stage_news_come_whole_however_they_are_cut() {
     let text = ": ping\n\nevent: other\ndata: {}\n\nevent: stage\r\ndata: {\"build\":2,\"stage\":1,\r\n\
-        data: \"phase\":\"on_trial\",\"cap\":0.4,\"age_ms\":5}\r\n\r\n";
+        data: \"phase\":\"on_trial\",\"cap\":0.4}\r\n\r\n";
     let mut reader = EventReader::default();
     let news: Vec<_> = text.bytes().flat_map(|byte| reader.take(&[byte]).unwrap()).collect();
     assert_eq!(news.len(), 1);
@@ -117,7 +117,7 @@
 }
 
 fn message(number: u64, cap: f64) -> StageMessage {
-    StageMessage { number, build: 2, stage: 0, phase: PhaseName::OnTrial, cap, age_ms: 0 }
+    StageMessage { number, build: 2, stage: 0, phase: PhaseName::OnTrial, cap }
 }
 
 /// Which of some news, given by number, is let through.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -94,22 +94,17 @@
         own_number: 0,
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable, 1.0), group(tagged, 3.0), group(Repeat::Mutating, 5.0)],
-        customers: (0..4).map(|_| Customer { quota_per_s: 100.0 }).collect(),
-        over_quota_worth: 0.1,
         list_on_request: true,
-        may_probe: false,
         may_cancel: true,
         second_copies: true,
         retry_after: Some(spans(0.5)),
         max_forwards: 6,
         rules: RuleTerms {
-            answer_slack: spans(0.02),
             drain_grace: spans(1.0),
             cold_from: 0.35,
             cold_for: spans(3.0),
             fall_multiple: 2.0,
             fall_within: spans(3.0),
-            ask_list_within: spans(10.0),
         },
         release: ReleaseTerms {
             control: Control::Clock,
@@ -120,10 +115,8 @@
             cap_by_group: true,
             guarded_stages: 0,
             keys_stay: terms.keys_stay,
-            step_after: STEP,
             vote_life: spans(4.0),
             vote_answer_within: spans(1.0),
-            flagged_share: 0.0,
             back_votes: 1,
         },
     }
@@ -177,7 +170,7 @@
 
     fn news(&self, stage: u8, phase: Phase, cap: f64) -> Event {
         let (build, stage) = (BuildId(self.build), StageNo(stage));
-        Event::Stage { news: Some(StageNews { build, stage, phase, cap, age: Duration::ZERO }), answer: None }
+        Event::Stage { news: Some(StageNews { build, stage, phase, cap }), answer: None }
     }
 
     fn later(&mut self, wait: Duration, what: Due) {
@@ -254,8 +247,8 @@
                 let fate = if self.chance.random_bool(0.002) { Fate::Errored } else { Fate::Delivered };
                 self.day.delivered += u64::from(fate == Fate::Delivered && !open.over);
                 open.over |= fate == Fate::Delivered;
-                let (over, load) = (open.over, LoadReport::default());
-                events.push(Event::Outcome(Outcome { hit, no, pod, fate, took, over, load }));
+                let over = open.over;
+                events.push(Event::Outcome(Outcome { hit, no, pod, fate, took, over }));
                 self.tidy(hit);
             }
             Due::Release => {
@@ -343,10 +336,10 @@
                 if std::mem::replace(ended, true) {
                     return;
                 }
-                let (pod, took, over, load) = (*pod, self.now - *sent, open.over, LoadReport::default());
+                let (pod, took, over) = (*pod, self.now - *sent, open.over);
                 let fate = Fate::Cancelled;
                 self.tidy(hit);
-                self.tell(vec![Event::Outcome(Outcome { hit, no, pod, fate, took, over, load })]);
+                self.tell(vec![Event::Outcome(Outcome { hit, no, pod, fate, took, over })]);
             }
             Action::Vote { .. } => {
                 self.day.votes += 1;
@@ -354,7 +347,7 @@
                 self.tell(vec![answer]);
             }
             Action::Watch if self.list_down || self.rows.is_empty() => self.later(spans(1.0), Due::Watch),
-            Action::Wake { at, .. } => self.wake = at,
+            Action::Wake { at } => self.wake = at,
             _ => {}
         }
     }
--- a/crates/standins/src/day/pods.rs
+++ b/crates/standins/src/day/pods.rs
@@ -394,12 +394,7 @@
         if sidecar.is_some_and(|sidecar| self.is_cut(self.zone_of(sidecar), zone)) {
             return;
         }
-        let (busy, held, waiting) = (pod.model.busy(), pod.model.held(), pod.model.waits());
-        let load = format!(
-            "TEXT cpu_utilization={busy:.2}, named_metrics.held={held}, named_metrics.waiting={waiting}"
-        );
-        let own = [("endpoint-load-metrics", &load[..])];
-        let all = fields.iter().chain(&own).map(|(name, value)| (name.as_bytes(), value.as_bytes()));
+        let all = fields.iter().map(|(name, value)| (name.as_bytes(), value.as_bytes()));
         let mut out = BytesMut::new();
         if streams {
             write_response(&mut out, status, all, Framing::Chunked, true);
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -73,11 +73,7 @@
                 deadline_ms: name("request-timeout-ms"),
             },
             path_groups: script.groups.iter().map(|group| group.group.clone()).collect(),
-            customers: script
-                .customers
-                .iter()
-                .map(|c| Customer { name: c.name.clone(), quota_per_s: c.quota_per_s })
-                .collect(),
+            customers: script.customers.iter().map(|c| Customer { name: c.name.clone() }).collect(),
             limits: script.limits.clone(),
             rules: script.rules.clone(),
             releases: script.releases.clone(),
--- a/crates/standins/src/day/services.rs
+++ b/crates/standins/src/day/services.rs
@@ -295,10 +295,9 @@
             Phase::Released => "released",
             Phase::Withdrawn => "withdrawn",
         };
-        let age = self.now.saturating_sub(state.since).as_millis() as u64;
         let State { number, build, stage, cap, .. } = state;
         json!({
-            "number": number, "build": build, "stage": stage, "phase": phase, "cap": cap, "age_ms": age
+            "number": number, "build": build, "stage": stage, "phase": phase, "cap": cap
         })
     }
 
--- a/crates/standins/src/installer.rs
+++ b/crates/standins/src/installer.rs
@@ -38,7 +38,6 @@
     pub stage: u8,
     pub phase: Phase,
     pub cap: f64,
-    pub since: Duration,
 }
 
 struct Vote {
@@ -68,8 +67,7 @@
 
 impl Installer {
     pub fn new(terms: Releases, places: usize, build: u16) -> Self {
-        let state =
-            State { number: 1, build, stage: 0, phase: Phase::Released, cap: 1.0, since: Duration::ZERO };
+        let state = State { number: 1, build, stage: 0, phase: Phase::Released, cap: 1.0 };
         let places = vec![(build, At::Settled); places];
         let (votes, ran, last) = (BTreeMap::new(), Duration::ZERO, Duration::ZERO);
         Self { terms, state, before: build, places, votes, ran, last, next: None }
@@ -95,7 +93,7 @@
         };
         (self.ran, self.last) = (Duration::ZERO, now);
         let number = self.state.number + 1;
-        self.state = State { number, phase, stage, cap, since: now, ..self.state };
+        self.state = State { number, phase, stage, cap, ..self.state };
     }
 
     /// Takes a vote; none if it counts for nothing now.
--- a/crates/standins/src/pod.rs
+++ b/crates/standins/src/pod.rs
@@ -61,18 +61,6 @@
         (self.machine.cold_from + (1.0 - self.machine.cold_from) * age).min(1.0)
     }
 
-    pub fn held(&self) -> usize {
-        self.working + self.waiting.len()
-    }
-
-    pub fn waits(&self) -> usize {
-        self.waiting.len()
-    }
-
-    pub fn busy(&self) -> f64 {
-        self.working as f64 / self.machine.cores as f64
-    }
-
     /// A hit that is waited for until `until` and takes so much work on a warm core.
     pub fn arrive(&mut self, what: T, work: Duration, until: Duration, now: Duration) -> Arrival<T> {
         if self.working < self.machine.cores && !self.hung {
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -70,7 +70,6 @@
 #[serde(deny_unknown_fields)]
 pub struct CustomerScript {
     pub name: String,
-    pub quota_per_s: f64,
     pub share: f64,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,7 @@
 mod write;
 
 pub use read::{read_batch, Batch, ListHow, Record, Trouble};
-pub use start::{start_terms, ReportFields, Start};
+pub use start::start_terms;
 pub use write::Reply;
 
 /// The largest frame that is taken, in bytes.
--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -52,13 +52,8 @@
         table: u16,
         at: usize,
     },
-    /// An answer or check result whose load report the instance's terms explain.
-    Reported {
-        event: Event,
-        report: Vec<f32>,
-    },
     Plain(Event),
-    /// Of no use to the module: messages from peers.
+    /// Of no use to the module: timers (being called is all), check results, tallies, messages from peers.
     Unused,
 }
 
@@ -114,9 +109,10 @@
         let b = self.fixed::<6>()?;
         Ok(PodId(u64::from_le_bytes([b[0], b[1], b[2], b[3], b[4], b[5], 0, 0])))
     }
-    fn report(&mut self) -> Got<Vec<f32>> {
-        let n = self.u8()?;
-        (0..n).map(|_| self.f32()).collect()
+    /// Load reports are not used.
+    fn skip_report(&mut self) -> Got<()> {
+        let n = usize::from(self.u8()?);
+        self.take(4 * n).map(drop)
     }
     fn fate(&mut self) -> Got<Fate> {
         Ok(match self.u16()? {
@@ -166,7 +162,7 @@
             other => return self.trouble(format!("unknown course {other}")),
         };
         let build = BuildId(self.u16()?);
-        let age = self.span()?;
+        let _age = self.span()?;
         let stage = StageNo(self.u8()?);
         let answer = match self.u16()? {
             0 => VoteAnswer::Counted,
@@ -177,18 +173,20 @@
             other => return self.trouble(format!("unknown vote result {other}")),
         };
         let asked = self.u8()? != 0;
-        let news = (answer == VoteAnswer::Counted).then_some(StageNews { build, stage, phase, cap, age });
+        let news = (answer == VoteAnswer::Counted).then_some(StageNews { build, stage, phase, cap });
         Ok(Event::Stage { news, answer: asked.then_some(answer) })
     }
     fn record(&mut self) -> Got<Record> {
         let at = self.at;
         Ok(match self.u16()? {
-            256 => Record::Plain(Event::Timer(TimerId(self.u64()?))),
+            256 => {
+                self.u64()?;
+                Record::Unused
+            }
             257 => {
-                let (pod, fate) = (self.pod()?, self.fate()?);
-                let _took = self.span()?;
-                let event = Event::Probed { pod, fate, load: LoadReport::default() };
-                Record::Reported { event, report: self.report()? }
+                let (_pod, _fate, _took) = (self.pod()?, self.fate()?, self.span()?);
+                self.skip_report()?;
+                Record::Unused
             }
             258 => Record::Plain(self.stage()?),
             259 => {
@@ -204,7 +202,8 @@
             }
             260 => {
                 let (pod, group) = (self.pod()?, GroupId(self.u16()?));
-                Record::Plain(Event::Flagged { pod, group, age: self.span()? })
+                let _age = self.span()?;
+                Record::Plain(Event::Flagged { pod, group })
             }
             261 => {
                 let _sender = self.u32()?;
@@ -219,18 +218,14 @@
                 let took = self.span()?;
                 let fate = self.fate()?;
                 let no = ForwardNo(self.u16()?);
-                let load = LoadReport::default();
-                let event = Event::Outcome(Outcome { hit, no, pod, fate, took, over, load });
-                Record::Reported { event, report: self.report()? }
+                self.skip_report()?;
+                Record::Plain(Event::Outcome(Outcome { hit, no, pod, fate, took, over }))
             }
             263 => Record::SwitchTo(self.u32()?),
             264 => {
-                let _age = self.span()?;
-                let build = BuildId(self.u16()?);
-                let mean = self.span()?;
-                let forwards = self.u32()?;
-                let group = GroupId(self.u16()?);
-                Record::Plain(Event::Tally { build, group, forwards, failed: self.u32()?, mean })
+                let (_age, _build, _mean) = (self.span()?, self.u16()?, self.span()?);
+                let (_forwards, _group, _failed) = (self.u32()?, self.u16()?, self.u32()?);
+                Record::Unused
             }
             265 => {
                 let table = self.u16()?;
--- a/crates/wire/src/write.rs
+++ b/crates/wire/src/write.rs
@@ -70,11 +70,8 @@
             Action::Watch => {
                 self.code(263).put(&[1]);
             }
-            Action::Probe(to) => {
-                self.code(256).put(&pod(*to));
-            }
-            Action::Wake { at, id } => {
-                self.code(269).put(&at.as_secs_f64().to_le_bytes()).put(&id.0.to_le_bytes());
+            Action::Wake { at } => {
+                self.code(269).put(&at.as_secs_f64().to_le_bytes()).put(&[0; 8]);
             }
             Action::Log(line) => self.text(258, line),
         }
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,7 +2,7 @@
 
 use limewing::interface::{Event, ListNews, PodEntry};
 use limewing::sidecar::Sidecar;
-use limewing_wire::{read_batch, start_terms, Batch, ListHow, Record, Reply, ReportFields, Trouble};
+use limewing_wire::{read_batch, start_terms, Batch, ListHow, Record, Reply, Trouble};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -10,7 +10,6 @@
 
 struct Instance {
     sidecar: Sidecar,
-    fields: ReportFields,
     waiting: Vec<Event>,
 }
 
@@ -69,10 +68,9 @@
                 Record::PowerOn { seed, options, at } => {
                     let id =
                         current.ok_or_else(|| Trouble { what: "power_on for no instance".into(), at })?;
-                    let start = start_terms(seed, &options).map_err(|what| Trouble { what, at })?;
-                    let sidecar = Sidecar::new(batch.now, start.terms);
-                    self.instances
-                        .insert(id, Instance { sidecar, fields: start.fields, waiting: Vec::new() });
+                    let terms = start_terms(seed, &options).map_err(|what| Trouble { what, at })?;
+                    let sidecar = Sidecar::new(batch.now, terms);
+                    self.instances.insert(id, Instance { sidecar, waiting: Vec::new() });
                     continue;
                 }
                 Record::Halt => {
@@ -91,7 +89,6 @@
                         ListHow::Failed => ListNews::Failed,
                     })
                 }
-                Record::Reported { event, report } => self.explain(current, event, &report),
                 Record::Plain(event) => event,
                 Record::Unused => continue,
             };
@@ -116,16 +113,4 @@
         }
         Ok(())
     }
-
-    fn explain(&self, current: Option<u32>, event: Event, report: &[f32]) -> Event {
-        let Some(instance) = current.and_then(|id| self.instances.get(&id)) else {
-            return event;
-        };
-        let load = instance.fields.explain(report);
-        match event {
-            Event::Outcome(outcome) => Event::Outcome(limewing::interface::Outcome { load, ..outcome }),
-            Event::Probed { pod, fate, .. } => Event::Probed { pod, fate, load },
-            other => other,
-        }
-    }
 }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -22,22 +22,17 @@
         own_number: 1,
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
-        customers: Vec::new(),
-        over_quota_worth: 0.1,
         list_on_request: false,
-        may_probe: false,
         may_cancel: true,
         second_copies: true,
         retry_after: None,
         max_forwards: 3,
         rules: RuleTerms {
-            answer_slack: at(0.02),
             drain_grace: at(1.0),
             cold_from: 0.4,
             cold_for: at(4.0),
             fall_multiple: 2.0,
             fall_within: at(2.0),
-            ask_list_within: at(10.0),
         },
         release: ReleaseTerms {
             control: Control::Clock,
@@ -48,10 +43,8 @@
             cap_by_group: false,
             guarded_stages: 1,
             keys_stay: true,
-            step_after: at(4.0),
             vote_life: at(4.0),
             vote_answer_within: at(1.0),
-            flagged_share: 0.0,
             back_votes: 1,
         },
     }
@@ -70,7 +63,7 @@
 }
 
 fn news(phase: Phase, cap: f64) -> StageNews {
-    StageNews { build: BuildId(2), stage: StageNo(0), phase, cap, age: Duration::ZERO }
+    StageNews { build: BuildId(2), stage: StageNo(0), phase, cap }
 }
 
 /// A gate with pods 0 to 2 on build 1 and pod 3 on build 2, and hit 0 of a path group, due at 9 s.
@@ -282,7 +275,7 @@
 
 fn ended(fate: Fate) -> Ended {
     let (hit, no, pod, took) = (HitId(0), ForwardNo(0), PodId(0), at(0.002));
-    let outcome = Outcome { hit, no, pod, fate, took, over: false, load: LoadReport::default() };
+    let outcome = Outcome { hit, no, pod, fate, took, over: false };
     Ended {
         outcome,
         group: GroupId(0),
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -24,7 +24,6 @@
     pub tightest: f64,
     pub on_request: bool,
     pub may_cancel: bool,
-    pub may_probe: bool,
     pub second_copies: bool,
     pub max_forwards: usize,
     pub retry_after: Duration,
@@ -35,7 +34,6 @@
     pub long_warm: Duration,
     pub fall_within: Duration,
     pub clock: bool,
-    pub step_after: Duration,
     pub stage_shares: Vec<f64>,
     pub caps: Vec<f64>,
     pub cap_window: Duration,
@@ -47,9 +45,6 @@
     pub vote_answer_within: Duration,
     /// Sidecars that it takes to send a build back.
     pub back_votes: f64,
-    /// Hits a second of each customer that this sidecar's part of the quota allows; what one beyond earns.
-    pub quotas: Vec<f64>,
-    pub over_quota_worth: f64,
 }
 
 impl Figures {
@@ -72,7 +67,6 @@
             tightest: targets.fold(f64::MAX, f64::min),
             on_request: terms.list_on_request,
             may_cancel: terms.may_cancel,
-            may_probe: terms.may_probe,
             second_copies: terms.second_copies,
             max_forwards: terms.max_forwards.into(),
             retry_after: terms.retry_after.unwrap_or_default(),
@@ -82,7 +76,6 @@
             long_warm: rules.cold_for.saturating_mul(2),
             fall_within: rules.fall_within,
             clock: release.control == Control::Clock,
-            step_after: release.step_after,
             stage_shares: release.stage_shares.clone(),
             caps: release.caps.clone(),
             cap_window: release.cap_window,
@@ -93,12 +86,6 @@
             vote_life: release.vote_life,
             vote_answer_within: release.vote_answer_within,
             back_votes: f64::from(release.back_votes.clamp(1, terms.sidecars.max(1))),
-            quotas: terms
-                .customers
-                .iter()
-                .map(|c| c.quota_per_s / f64::from(terms.sidecars.max(1)))
-                .collect(),
-            over_quota_worth: terms.over_quota_worth,
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -20,7 +20,7 @@
     CellId(u16),
     BuildId(u16)
 );
-ids!(ForwardNo(u16), StageNo(u8), TimerId(u64), KindId(u8));
+ids!(ForwardNo(u16), StageNo(u8), KindId(u8));
 
 /// Whether a hit of a path group may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,11 +48,6 @@
     pub streamed: bool,
 }
 
-#[derive(Clone, Debug)]
-pub struct Customer {
-    pub quota_per_s: f64,
-}
-
 /// How votes act on a stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Control {
@@ -72,23 +67,19 @@
     pub cap_by_group: bool,
     pub guarded_stages: u8,
     pub keys_stay: bool,
-    pub step_after: Duration,
     pub vote_life: Duration,
     pub vote_answer_within: Duration,
-    pub flagged_share: f64,
     /// How many sidecars it takes to send a build back.
     pub back_votes: u32,
 }
 
 #[derive(Clone, Debug)]
 pub struct RuleTerms {
-    pub answer_slack: Duration,
     pub drain_grace: Duration,
     pub cold_from: f64,
     pub cold_for: Duration,
     pub fall_multiple: f64,
     pub fall_within: Duration,
-    pub ask_list_within: Duration,
 }
 
 /// What a sidecar is told when it starts.
@@ -100,10 +91,7 @@
     pub own_number: u32,
     pub zone: ZoneId,
     pub groups: Vec<PathGroup>,
-    pub customers: Vec<Customer>,
-    pub over_quota_worth: f64,
     pub list_on_request: bool,
-    pub may_probe: bool,
     pub may_cancel: bool,
     pub second_copies: bool,
     pub retry_after: Option<Duration>,
@@ -172,14 +160,6 @@
     }
 }
 
-/// What a pod tells of its load, as far as the site has it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LoadReport {
-    pub held: Option<f64>,
-    pub waiting: Option<f64>,
-    pub busy: Option<f64>,
-}
-
 #[derive(Clone, Debug)]
 pub struct Outcome {
     pub hit: HitId,
@@ -189,7 +169,6 @@
     pub took: Duration,
     /// The hit is over, by this outcome or before it.
     pub over: bool,
-    pub load: LoadReport,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -206,7 +185,6 @@
     pub stage: StageNo,
     pub phase: Phase,
     pub cap: f64,
-    pub age: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -233,22 +211,37 @@
     Outcome(Outcome),
     StreamStarted { hit: HitId },
     Left(HitId),
-    Timer(TimerId),
-    Probed { pod: PodId, fate: Fate, load: LoadReport },
     Stage { news: Option<StageNews>, answer: Option<VoteAnswer> },
-    Tally { build: BuildId, group: GroupId, forwards: u32, failed: u32, mean: Duration },
-    Flagged { pod: PodId, group: GroupId, age: Duration },
+    Flagged { pod: PodId, group: GroupId },
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Forward { hit: HitId, pod: PodId, within: Duration },
-    Cancel { hit: HitId, no: ForwardNo },
-    Bounce { hit: HitId, retry_after: Duration },
-    Fail { hit: HitId },
-    Vote { verdict: Verdict, build: BuildId, stage: StageNo },
+    Forward {
+        hit: HitId,
+        pod: PodId,
+        within: Duration,
+    },
+    Cancel {
+        hit: HitId,
+        no: ForwardNo,
+    },
+    Bounce {
+        hit: HitId,
+        retry_after: Duration,
+    },
+    Fail {
+        hit: HitId,
+    },
+    Vote {
+        verdict: Verdict,
+        build: BuildId,
+        stage: StageNo,
+    },
     Watch,
-    Probe(PodId),
-    Wake { at: Duration, id: TimerId },
+    /// `handle` is to be called then, with or without events.
+    Wake {
+        at: Duration,
+    },
     Log(String),
 }
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -50,19 +50,10 @@
     Over(HitId),
     Stage(StageNews),
     VoteAnswered(VoteAnswer),
-    Tally {
-        build: BuildId,
-        group: GroupId,
-        forwards: u32,
-        failed: u32,
-    },
     Flagged {
         pod: PodId,
         group: GroupId,
     },
-    Probed {
-        fate: Fate,
-    },
     Card(Card),
     Doubt(HitId, ForwardNo, PodId),
     Retry(HitId),
@@ -143,8 +134,6 @@
             Event::Outcome(outcome) => self.mail.put(To::Gate, Note::Back(outcome)),
             Event::StreamStarted { hit } => self.mail.put(To::Gate, Note::Streams(hit)),
             Event::Left(hit) => self.mail.put(To::Gate, Note::Over(hit)),
-            Event::Timer(_) => {}
-            Event::Probed { pod, fate, .. } => self.mail.put(To::Pod(pod), Note::Probed { fate }),
             Event::Stage { news, answer } => {
                 if let Some(news) = news {
                     self.tell([To::Gate, To::Desk, To::Judge], &Note::Stage(news));
@@ -153,10 +142,7 @@
                     self.mail.put(To::Judge, Note::VoteAnswered(answer));
                 }
             }
-            Event::Tally { build, group, forwards, failed, .. } => {
-                self.mail.put(To::Judge, Note::Tally { build, group, forwards, failed })
-            }
-            Event::Flagged { pod, group, .. } => self.mail.put(To::Judge, Note::Flagged { pod, group }),
+            Event::Flagged { pod, group } => self.mail.put(To::Judge, Note::Flagged { pod, group }),
         }
     }
 
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -43,7 +43,7 @@
         }
         if now >= self.next_beat {
             self.next_beat = now + BEAT;
-            self.round.out.push(Action::Wake { at: self.next_beat, id: TimerId(0) });
+            self.round.out.push(Action::Wake { at: self.next_beat });
             for (id, _) in self.pods.iter().filter(|(_, pod)| pod.watches()) {
                 self.round.mail.put(To::Pod(*id), Note::Beat);
             }
