Forwards are no longer called off on doubt where a hit may not be out twice

Doubt about quiet pods sends a copy where copies are allowed, and called the forward off and sent it anew where they are not. Of these two the second does more harm than good: a pod whose answers get lost looks quiet, and good forwards at it were called off by the dozen, their work wasted.

Change: without second copies a forward is waited for until its time; the call-off and its note are gone from gate and desk. Copies stay as they were.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -249,9 +249,6 @@
             Note::Back(outcome) => self.end_forward(outcome, round),
             Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
             Note::End(hit) => self.answer(hit, round),
-            Note::Call(hit, no) if round.figures.may_cancel && self.accounts.contains_key(&hit) => {
-                round.out.push(Action::Cancel { hit, no })
-            }
             Note::Over(hit) if self.accounts.contains_key(&hit) => self.close(hit, round),
             Note::Stage(news) => {
                 // Rule 5 speaks of the newest build's keys alone.
@@ -510,7 +507,9 @@
             Note::Sent { hit, no, pod } => {
                 let Some(open) = self.hits.get_mut(&hit) else { return };
                 (open.out, open.at) = (open.out + 1, Some(pod));
-                round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
+                if round.figures.second_copies {
+                    round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
+                }
             }
             Note::Ended(ended) => self.end_forward(ended, round),
             Note::Doubt(hit, no, pod) => self.doubt(hit, no, pod, round),
@@ -731,8 +730,8 @@
         }
     }
 
-    /// A forward is out at a pod that went quiet: a copy where allowed, else it is called off and sent anew.
-    /// At a pod that answers others a long wait means a heavy hit, and a copy would be as heavy.
+    /// A forward is out at a pod that went quiet: a copy, where allowed. At a pod that answers others a long wait
+    /// means a heavy hit, and a copy would be as heavy.
     fn doubt(&mut self, hit: HitId, no: ForwardNo, pod: PodId, round: &mut Round) {
         let mutating = |o: &OpenHit| round.figures.line(o.group).repeat == Repeat::Mutating;
         let doubtful = |o: &&OpenHit| o.out == 1 && !o.tried.contains(&pod) && !mutating(o);
@@ -743,8 +742,6 @@
         }
         if self.cards.get(pod).is_some_and(|c| c.usable) || self.spare < 1.0 {
             round.later(DOUBT_EVERY, To::Desk, Note::Doubt(hit, no, pod));
-        } else if !round.figures.second_copies {
-            round.mail.put(To::Gate, Note::Call(hit, no));
         } else {
             self.spare -= 1.0;
             self.hits.entry(hit).and_modify(|open| open.no_trial = true);
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -45,8 +45,6 @@
     Streams(HitId),
     /// Desk to gate: the hit is given up.
     End(HitId),
-    /// Desk to gate: call a forward off.
-    Call(HitId, ForwardNo),
     Over(HitId),
     Stage(StageNews),
     VoteAnswered(VoteAnswer),
