A cold pod's multiple is read: one below 1.4 lowers what a cold pod gets

Seen in reading: `rules.fall_multiple` was checked and carried to the module, and nothing there read it. A cold pod gets 1.4 times the load of warm ones of its present strength whatever the setting says; with a multiple of 1.2 and warm pods near their limit, that breaks rule 4.

Ruled out: the deployments (their multiples are 2 and 2.5: no decision there changes).

At fault: `Gate::allow_cold` in src/choice.rs. The lower of the two counts now; a case of the gate's test has a multiple of 1, which the old text let through.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -330,7 +330,8 @@
         self.whole.set(Some((now, whole)));
         // What it uses but a part of gets so much more from it, and nothing from sidecars that use others.
         let fair = self.answered.now(now, RATE_OVER) / (whole * part).max(0.01);
-        let most = fair * place.entry.size * strength * COLD_LOAD * figures.fall_within.as_secs_f64();
+        let load = COLD_LOAD.min(figures.fall_multiple);
+        let most = fair * place.entry.size * strength * load * figures.fall_within.as_secs_f64();
         let sent = place.sends.since(round.ago(figures.fall_within));
         // Less than a whole forward is granted by chance: rounded up by each, hundreds of sidecars would push
         // the pod over together; rounded down, light ones would never warm it.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -130,15 +130,18 @@
 }
 
 #[rstest]
-#[case::just_started(8.9, 9, Err(Refusal::Cold))]
-#[case::half_warm(7.0, 9, Ok(()))]
-#[case::warm(1.0, 99, Ok(()))]
+#[case::just_started(8.9, 9, 2.0, Err(Refusal::Cold))]
+#[case::half_warm(7.0, 9, 2.0, Ok(()))]
+#[case::half_warm_and_easily_pushed_over(7.0, 9, 1.0, Err(Refusal::Cold))]
+#[case::warm(1.0, 99, 1.0, Ok(()))]
 fn a_cold_pod_gets_its_part_only(
     #[case] started: f64,
     #[case] sent: usize,
+    #[case] fall_multiple: f64,
     #[case] want: Result<(), Refusal>,
 ) {
     let (mut gate, mut round) = (gate(0, Phase::Released, 1.0), round(0.0));
+    round.figures.fall_multiple = fall_multiple;
     for n in 0..200 {
         gate.answered.add(at(0.05 * f64::from(n)), RATE_OVER);
     }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -32,6 +32,7 @@
     pub cold_for: Duration,
     /// Twice that: a pod of such an age is warm for certain.
     pub long_warm: Duration,
+    pub fall_multiple: f64,
     pub fall_within: Duration,
     pub clock: bool,
     pub stage_shares: Vec<f64>,
@@ -74,6 +75,7 @@
             cold_from: rules.cold_from,
             cold_for: rules.cold_for,
             long_warm: rules.cold_for.saturating_mul(2),
+            fall_multiple: rules.fall_multiple,
             fall_within: rules.fall_within,
             clock: release.control == Control::Clock,
             stage_shares: release.stage_shares.clone(),
