Second tries counted over all layers, and a connection that can't be registered

Need: clients' retries, the module's forwards and copies, and connections asked for again multiply; nothing held the product to a bound. Registration that fails after an accept had never run.

Over sockets 30 clients with up to four tries each meet four pods that all answer after their time. The poll refuses what it can't watch in a test, and nothing is left behind.

--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -533,3 +533,20 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::fs::File;
+    use std::os::fd::OwnedFd;
+
+    /// What the poll refuses to watch, here a file in place of a socket, leaves nothing behind.
+    #[test]
+    fn a_connection_that_cannot_be_registered_is_let_go() {
+        let mut sockets = Sockets::new().unwrap();
+        let file = OwnedFd::from(File::open("/dev/null").unwrap());
+        let stream = TcpStream::from_std(std::net::TcpStream::from(file));
+        let refused = sockets.insert(Socket::Link(Box::new(Link::new(stream, false))));
+        assert!(refused.is_err() && sockets.open() == 0 && sockets.accepted == 0);
+    }
+}
--- a/crates/referee/src/crooked.rs
+++ b/crates/referee/src/crooked.rs
@@ -29,6 +29,8 @@
     Guarded,
     /// Sends keyed hits to the oldest build.
     Keys,
+    /// Sends each repeatable hit twice.
+    Doubles,
 }
 
 /// What becomes of actions; `held` is the list as this instance has it, of pods that are not gone.
@@ -115,6 +117,9 @@
                 out.extend(oldest.map(|row| forward(*hit, row.pod)));
                 continue;
             }
+            (Crook::Doubles, Action::Forward { hit, .. }) if repeat(hit) == Some(Repeat::Repeatable) => {
+                out.push(action.clone());
+            }
             _ => {}
         }
         out.push(action);
--- a/crates/referee/src/rules.rs
+++ b/crates/referee/src/rules.rs
@@ -503,6 +503,11 @@
         }
         let Some(life) = self.lives.get_mut(&sidecar) else { return Ok(()) };
         life.forwards.push((now, build, group));
+        // No rule of the pages, but of the design: further forwards are 15 for each 100 hits, and 20 saved up.
+        let (sent, taken) = (life.forwards.len() as f64, life.taken.len() as f64);
+        if sent > 1.15 * taken + 20.0 + 1e-6 {
+            return Err((0, format!("{sent} forwards for {taken} hits")));
+        }
         if let Some(story) = life.stories.get_mut(&hit) {
             story.sent.push(Sent { entry, at: now, fate: None, told: 0 });
         }
--- a/crates/referee/tests/runs.rs
+++ b/crates/referee/tests/runs.rs
@@ -38,6 +38,7 @@
 #[case::cap(Crook::Cap, 5)]
 #[case::guarded(Crook::Guarded, 5)]
 #[case::keys(Crook::Keys, 5)]
+#[case::more_forwards_than_are_paid_for(Crook::Doubles, 0)]
 fn a_planted_break_is_caught_as_what_it_is(#[case] crook: Crook, #[case] rule: u8) {
     // Not every run has the terms that its rule speaks of.
     let mut caught = (0..40).filter_map(|seed| Some(play(seed, crook).err()?.breach.rule));
--- a/crates/sidecar/tests/sockets/main.rs
+++ b/crates/sidecar/tests/sockets/main.rs
@@ -3,4 +3,5 @@
 mod hard_cases;
 mod help;
 mod on_trial;
+mod second_tries;
 mod wants;
--- /dev/null
+++ b/crates/sidecar/tests/sockets/second_tries.rs
@@ -0,0 +1,75 @@
+//! Second tries over all layers: what a slow-down of all pods does to the traffic at them.
+
+use crate::help::{run, settings, state_file, Client};
+use limewing_settings::Seconds;
+use limewing_sidecar::service::Service;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Each client asks so often, and each of its hits has so many tries.
+const ORDERS: usize = 3;
+const TRIES: usize = 4;
+const CLIENTS: usize = 30;
+
+/// A pod that answers each hit after a while, beside all others; forwards and connections are counted.
+fn slow_pod(takes: Duration, forwards: &Arc<AtomicUsize>, links: &Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (forwards, links) = (forwards.clone(), links.clone());
+    std::thread::spawn(move || {
+        for mut link in listener.incoming().map_while(Result::ok) {
+            links.fetch_add(1, Relaxed);
+            let forwards = forwards.clone();
+            std::thread::spawn(move || {
+                while matches!(link.read(&mut [0; 4096]), Ok(1..)) {
+                    forwards.fetch_add(1, Relaxed);
+                    std::thread::sleep(takes);
+                    let _ = link.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+                }
+            });
+        }
+    });
+    at
+}
+
+#[test]
+fn a_slow_down_of_all_pods_brings_no_more_forwards_than_are_paid_for() {
+    let (forwards, links) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let pods: Vec<SocketAddr> =
+        (0..4).map(|_| slow_pod(Duration::from_millis(450), &forwards, &links)).collect();
+    let mut settings = settings();
+    settings.state_file = Some(state_file(&pods));
+    settings.limits.second_copies = true;
+    for group in &mut settings.path_groups {
+        group.target_latency = Seconds::try_from(0.2).unwrap();
+        group.client_timeout = Seconds::try_from(0.4).unwrap();
+    }
+    let at = run(Service::start(&settings).unwrap());
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut tries = 0;
+                for _ in 0..ORDERS {
+                    for _ in 0..TRIES {
+                        let mut client = Client::new(at);
+                        client.says("GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n");
+                        tries += 1;
+                        if client.hears().0.starts_with("HTTP/1.1 200") {
+                            break;
+                        }
+                    }
+                }
+                tries
+            })
+        })
+        .collect();
+    let tries: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    let (forwards, links) = (forwards.load(Relaxed), links.load(Relaxed));
+    assert!(tries <= CLIENTS * ORDERS * TRIES);
+    assert!(forwards as f64 <= 1.15 * tries as f64 + 20.0, "{forwards} forwards of {tries} tries");
+    assert!(links <= forwards + pods.len(), "{links} connections for {forwards} forwards");
+    println!("{} hits, {tries} tries, {forwards} forwards, {links} connections", CLIENTS * ORDERS);
+}
