Clients are let in as far as a bounded memory holds their buffers

Seen: a sidecar with 220 MB of address space and clients that have half sent their bodies ends by a failed allocation once about 1,000 are connected, and with it every hit held.

At fault: nothing set the number of clients (20,000) against what their buffers may take, 224 KiB each by the defaults. Where the system grants a bounded address space, `room` now lets in as many as fit into half of it; the others wait.

At unbounded memory nothing changes.

--- a/crates/cli/tests/command/wants.rs
+++ b/crates/cli/tests/command/wants.rs
@@ -114,3 +114,33 @@
     let late = crate::help::status(&sidecar.at);
     assert!(late.starts_with("HTTP/1.1 200"), "{late}");
 }
+
+/// Bodies that many clients have half sent, under a limit of memory.
+#[test]
+fn buffers_of_many_clients_do_not_end_a_sidecar() {
+    const CLIENTS: usize = 3_000;
+    let folder = tempfile::tempdir().unwrap();
+    let (base, _) = pod();
+    let file = settings_with(folder.path(), &[(base, 1)]);
+    let mut sidecar = Running::start("ulimit -n 8000; ulimit -v 220000;", &file, Stdio::null());
+    let mut client = sidecar.connect();
+    let half =
+        [b"POST /charges HTTP/1.1\r\nHost: a\r\nContent-Length: 65000\r\n\r\n", &[b'x'; 60_000][..]].concat();
+    let at = sidecar.at.parse().unwrap();
+    let mut crowd = Vec::new();
+    for _ in 0..CLIENTS {
+        // Until the backlog is full as well.
+        let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) else { break };
+        stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+        if stream.write_all(&half).is_err() {
+            break;
+        }
+        crowd.push(stream);
+    }
+    let answer = ask(&mut client, QUOTE);
+    assert!(sidecar.runs(), "it ended with {} clients", crowd.len());
+    assert!(answer.is_ok_and(|head| head.starts_with("HTTP/1.1 200")));
+    drop(crowd);
+    let mut late = sidecar.connect();
+    assert!(ask(&mut late, QUOTE).is_ok_and(|head| head.starts_with("HTTP/1.1 200")));
+}
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -74,7 +74,7 @@
 }
 
 /// Input held for one connection at most, in bytes.
-const MOST_INPUT: usize = 32 * 1024;
+pub const MOST_INPUT: usize = 32 * 1024;
 /// Connections accepted in a row before others have their turn.
 const ACCEPT_BATCH: usize = 64;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
@@ -474,10 +474,13 @@
     }
 }
 
-/// How many descriptors this process may hold.
-pub fn descriptors() -> usize {
-    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-    limit.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX))
+/// How many descriptors, and bytes of address space, this process may hold.
+pub fn granted() -> (usize, usize) {
+    let of = |what| {
+        let limit = rustix::process::getrlimit(what).current;
+        limit.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX))
+    };
+    (of(rustix::process::Resource::Nofile), of(rustix::process::Resource::As))
 }
 
 /// Whether what failed is for want of something of this process or its machine, and says nothing of the peer.
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -17,10 +17,10 @@
 use crate::stages::Latest;
 use asks::{ListLink, NewsLink, VoteLink};
 use back::PodLink;
-use front::{Client, OpenHit, Reports};
+use front::{Client, OpenHit, Reports, MOST_UNSENT};
 use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, PodId, StartTerms, VoteAnswer};
 use limewing::sidecar::Sidecar;
-use limewing_net::sockets::{descriptors, Happening, SocketId, Sockets};
+use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::{TimerKey, Wheel};
 use limewing_settings::{Misfit, SidecarSettings};
 use rustc_hash::FxHashMap;
@@ -160,12 +160,14 @@
         sockets.watch_signals(&LEAVE_ON)?;
         let at = settings.listen;
         let (listener, address) = sockets.listen(at).map_err(|why| StartTrouble::Listen { at, why })?;
-        let room = Room::of(descriptors());
+        let limits = &settings.limits;
+        let client = limits.body_kept + limits.answer_gathered + MOST_INPUT + MOST_UNSENT;
+        let (descriptors, memory) = granted();
+        let room = Room::of(descriptors, memory, client);
         sockets.accept_up_to(room.accepted, room.shared);
         let clock = Clock::default();
         let now = clock.now();
         let seed = settings.seed.unwrap_or_else(rand::random);
-        let limits = &settings.limits;
         let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -4,6 +4,7 @@
 use limewing_sidecar::again::Again;
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{rows, PodBook};
+use limewing_sidecar::room::Room;
 use limewing_sidecar::routes::path_of;
 use limewing_sidecar::stages::{vote_answer, EventReader, Latest, PhaseName, StageMessage};
 use rstest::rstest;
@@ -116,6 +117,20 @@
     assert!(memory::recall(&file).is_err());
 }
 
+#[rstest]
+#[case::plenty(20_000, usize::MAX, 18_952, 19_976)]
+#[case::few_descriptors(64, usize::MAX, 30, 40)]
+#[case::fewer_than_it_needs(10, usize::MAX, 1, 2)]
+#[case::little_memory(20_000, 100_000_000, 500, 19_976)]
+fn clients_leave_room_for_pods_and_news(
+    #[case] descriptors: usize,
+    #[case] memory: usize,
+    #[case] accepted: usize,
+    #[case] shared: usize,
+) {
+    assert_eq!(Room::of(descriptors, memory, 100_000), Room { accepted, shared });
+}
+
 fn message(number: u64, cap: f64) -> StageMessage {
     StageMessage { number, build: 2, stage: 0, phase: PhaseName::OnTrial, cap }
 }
