--- a/crates/sidecar/tests/sockets/hard_cases.rs
+++ b/crates/sidecar/tests/sockets/hard_cases.rs
@@ -283,6 +283,20 @@
     assert!(client.hears_the_end());
 }
 
+/// A stream has no deadline, and no setting says how long one may be quiet.
+#[test]
+#[should_panic(expected = "finding 15")]
+fn a_streamed_answer_whose_pod_goes_silent_is_cut() {
+    let half = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n";
+    let pod = Pod::new(vec![Does::SaysInTwo(half, "")]);
+    let mut client = Client::new(sidecar(&[pod.at]));
+    client.says("GET /feed HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.reads_until("3\r\none\r\n");
+    client.0.set_read_timeout(Some(std::time::Duration::from_secs(2))).unwrap();
+    let cut = client.0.read(&mut [0]);
+    assert!(cut.is_ok(), "finding 15: its client still waits after four times the stall: {cut:?}");
+}
+
 #[test]
 fn a_client_that_never_reads_is_cut_and_its_pod_let_go() {
     let pod = Pod::new(vec![Does::Floods]);
--- a/crates/sidecar/tests/sockets/wants.rs
+++ b/crates/sidecar/tests/sockets/wants.rs
@@ -136,3 +136,24 @@
     }
     assert!(slowest < Duration::from_millis(500), "{slowest:?}");
 }
+
+/// A fleet that starts as a whole, beside a sidecar that has no figures: nothing tells what its pods bear, and each of
+/// hundreds of sidecars that sent a little would push them over.
+#[test]
+#[should_panic(expected = "finding 18")]
+fn a_fleet_that_is_cold_as_a_whole_is_used_before_it_is_warm() {
+    let pod = Pod::new(vec![Does::Says(DONE)]);
+    let file = state_file(&[pod.at]);
+    let today = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs_f64();
+    let text = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&file, text.replace("\"started\":null", &format!("\"started\":{today}"))).unwrap();
+    let mut settings = settings();
+    settings.state_file = Some(file);
+    let mut client = Client::new(run(Service::start(&settings).unwrap()));
+    let well = (0..10).filter(|_| {
+        client.says("GET /quotes/1 HTTP/1.1\r\nHost: a\r\nWait-Ms: 200\r\n\r\n");
+        client.hears().0.starts_with("HTTP/1.1 200")
+    });
+    let well = well.count();
+    assert!(well > 0, "finding 18: {well} of 10 hits answered while all pods are cold");
+}
