A cold pod that is shut has its budget like any other

At fault: `Desk::used` in src/choice.rs told the gate that a side with no usable pod is used by a part of 0. The budget of a cold pod is divided by that part: it had no bound. Hits that find nothing healthy are still sent to shut pods. The part is the whole now.

--- a/crates/referee/tests/runs.rs
+++ b/crates/referee/tests/runs.rs
@@ -26,6 +26,15 @@
     assert!(all.lowered > 5 && all.guarded > 100 && all.met > 50, "{all:?}");
 }
 
+/// Found among thousands of runs, played by hand.
+#[rstest]
+#[case::the_only_pod_of_the_base_is_cold_and_shut(20_390)]
+fn runs_that_broke_a_rule_once_keep_it(#[case] seed: u64) {
+    if let Err(broken) = play(seed, Crook::Honest) {
+        panic!("seed {}, step {}: {}", broken.seed, broken.step, broken.breach);
+    }
+}
+
 #[rstest]
 #[case::silent(Crook::Silent, 1)]
 #[case::answers_twice(Crook::Twice, 1)]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -633,7 +633,8 @@
             let most = (most.ceil() as usize).max(2);
             match here.checked_sub(most) {
                 Some(last @ 1..) => (ranks[side][last], most as f64 / here as f64),
-                _ => ((0, PodId(0)), if here == 0 { 0.0 } else { 1.0 }),
+                // Also where none is usable: a cold pod that is shut is still asked for, and has its budget.
+                _ => ((0, PodId(0)), 1.0),
             }
         })
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -440,6 +440,18 @@
     assert!(after.len() == FEW_PODS && before[1..].iter().all(stays));
 }
 
+/// Bids for pods of a side that has none usable stand for the whole of it, or rule 4's budget would have no bound.
+#[test]
+fn pods_that_are_all_shut_are_used_as_a_whole() {
+    let mut desk = desk(3);
+    for id in 0..3 {
+        let card = desk.cards.get(PodId(id)).cloned().unwrap();
+        desk.cards.put(Card { usable: false, ..card });
+    }
+    desk.look_over();
+    assert_eq!(desk.used().map(|(_, part)| part), [1.0, 1.0]);
+}
+
 #[test]
 fn a_pod_that_has_long_been_gone_is_forgotten_and_one_that_came_back_is_not() {
     let (mut lister, mut round) = (Lister::default(), round(0.0));
