Connections kept to some pods make room for pods that have none

Seen: with 24 pods, six clients and a limit of 40 descriptors, 287 of 600 hits were answered: kept connections to pods that had been used held all the room, for 15 s each, and forwards to the others were told as never sent.

Ruled out: clients (six connections), and the spare, which was spent on the same pods again.

At fault: `forward` in crates/sidecar/src/service/back.rs asked only whether there is room. The pod with the most kept connections now loses its oldest one first.

With descriptors to spare nothing changes.

--- a/crates/cli/tests/command/wants.rs
+++ b/crates/cli/tests/command/wants.rs
@@ -144,3 +144,23 @@
     let mut late = sidecar.connect();
     assert!(ask(&mut late, QUOTE).is_ok_and(|head| head.starts_with("HTTP/1.1 200")));
 }
+
+/// Connections kept to some pods must not be what keeps hits from the others.
+#[test]
+fn kept_connections_make_room_for_pods_that_have_none() {
+    let folder = tempfile::tempdir().unwrap();
+    let pods: Vec<_> = (0..24).map(|_| pod()).collect();
+    let known: Vec<(SocketAddr, u16)> = pods.iter().map(|(at, _)| (*at, 1)).collect();
+    let sidecar = Running::start("ulimit -n 40;", &settings_with(folder.path(), &known), Stdio::null());
+    let clients: Vec<_> = (0..6)
+        .map(|_| {
+            let mut client = sidecar.connect();
+            std::thread::spawn(move || {
+                let well = (0..100).filter(|_| ask(&mut client, QUOTE).unwrap().starts_with("HTTP/1.1 200"));
+                well.count()
+            })
+        })
+        .collect();
+    let well: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(well, 600);
+}
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -64,7 +64,7 @@
                 link
             }
             // What is left is for list, news and votes.
-            None if self.sockets.open() >= self.room.shared => {
+            None if !self.makes_room() => {
                 return self.end_forward(hit, no, Fate::Void);
             }
             None => match self.book.address(pod).map(|to| self.sockets.connect(to)) {
@@ -401,6 +401,18 @@
         self.sockets.close(link);
     }
 
+    /// Whether a connection to a pod may be made: if all are taken, the pod with the most kept ones loses its oldest.
+    /// Guards against connections kept to some pods that keep hits from the others.
+    fn makes_room(&mut self) -> bool {
+        if self.sockets.open() < self.room.shared {
+            return true;
+        }
+        let most = self.idle.iter().max_by_key(|(_, kept)| kept.len()).and_then(|(_, kept)| kept.first());
+        let Some((link, _)) = most.copied() else { return false };
+        self.close_link(link);
+        self.sockets.open() < self.room.shared
+    }
+
     fn forget_idle(&mut self, link: SocketId, pod: PodId) {
         let Some(kept) = self.idle.get_mut(&pod) else { return };
         if let Some(place) = kept.iter().position(|(id, _)| *id == link) {
