Kept connections no longer keep clients from being let in

Seen: after a burst of hits at a limit of 40 descriptors, kept connections to pods held the room; the next four clients were not let in for as long as these stay (15 s).

Ruled out: the clients' own bound (6 of 12 were there).

At fault: accepting pauses while all room is taken, and nothing gave room back. Each time that clients wait, an eighth of the kept connections goes (crates/sidecar/src/service/back.rs, mod.rs).

--- a/crates/cli/tests/command/wants.rs
+++ b/crates/cli/tests/command/wants.rs
@@ -145,9 +145,9 @@
     assert!(ask(&mut late, QUOTE).is_ok_and(|head| head.starts_with("HTTP/1.1 200")));
 }
 
-/// Connections kept to some pods must not be what keeps hits from the others.
+/// Connections kept to some pods must not be what keeps hits from the others, or clients from being let in.
 #[test]
-fn kept_connections_make_room_for_pods_that_have_none() {
+fn kept_connections_make_room_for_pods_that_have_none_and_for_clients() {
     let folder = tempfile::tempdir().unwrap();
     let pods: Vec<_> = (0..24).map(|_| pod()).collect();
     let known: Vec<(SocketAddr, u16)> = pods.iter().map(|(at, _)| (*at, 1)).collect();
@@ -157,10 +157,16 @@
             let mut client = sidecar.connect();
             std::thread::spawn(move || {
                 let well = (0..100).filter(|_| ask(&mut client, QUOTE).unwrap().starts_with("HTTP/1.1 200"));
-                well.count()
+                (well.count(), client)
             })
         })
         .collect();
-    let well: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
-    assert_eq!(well, 600);
+    let clients: Vec<(usize, TcpStream)> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    assert_eq!(clients.iter().map(|(well, _)| well).sum::<usize>(), 600);
+    let more: Vec<TcpStream> = (0..4).map(|_| sidecar.connect()).collect();
+    for mut client in more {
+        let head =
+            ask(&mut client, QUOTE).expect("a client is let in before kept connections end by themselves");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    }
 }
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -404,13 +404,25 @@
     /// Whether a connection to a pod may be made: if all are taken, the pod with the most kept ones loses its oldest.
     /// Guards against connections kept to some pods that keep hits from the others.
     fn makes_room(&mut self) -> bool {
-        if self.sockets.open() < self.room.shared {
-            return true;
+        self.sockets.open() < self.room.shared || {
+            self.drop_kept();
+            self.sockets.open() < self.room.shared
         }
+    }
+
+    /// Clients wait to be let in: an eighth of the kept connections goes, where these take the room.
+    pub(super) fn make_room_for_clients(&mut self) {
+        let kept: usize = self.idle.values().map(Vec::len).sum();
+        if self.sockets.open() >= self.room.shared {
+            (0..kept.div_ceil(8)).for_each(|_| self.drop_kept());
+        }
+    }
+
+    fn drop_kept(&mut self) {
         let most = self.idle.iter().max_by_key(|(_, kept)| kept.len()).and_then(|(_, kept)| kept.first());
-        let Some((link, _)) = most.copied() else { return false };
-        self.close_link(link);
-        self.sockets.open() < self.room.shared
+        if let Some((link, _)) = most.copied() {
+            self.close_link(link);
+        }
     }
 
     fn forget_idle(&mut self, link: SocketId, pod: PodId) {
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -323,7 +323,8 @@
                 None => {}
             },
             Happening::Pressed { why, .. } => {
-                tracing::warn!(%why, open = self.sockets.open(), "can't accept; tried again in 100 ms")
+                tracing::warn!(%why, open = self.sockets.open(), "can't accept; tried again in 100 ms");
+                self.make_room_for_clients();
             }
             Happening::Signal(signal) => self.leave(signal),
         }
