Tests wait for what happens, not for a guessed time

A pause of a second stood for a lowered cap to be read, 50 ms for stage news to be read, 600 ms for a late answer to a vote, and one loop polled for a connection.

Change: streams that are asked for come by a channel; a lowered cap is seen when no hit of twenty goes on trial, within the second that the rule grants; news are read when the first vote on them comes; a late answer comes at the test's word.

--- a/crates/cli/tests/command/wants.rs
+++ b/crates/cli/tests/command/wants.rs
@@ -61,37 +61,44 @@
     (at, told)
 }
 
-/// The next stream of stage news that a sidecar asks for, with one state said on it. Votes get no answer.
-fn says_stage(installer: &TcpListener, state: &str) -> TcpStream {
-    installer.set_nonblocking(true).unwrap();
-    let until = Instant::now() + Duration::from_secs(20);
-    loop {
-        assert!(Instant::now() < until, "nobody asks for stage news");
-        let Ok((mut link, _)) = installer.accept() else {
-            std::thread::sleep(Duration::from_millis(5));
-            continue;
-        };
-        link.set_nonblocking(false).unwrap();
-        let mut asked = [0; 1000];
-        let length = link.read(&mut asked).unwrap();
-        if asked[..length].starts_with(b"GET /v1/stages") {
-            let event = format!("event: stage\ndata: {state}\n\n");
-            write!(link, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n{event}").unwrap();
-            return link;
+/// An installer, and the streams of stage news that a sidecar asks it for. Votes get no answer.
+fn installer() -> (SocketAddr, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (tell, streams) = channel();
+    std::thread::spawn(move || {
+        let mut votes = Vec::new();
+        for mut link in listener.incoming().map_while(Result::ok) {
+            let mut asked = [0; 1000];
+            let length = link.read(&mut asked).unwrap_or(0);
+            if asked[..length].starts_with(b"GET /v1/stages") {
+                let _ = tell.send(link);
+            } else {
+                votes.push(link);
+            }
         }
-    }
+    });
+    (at, streams)
+}
+
+/// Says a state on the next stream that is asked for.
+fn says_stage(streams: &Receiver<TcpStream>, state: &str) -> TcpStream {
+    let mut link = streams.recv_timeout(Duration::from_secs(20)).expect("stage news are asked for");
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    write!(link, "{head}event: stage\ndata: {state}\n\n").unwrap();
+    link
 }
 
 #[test]
 fn clients_cannot_take_the_descriptors_of_pods_and_news_and_a_lowered_cap_comes_through() {
     let folder = tempfile::tempdir().unwrap();
     let ((base, _), (trial, at_trial)) = (pod(), pod());
-    let installer = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (installer, streams) = installer();
     let file = settings_with(folder.path(), &[(base, 1), (trial, 2)]);
-    change(&file, "127.0.0.1:8600", &installer.local_addr().unwrap().to_string());
+    change(&file, "127.0.0.1:8600", &installer.to_string());
     let sidecar = Running::start("ulimit -n 64;", &file, Stdio::null());
     let on_trial = r#"{"number":1,"build":2,"stage":2,"phase":"on_trial","cap":1}"#;
-    let news = says_stage(&installer, on_trial);
+    let news = says_stage(&streams, on_trial);
     let mut client = sidecar.connect();
     let mut hits = |many: usize| {
         let well = (0..many).filter(|_| ask(&mut client, QUOTE).unwrap().starts_with("HTTP/1.1 200"));
@@ -105,10 +112,12 @@
     assert_eq!(hits(20), 20);
     drop(news);
     let back = r#"{"number":2,"build":2,"stage":2,"phase":"going_back","cap":0}"#;
-    let _news = says_stage(&installer, back);
-    // The rule grants a second; by then nothing goes there any more.
-    std::thread::sleep(Duration::from_secs(1));
-    at_trial.try_iter().for_each(drop);
+    let _news = says_stage(&streams, back);
+    // Of twenty hits half would go there until the news is read; the rule grants a second from then.
+    let until = Instant::now() + Duration::from_secs(1);
+    while hits(20) < 20 || at_trial.try_iter().count() > 0 {
+        assert!(Instant::now() < until, "hits still go to the build on trial");
+    }
     assert_eq!((hits(60), at_trial.try_iter().count()), (60, 0));
     drop(crowd);
     let late = crate::help::status(&sidecar.at);
--- a/crates/sidecar/src/room.rs
+++ b/crates/sidecar/src/room.rs
@@ -10,9 +10,10 @@
 /// The part of the memory granted that clients' buffers may have.
 const MEMORY_PART: usize = 2;
 
-/// Guards against clients that take the descriptors that their hits need at pods, and against both taking those
-/// that news come by; and, where the system grants a bounded address space, against clients whose buffers do not fit, as
-/// an allocation that fails ends the process. Hurts where the limit is low: fewer clients are let in than the system would allow.
+/// Guards against clients that take the descriptors that their hits need at pods, and against both taking
+/// those that news come by; and, where the system grants a bounded address space, against clients whose buffers
+/// do not fit, as an allocation that fails ends the process. Hurts where the limit is low: fewer clients are let
+/// in than the system would allow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
     /// Connections that were accepted, at most.
--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -304,14 +304,14 @@
     Says(&'static str),
     SaysAndCloses(&'static str),
     Waits,
-    /// Counts it, and says so later.
-    After(Duration),
+    /// Counts it, and says so at a word of the test.
+    WhenTold,
 }
 
 pub struct Installer {
     at: SocketAddr,
-    asked: Receiver<()>,
     votes: Receiver<(Instant, String)>,
+    pub go_on: Sender<()>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -320,7 +320,8 @@
     pub fn new(state: &'static str, script: Vec<Vote>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
-        let ((tell_asked, asked), (tell_vote, votes)) = (channel(), channel());
+        let ((tell_vote, votes), (go_on, word)) = (channel(), channel());
+        let word = Arc::new(Mutex::new(word));
         let streams = Arc::new(Mutex::new(Vec::new()));
         let kept = streams.clone();
         std::thread::spawn(move || {
@@ -333,15 +334,15 @@
                     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
                     let _ = write!(link, "{head}data: {state}\n\n");
                     kept.lock().unwrap().push(link);
-                    let _ = tell_asked.send(());
                 } else if !text.is_empty() {
                     let _ = tell_vote.send((Instant::now(), text));
                     let does = if script.len() > 1 { script.next() } else { script.peek().cloned() };
-                    std::thread::spawn(move || votes_on(link, does.unwrap()));
+                    let word = word.clone();
+                    std::thread::spawn(move || votes_on(link, does.unwrap(), &word));
                 }
             }
         });
-        Self { at, asked, votes, streams }
+        Self { at, votes, go_on, streams }
     }
 
     pub fn settings(&self) -> limewing_settings::Installer {
@@ -349,10 +350,9 @@
         limewing_settings::Installer { address: self.at, quiet_at_most }
     }
 
-    /// Waits until stage news have been asked for, and a moment for them to be read.
-    pub fn is_asked(&self) {
-        self.asked.recv_timeout(Duration::from_secs(10)).expect("stage news are asked for");
-        std::thread::sleep(Duration::from_millis(50));
+    /// Waits until stage news have been read: the first vote on them comes.
+    pub fn is_heard(&self) {
+        self.vote(Duration::from_secs(10)).expect("a vote");
     }
 
     pub fn says(&self, state: &str) {
@@ -366,7 +366,7 @@
     }
 }
 
-fn votes_on(mut link: TcpStream, does: Vote) {
+fn votes_on(mut link: TcpStream, does: Vote, word: &Mutex<Receiver<()>>) {
     let says = |link: &mut TcpStream, what: &str| {
         let body = format!(r#"{{"answer":"{what}"}}"#);
         write!(link, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
@@ -378,8 +378,8 @@
         Vote::Says(text) => link.write_all(text.as_bytes()),
         Vote::SaysAndCloses(text) => return drop(link.write_all(text.as_bytes())),
         Vote::Waits => Ok(()),
-        Vote::After(wait) => {
-            std::thread::sleep(wait);
+        Vote::WhenTold => {
+            let _ = word.lock().unwrap().recv();
             says(&mut link, "counted")
         }
     };
--- a/crates/sidecar/tests/sockets/on_trial.rs
+++ b/crates/sidecar/tests/sockets/on_trial.rs
@@ -50,7 +50,7 @@
     let (base, trial) = (Pod::new(vec![Does::Says(DONE)]), Pod::new(vec![bad]));
     let installer = Installer::new(ON_TRIAL, vec![Vote::Counted]);
     let at = sidecar(&[(base.at, 1), (trial.at, 2)], &installer);
-    installer.is_asked();
+    installer.is_heard();
     let (mut failed, mut heard) = (0, BTreeMap::new());
     for number in 0..60 {
         let (method, path) = if number % 2 == 0 { ("GET", "/quotes/1") } else { ("POST", "/charges") };
@@ -80,7 +80,7 @@
     let base = Pod::new(vec![Does::Says(DONE)]);
     let installer = Installer::new(ON_TRIAL, vec![Vote::Counted]);
     let at = sidecar(&[(base.at, 1), (closed, 2)], &installer);
-    installer.is_asked();
+    installer.is_heard();
     let mut client = Client::new(at);
     for _ in 0..40 {
         client.says("POST /charges HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
@@ -96,7 +96,7 @@
     let (base, trial) = (Pod::new(vec![Does::Says(DONE)]), Pod::new(script));
     let installer = Installer::new(ON_TRIAL, vec![Vote::Counted]);
     let at = sidecar(&[(base.at, 1), (trial.at, 2)], &installer);
-    installer.is_asked();
+    installer.is_heard();
     let mut client = Client::new(at);
     let again = (0..1500).any(|_| {
         client.says("GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -137,11 +137,11 @@
 #[test]
 fn a_vote_answered_after_the_next_stage_began_does_not_stand_for_that_one() {
     let pod = Pod::new(vec![Does::Says(DONE)]);
-    let late = Vote::After(Duration::from_millis(600));
-    let installer = Installer::new(ON_TRIAL, vec![late, Vote::Counted]);
+    let installer = Installer::new(ON_TRIAL, vec![Vote::WhenTold, Vote::Counted]);
     sidecar(&[(pod.at, 1)], &installer);
     installer.vote(Duration::from_secs(5)).expect("a vote");
     installer.says(r#"{"number":2,"build":2,"stage":1,"phase":"on_trial","cap":1}"#);
+    installer.go_on.send(()).unwrap();
     let (_, body) = installer.vote(Duration::from_secs(3)).expect("a vote for the next stage");
     assert!(body.contains("\"stage\":1"), "{body}");
 }
