--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -17,7 +17,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 #[derive(Parser)]
@@ -36,6 +36,12 @@
         #[arg(long)]
         with_parent: bool,
     },
+    /// Run one sidecar on the platform; logs go to standard error as JSON
+    Platform {
+        /// What the platform tells the sidecar
+        #[arg(env = "ROUTER_CONFIG")]
+        config: PathBuf,
+    },
     /// Check settings, or print their schema
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -183,6 +189,7 @@
 fn run(command: Command) -> Result<(), Stop> {
     match command {
         Command::Sidecar { settings, with_parent } => sidecar(&settings, with_parent),
+        Command::Platform { config } => platform(config),
         Command::Settings(SettingsCommand::Check { file, of }) => {
             match of {
                 Kind::Sidecar => {
@@ -253,16 +260,31 @@
     }
 }
 
-fn sidecar(file: &std::path::Path, with_parent: bool) -> Result<(), Stop> {
-    let settings: SidecarSettings = limewing_settings::read(file).map_err(Stop::input)?;
+/// Log lines that wait to be written, at most.
+const MOST_LINES: usize = 4096;
+
+fn logs() -> Result<WorkerGuard, Stop> {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     // Logs go by a thread of their own, and lines that standard error does not take in time are left out: a full
     // disk or a reader that stands still must not end or hold up a sidecar. Hurts by lines that are missing.
-    let (log, _writes) = NonBlockingBuilder::default().lossy(true).finish(std::io::stderr());
+    let (log, writes) = NonBlockingBuilder::default().buffered_lines_limit(MOST_LINES).lossy(true).finish(std::io::stderr());
     let lines = tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(log);
     lines.log_internal_errors(false).init();
     // A file at its size limit is told as an error of the write, as any other is; unwatched it ends the process.
     signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(Stop::failed)?;
+    Ok(writes)
+}
+
+fn platform(file: PathBuf) -> Result<(), Stop> {
+    let _writes = logs()?;
+    let service = limewing_platform::service::Service::start(file).map_err(Stop::input)?;
+    tracing::info!(address = %service.address(), name = service.name(), "listening");
+    service.run().map_err(Stop::failed)
+}
+
+fn sidecar(file: &std::path::Path, with_parent: bool) -> Result<(), Stop> {
+    let settings: SidecarSettings = limewing_settings::read(file).map_err(Stop::input)?;
+    let _writes = logs()?;
     let service = Service::start(&settings).map_err(|e| Stop::input(format!("{}: {e}", file.display())))?;
     let address = service.address();
     tracing::info!(%address, name = settings.name, "listening");
--- /dev/null
+++ b/crates/hosting/src/open.rs
@@ -0,0 +1,106 @@
+//! The hits that a host holds: each gets one final answer, and each of its forwards ends once.
+
+use limewing::interface::{Fate, ForwardNo, HitId, Outcome, PodId};
+use limewing_net::sockets::SocketId;
+use limewing_net::wheel::TimerKey;
+use rustc_hash::FxHashMap;
+use std::time::Duration;
+
+/// A hit that is not settled, or still has a forward out; `of` is what its protocol knows of it.
+pub struct Open<T> {
+    pub client: Option<SocketId>,
+    pub due: Duration,
+    pub over: bool,
+    pub forwards: Vec<Forward>,
+    pub of: T,
+}
+
+pub struct Forward {
+    pub pod: PodId,
+    pub sent: Duration,
+    pub link: Option<SocketId>,
+    pub timer: Option<TimerKey>,
+    pub ended: bool,
+}
+
+pub struct OpenHits<T> {
+    hits: FxHashMap<HitId, Open<T>>,
+    next: u64,
+}
+
+impl<T> Default for OpenHits<T> {
+    fn default() -> Self {
+        Self { hits: FxHashMap::default(), next: 0 }
+    }
+}
+
+/// What came of ending a forward.
+pub struct Ended<T> {
+    pub outcome: Outcome,
+    /// To be cancelled.
+    pub timer: Option<TimerKey>,
+    /// The hit, if that was the last of it.
+    pub last: Option<T>,
+}
+
+impl<T> OpenHits<T> {
+    pub fn open(&mut self, client: SocketId, due: Duration, of: T) -> HitId {
+        let id = HitId(self.next);
+        self.next += 1;
+        let open = Open { client: Some(client), due, over: false, forwards: Vec::new(), of };
+        self.hits.insert(id, open);
+        id
+    }
+
+    pub fn get(&self, hit: HitId) -> Option<&Open<T>> {
+        self.hits.get(&hit)
+    }
+
+    pub fn get_mut(&mut self, hit: HitId) -> Option<&mut Open<T>> {
+        self.hits.get_mut(&hit)
+    }
+
+    /// One that is not over.
+    pub fn unsettled(&mut self, hit: HitId) -> Option<&mut Open<T>> {
+        self.hits.get_mut(&hit).filter(|open| !open.over)
+    }
+
+    /// How many were ever taken.
+    pub fn taken(&self) -> u64 {
+        self.next
+    }
+
+    pub fn len(&self) -> usize {
+        self.hits.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.hits.is_empty()
+    }
+
+    pub fn forward(&self, hit: HitId, no: ForwardNo) -> Option<&Forward> {
+        self.hits.get(&hit)?.forwards.get(usize::from(no.0))
+    }
+
+    /// A forward that has not ended.
+    pub fn out(&mut self, hit: HitId, no: ForwardNo) -> Option<&mut Forward> {
+        self.hits.get_mut(&hit)?.forwards.get_mut(usize::from(no.0)).filter(|forward| !forward.ended)
+    }
+
+    /// Ends a forward; nothing if it had ended.
+    pub fn end(&mut self, hit: HitId, no: ForwardNo, fate: Fate, now: Duration) -> Option<Ended<T>> {
+        let over = self.hits.get(&hit)?.over;
+        let forward = self.out(hit, no)?;
+        (forward.ended, forward.link) = (true, None);
+        let (pod, took, timer) = (forward.pod, now.saturating_sub(forward.sent), forward.timer.take());
+        let outcome = Outcome { hit, no, pod, fate, took, over };
+        Some(Ended { outcome, timer, last: self.tidy(hit) })
+    }
+
+    /// Forgets a hit that is over once nothing of it is out.
+    pub fn tidy(&mut self, hit: HitId) -> Option<T> {
+        let settled = |open: &Open<T>| open.over && open.forwards.iter().all(|f| f.ended);
+        self.hits.get(&hit).filter(|open| settled(open))?;
+        self.hits.remove(&hit).map(|open| open.of)
+    }
+}
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -190,6 +190,12 @@
         self.link(id).is_none_or(|link| link.ended)
     }
 
+    /// Whether nothing has come in: no byte, and no end. Asks the system, which may know more than was told.
+    pub fn is_quiet(&mut self, id: SocketId) -> bool {
+        let Some(link) = self.link(id).filter(|link| link.input.is_empty() && !link.ended) else { return false };
+        matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Bytes given to the system so far.
     pub fn written(&mut self, id: SocketId) -> u64 {
         self.link(id).map_or(0, |link| link.written)
--- /dev/null
+++ b/crates/platform/src/listing.rs
@@ -0,0 +1,193 @@
+//! Discovery's list as rows of the decision module.
+
+use limewing::interface::{BuildId, CellId, KindId, ListNews, PodEntry, PodId, PodState, ZoneId};
+use limewing_hosting::clock;
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+/// One object of a watch: the whole list, or what changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    pub seq: u64,
+    pub whole: bool,
+    pub hosts: Vec<Entry>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Health {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Entry {
+    pub host: String,
+    pub dial: SocketAddr,
+    #[serde(default)]
+    pub site: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub block: u16,
+    pub health: Health,
+    #[serde(default = "whole")]
+    pub share: f64,
+    #[serde(default)]
+    pub born_ms: u64,
+    #[serde(default)]
+    pub version_no: u16,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+/// Entries of one object, at most.
+pub const MOST_ENTRIES: usize = 10_000;
+
+struct Row {
+    entry: Entry,
+    pod: PodId,
+    started: Option<Duration>,
+}
+
+/// The list as it is held, and the numbers that the module knows pods by.
+pub struct List {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    rows: BTreeMap<String, Row>,
+    names: FxHashMap<PodId, String>,
+    numbers: BTreeMap<String, PodId>,
+    next: u64,
+    pub seq: u64,
+}
+
+/// What a listing changed.
+pub struct Change {
+    pub news: ListNews,
+    /// Pods whose connections lead to where they are no longer.
+    pub moved: Vec<PodId>,
+}
+
+impl List {
+    pub fn new(zones: &[String], kinds: &[String]) -> Self {
+        let (zones, kinds) = (zones.to_vec(), kinds.to_vec());
+        let (rows, names, numbers) = (BTreeMap::new(), FxHashMap::default(), BTreeMap::new());
+        Self { zones, kinds, rows, names, numbers, next: 1, seq: 0 }
+    }
+
+    /// The list as it was held last, before the start.
+    pub fn recall(&mut self, known: Listing, now: Duration, today: SystemTime) -> ListNews {
+        let seq = known.seq;
+        let entries = known.hosts.into_iter().filter(|entry| entry.health != Health::Terminated);
+        let entries = entries.map(|entry| self.put(entry, now, today)).collect();
+        self.seq = seq;
+        ListNews::Remembered(entries)
+    }
+
+    /// Takes what a watch told. What is told again though nothing changed is left out: it would have the
+    /// module draw its luck with a cold pod anew.
+    ///
+    /// # Errors
+    /// More entries than a list can have.
+    pub fn take(&mut self, told: Listing, now: Duration, today: SystemTime) -> Result<Change, String> {
+        if told.hosts.len() > MOST_ENTRIES {
+            return Err(format!("{} entries, at most {MOST_ENTRIES}", told.hosts.len()));
+        }
+        let (mut rows, mut moved) = (Vec::new(), Vec::new());
+        if told.whole {
+            let listed: Vec<&str> = told.hosts.iter().map(|entry| entry.host.as_str()).collect();
+            let gone = self.rows.keys().filter(|host| !listed.contains(&host.as_str()));
+            for host in gone.cloned().collect::<Vec<_>>() {
+                rows.extend(self.remove(&host, &mut moved));
+            }
+        }
+        for entry in told.hosts {
+            let old = self.rows.get(&entry.host);
+            if old.is_some_and(|old| old.entry == entry) {
+                continue;
+            }
+            if entry.health == Health::Terminated {
+                rows.extend(self.remove(&entry.host, &mut moved));
+                continue;
+            }
+            moved.extend(old.filter(|old| old.entry.dial != entry.dial).map(|old| old.pod));
+            rows.push(self.put(entry, now, today));
+        }
+        self.seq = told.seq;
+        Ok(Change { news: ListNews::Change(rows), moved })
+    }
+
+    fn remove(&mut self, host: &str, moved: &mut Vec<PodId>) -> Option<PodEntry> {
+        let row = self.rows.remove(host)?;
+        moved.push(row.pod);
+        Some(PodEntry { state: PodState::Gone, ..self.entry(&row) })
+    }
+
+    fn put(&mut self, entry: Entry, now: Duration, today: SystemTime) -> PodEntry {
+        let pod = self.pod(&entry.host);
+        let told = |row: &&Row| row.entry.born_ms == entry.born_ms;
+        let started = match self.rows.get(&entry.host).filter(told) {
+            // Kept, so that a step of the time of day does not look like a restart.
+            Some(row) => row.started,
+            None if entry.born_ms == 0 => None,
+            None => clock::of_day(entry.born_ms as f64 / 1e3, now, today),
+        };
+        let row = Row { pod, started, entry };
+        let told = self.entry(&row);
+        self.rows.insert(row.entry.host.clone(), row);
+        told
+    }
+
+    fn entry(&self, row: &Row) -> PodEntry {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+        let entry = &row.entry;
+        PodEntry {
+            pod: row.pod,
+            state: match entry.health {
+                Health::InService => PodState::Ready,
+                Health::Terminating => PodState::Draining,
+                Health::Terminated => PodState::Gone,
+            },
+            build: BuildId(entry.version_no),
+            size: if entry.share.is_finite() && entry.share > 0.0 { entry.share } else { 1.0 },
+            started: row.started,
+            zone: ZoneId(place(&self.zones, &entry.site) as u16),
+            cell: CellId(entry.block),
+            kind: KindId(place(&self.kinds, &entry.class).min(255) as u8),
+        }
+    }
+
+    /// The number of a pod; one that was gone and returns has the same.
+    fn pod(&mut self, host: &str) -> PodId {
+        if let Some(pod) = self.numbers.get(host) {
+            return *pod;
+        }
+        let pod = PodId(self.next);
+        self.next += 1;
+        self.numbers.insert(host.to_owned(), pod);
+        self.names.insert(pod, host.to_owned());
+        pod
+    }
+
+    pub fn address(&self, pod: PodId) -> Option<SocketAddr> {
+        self.rows.get(self.names.get(&pod)?).map(|row| row.entry.dial)
+    }
+
+    pub fn number(&self, host: &str) -> Option<PodId> {
+        self.rows.get(host).map(|row| row.pod)
+    }
+
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/news.rs
@@ -0,0 +1,136 @@
+//! What rollouts and a sidecar say to each other: how the newest build stands, reports of wrong answers, votes.
+
+use limewing::interface::{BuildId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+enum Standing {
+    Progressing,
+    Aborting,
+    Healthy,
+    Aborted,
+}
+
+/// How the newest build stands.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct State {
+    revision: u16,
+    wave: u8,
+    state: Standing,
+    max_share: f64,
+}
+
+impl State {
+    pub fn news(self) -> StageNews {
+        StageNews {
+            build: BuildId(self.revision),
+            stage: StageNo(self.wave),
+            phase: match self.state {
+                Standing::Progressing => Phase::OnTrial,
+                Standing::Aborting => Phase::GoingBack,
+                Standing::Healthy => Phase::Released,
+                Standing::Aborted => Phase::Withdrawn,
+            },
+            cap: if self.max_share.is_finite() { self.max_share.clamp(0.0, 1.0) } else { 0.0 },
+        }
+    }
+
+    /// How far a build has come: it never stands before where it stood.
+    fn progress(self) -> (u16, u8, u8) {
+        let far = match self.state {
+            Standing::Progressing => 0,
+            Standing::Healthy => 1,
+            Standing::Aborting => 2,
+            Standing::Aborted => 3,
+        };
+        (self.revision, far, if far == 0 { self.wave } else { 0 })
+    }
+}
+
+/// Lets only news through that is no older than what came before: the stream and the answers to votes come on
+/// connections of their own, and a late answer may tell a cap that has been lowered since.
+#[derive(Default)]
+pub struct Latest(Option<State>);
+
+impl Latest {
+    pub fn take(&mut self, state: State) -> Option<StageNews> {
+        if self.0.is_some_and(|old| old.progress() > state.progress()) {
+            return None;
+        }
+        self.0 = Some(state);
+        Some(state.news())
+    }
+}
+
+/// A wrong answer: whose, in which class, and how long ago its forward was sent.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Report {
+    pub instance_id: String,
+    pub lane: String,
+    #[serde(default)]
+    pub age_ms: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    News(State),
+    Report(Report),
+    /// A sign of life, or something that is not for us.
+    Nothing,
+}
+
+#[derive(Deserialize)]
+struct Line<'a> {
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(borrow)]
+    object: Option<&'a serde_json::value::RawValue>,
+}
+
+/// # Errors
+/// A line that can't be read.
+pub fn read_line(line: &[u8]) -> Result<Told, String> {
+    if line.trim_ascii().is_empty() {
+        return Ok(Told::Nothing);
+    }
+    let read: Line = serde_json::from_slice(line).map_err(|e| e.to_string())?;
+    let object = read.object.map_or("null", |object| object.get());
+    match read.kind.as_str() {
+        "news" => serde_json::from_str(object).map(Told::News).map_err(|e| e.to_string()),
+        "report" => serde_json::from_str(object).map(Told::Report).map_err(|e| e.to_string()),
+        _ => Ok(Told::Nothing),
+    }
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Vote {
+    revision: u16,
+    wave: u8,
+    decision: &'static str,
+}
+
+pub fn vote(verdict: Verdict, build: BuildId, stage: StageNo) -> Vec<u8> {
+    let decision = match verdict {
+        Verdict::Withhold => "abstain",
+        Verdict::On => "promote",
+        Verdict::Hold => "pause",
+        Verdict::Back => "abort",
+    };
+    serde_json::to_vec(&Vote { revision: build.0, wave: stage.0, decision }).unwrap_or_default()
+}
+
+/// What an answer to a vote says, and how the newest build stands by it.
+pub fn vote_answer(status: u16, body: &[u8]) -> (VoteAnswer, Option<State>) {
+    match status {
+        200 => match serde_json::from_slice(body) {
+            Ok(state) => (VoteAnswer::Counted, Some(state)),
+            Err(_) => (VoteAnswer::Unanswered, None),
+        },
+        409 => (VoteAnswer::Moot, None),
+        429 => (VoteAnswer::Full, None),
+        _ => (VoteAnswer::Failed, None),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service/back.rs
@@ -0,0 +1,364 @@
+//! The pods' side: forwards, what became of them, and the connections they go over.
+//!
+//! What proves that a forward never ran: its connection never came up, or broke before the last byte of the
+//! forward was with the system, or the pod says that it turned it away. A forward is written only once the pod
+//! has welcomed the connection, so that one that breaks before proves the same.
+
+use super::{Due, Peer, Service};
+use bytes::{Bytes, BytesMut};
+use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
+use limewing_hosting::open::Forward;
+use limewing_net::sockets::{is_own_want, SocketId};
+use limewing_net::wheel::TimerKey;
+use limewing_pg::{read, write, Frame, Frames};
+use std::time::Duration;
+
+/// A row that a pod may send, and any other message of its.
+const LONGEST_ROW: usize = 64 * 1024 + 64;
+const LONGEST_OTHER: usize = 8 * 1024;
+/// How long a pod may take to say that the next forward may come, once it has answered.
+const READY_WITHIN: Duration = Duration::from_millis(200);
+/// With this code a pod tells that it has not begun a hit.
+const TURNED_AWAY: &str = "53300";
+
+pub struct PodLink {
+    pod: PodId,
+    state: State,
+    frames: Frames,
+    /// While it comes up, or settles.
+    timer: Option<TimerKey>,
+    job: Option<Job>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Opening,
+    /// Carries a forward, or is kept for the next.
+    Up,
+    /// The answer has come, but not yet the word that the next may.
+    Settling,
+}
+
+/// One forward on a connection.
+struct Job {
+    hit: HitId,
+    no: ForwardNo,
+    /// Bytes written on this connection when all of it is.
+    until: u64,
+    described: Option<Bytes>,
+    row: Option<Bytes>,
+}
+
+/// What a message of a pod means.
+enum Step {
+    On,
+    Up,
+    /// The answer is whole: the completion's bytes.
+    Whole(Bytes),
+    Turned(Fate),
+    Spoilt,
+}
+
+impl Service {
+    pub(super) fn forward(&mut self, hit: HitId, pod: PodId, within: Duration) {
+        let now = self.now;
+        let Some(open) = self.hits.get_mut(hit) else { return };
+        let no = ForwardNo(open.forwards.len() as u16);
+        let due = if within.is_zero() { open.due } else { open.due.min(now + within) };
+        let timer = Some(self.wheel.arm(due, Due::Forward(hit, no)));
+        open.forwards.push(Forward { pod, sent: now, link: None, timer, ended: false });
+        let spent = open.forwards.len() > self.terms.max_forwards;
+        if open.over || spent || now >= due {
+            return self.end_forward(hit, no, Fate::Void);
+        }
+        let link = match self.kept_link(pod) {
+            Some(link) => link,
+            None => match self.new_link(pod) {
+                Ok(link) => link,
+                Err(fate) => return self.end_forward(hit, no, fate),
+            },
+        };
+        if let Some(forward) = self.hits.out(hit, no) {
+            forward.link = Some(link);
+        }
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        of.job = Some(Job { hit, no, until: u64::MAX, described: None, row: None });
+        if of.state == State::Up {
+            self.write_forward(link);
+        }
+    }
+
+    /// A kept connection on which nothing has come since: what a pod says unasked would be taken for the answer.
+    fn kept_link(&mut self, pod: PodId) -> Option<SocketId> {
+        while let Some((link, timer)) = self.kept.take(pod) {
+            self.wheel.cancel(timer);
+            if self.sockets.is_quiet(link) {
+                return Some(link);
+            }
+            self.peers.remove(&link);
+            self.sockets.close(link);
+        }
+        None
+    }
+
+    fn new_link(&mut self, pod: PodId) -> Result<SocketId, Fate> {
+        // What is left is for discovery, news and votes.
+        if !self.makes_room() {
+            return Err(Fate::Void);
+        }
+        let to = self.list.address(pod).ok_or(Fate::Unreached)?;
+        let link = self.sockets.connect(to).map_err(|trouble| {
+            // Our own want is no sign of the pod: it must not be shut for it.
+            let own = is_own_want(&trouble);
+            tracing::warn!(%trouble, own, "no way to a pod");
+            if own {
+                Fate::Void
+            } else {
+                Fate::Unreached
+            }
+        })?;
+        let timer = Some(self.wheel.arm(self.now + self.terms.connect_timeout, Due::Connect(link)));
+        let (state, frames) = (State::Opening, Frames::default());
+        self.peers.insert(link, Peer::Pod(Box::new(PodLink { pod, state, frames, timer, job: None })));
+        Ok(link)
+    }
+
+    fn write_forward(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let Some(job) = &mut of.job else { return };
+        let Some(open) = self.hits.get(job.hit) else { return };
+        let mut out = BytesMut::with_capacity(open.of.text.len() + 16);
+        write::query(&mut out, &open.of.waiting(open.due.saturating_sub(self.now)));
+        job.until = self.sockets.written(link) + out.len() as u64;
+        self.sockets.send(link, &out);
+    }
+
+    pub(super) fn pod_connected(&mut self, link: SocketId) {
+        let mut out = BytesMut::new();
+        write::startup(&mut out, &[("user", "api"), ("database", "ledger")]);
+        self.sockets.send(link, &out);
+    }
+
+    pub(super) fn connect_late(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        of.timer = None;
+        match of.state {
+            State::Opening => self.pod_lost(link, 0),
+            State::Up | State::Settling => drop(self.peers.remove(&link)),
+        }
+        self.sockets.close(link);
+    }
+
+    pub(super) fn pod_lost(&mut self, link: SocketId, written: u64) {
+        let Some(Peer::Pod(of)) = self.peers.remove(&link) else { return };
+        of.timer.map(|timer| self.wheel.cancel(timer));
+        match of.job {
+            Some(job) => {
+                let never = of.state == State::Opening || written < job.until;
+                self.end_forward(job.hit, job.no, if never { Fate::Unreached } else { Fate::Broken });
+            }
+            None => self.forget_kept(link, of.pod),
+        }
+    }
+
+    pub(super) fn pod_wrote(&mut self, link: SocketId) {
+        loop {
+            let ended = self.sockets.ended(link);
+            let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+            let Some(input) = self.sockets.input(link) else { return };
+            let most = |kind| match kind {
+                b'D' => Some(LONGEST_ROW),
+                b'R' | b'S' | b'K' | b'Z' | b'T' | b'C' | b'E' | b'N' => Some(LONGEST_OTHER),
+                _ => None,
+            };
+            let step = match of.frames.take(input, most) {
+                Ok(Some(frame)) => of.step(frame),
+                Ok(None) if ended => {
+                    let written = self.sockets.written(link);
+                    self.sockets.close(link);
+                    return self.pod_lost(link, written);
+                }
+                Ok(None) => return self.sockets.read_on(link),
+                Err(_) => Step::Spoilt,
+            };
+            match step {
+                Step::On => {}
+                Step::Up => self.pod_is_up(link),
+                Step::Whole(tag) => self.answer_whole(link, &tag),
+                Step::Turned(fate) => self.answer_turned(link, fate),
+                Step::Spoilt => return self.spoilt(link),
+            }
+        }
+    }
+
+    /// The pod takes the next forward.
+    fn pod_is_up(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let timer = of.timer.take();
+        of.state = State::Up;
+        let (free, pod) = (of.job.is_none(), of.pod);
+        timer.map(|timer| self.wheel.cancel(timer));
+        // More bytes than an answer has: they would be taken for the next one's.
+        let more = self.sockets.input(link).is_none_or(|input| !input.is_empty());
+        if more || self.closed && free {
+            return self.close_link(link);
+        }
+        if free {
+            let timer = self.wheel.arm(self.now + self.terms.idle_close.mul_f64(0.7), Due::Idle(link));
+            self.kept.put(pod, link, timer);
+        } else {
+            self.write_forward(link);
+        }
+    }
+
+    fn take_job(&mut self, link: SocketId) -> Option<Job> {
+        let at = self.now + READY_WITHIN;
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return None };
+        let job = of.job.take()?;
+        of.state = State::Settling;
+        of.timer = Some(self.wheel.arm(at, Due::Connect(link)));
+        Some(job)
+    }
+
+    fn answer_whole(&mut self, link: SocketId, tag: &[u8]) {
+        let Some(job) = self.take_job(link) else { return };
+        let (Some(described), Some(row)) = (job.described, job.row) else { return };
+        let mut out = BytesMut::with_capacity(described.len() + row.len() + tag.len() + 32);
+        for (kind, body) in [(b'T', &described[..]), (b'D', &row[..]), (b'C', tag)] {
+            write::again(&mut out, kind, body);
+        }
+        self.settle(job.hit, out);
+        self.end_forward(job.hit, job.no, Fate::Delivered);
+    }
+
+    /// The pod answered with an error.
+    fn answer_turned(&mut self, link: SocketId, fate: Fate) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        if of.state == State::Opening {
+            // It takes no more connections.
+            let job = of.job.take();
+            let pod_gone = fate;
+            self.close_link(link);
+            job.into_iter().for_each(|job| self.end_forward(job.hit, job.no, pod_gone));
+            return;
+        }
+        match self.take_job(link) {
+            Some(job) => self.end_forward(job.hit, job.no, fate),
+            None => self.close_link(link),
+        }
+    }
+
+    /// What can't be an answer: the hit may have run, and the connection is of no more use.
+    fn spoilt(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let (job, opening) = (of.job.take(), of.state == State::Opening);
+        self.close_link(link);
+        let fate = if opening { Fate::Unreached } else { Fate::Errored };
+        job.into_iter().for_each(|job| self.end_forward(job.hit, job.no, fate));
+    }
+
+    /// Tells the module how a forward ended; each ends once.
+    fn end_forward(&mut self, hit: HitId, no: ForwardNo, fate: Fate) {
+        let Some(ended) = self.hits.end(hit, no, fate, self.now) else { return };
+        ended.timer.map(|timer| self.wheel.cancel(timer));
+        self.events.push(Event::Outcome(ended.outcome));
+        self.forget(ended.last);
+    }
+
+    pub(super) fn forward_late(&mut self, hit: HitId, no: ForwardNo) {
+        let Some(forward) = self.hits.out(hit, no) else { return };
+        forward.timer = None;
+        let link = forward.link.take();
+        let fate = self.drop_job(link).unwrap_or(Fate::TimedOut);
+        self.end_forward(hit, no, fate);
+    }
+
+    pub(super) fn cancel(&mut self, hit: HitId, no: ForwardNo) {
+        let Some(forward) = self.hits.out(hit, no) else { return };
+        let link = forward.link.take();
+        let fate = self.drop_job(link).unwrap_or(Fate::Cancelled);
+        self.end_forward(hit, no, fate);
+    }
+
+    /// Takes a forward off its connection. One that still comes up is left to be used by others, and nothing
+    /// was written of the forward: it never ran. A connection with a forward on it is closed, as its answer
+    /// may still come.
+    fn drop_job(&mut self, link: Option<SocketId>) -> Option<Fate> {
+        let link = link?;
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return None };
+        let job = of.job.take()?;
+        if of.state == State::Opening {
+            return Some(Fate::Unreached);
+        }
+        let unwritten = self.sockets.written(link) < job.until;
+        self.peers.remove(&link);
+        self.sockets.close(link);
+        unwritten.then_some(Fate::Unreached)
+    }
+
+    pub(super) fn close_idle(&mut self, link: SocketId) {
+        self.close_link(link);
+    }
+
+    /// Ends a connection that carries nothing.
+    pub(super) fn close_link(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.remove(&link) else { return };
+        of.timer.map(|timer| self.wheel.cancel(timer));
+        self.forget_kept(link, of.pod);
+        self.sockets.close(link);
+    }
+
+    /// Whether a connection to a pod may be made: if all are taken, the pod with the most kept ones loses its
+    /// oldest. Guards against connections kept to some pods that keep hits from the others.
+    fn makes_room(&mut self) -> bool {
+        if self.sockets.open() >= self.room.shared {
+            self.drop_kept();
+        }
+        self.sockets.open() < self.room.shared
+    }
+
+    pub(super) fn drop_kept(&mut self) {
+        self.kept.spare().into_iter().for_each(|link| self.close_link(link));
+    }
+
+    fn forget_kept(&mut self, link: SocketId, pod: PodId) {
+        self.kept.forget(pod, link).map(|timer| self.wheel.cancel(timer));
+    }
+}
+
+impl PodLink {
+    fn step(&mut self, frame: Frame) -> Step {
+        let Frame { kind, body } = frame;
+        match (self.state, kind) {
+            // Notices and parameters may come at any time.
+            (_, b'N' | b'S') => Step::On,
+            (State::Opening, b'R') if read::is_welcome(&body) => Step::On,
+            (State::Opening, b'K') => Step::On,
+            (State::Opening | State::Settling, b'Z') => Step::Up,
+            (State::Opening, b'E') => Step::Turned(match read::code(&body) {
+                Some(TURNED_AWAY) => Fate::TurnedAway,
+                _ => Fate::Unreached,
+            }),
+            (State::Up, kind) => self.answer(kind, body),
+            _ => Step::Spoilt,
+        }
+    }
+
+    fn answer(&mut self, kind: u8, body: Bytes) -> Step {
+        let Some(job) = &mut self.job else { return Step::Spoilt };
+        match (kind, &job.described, &job.row) {
+            (b'T', None, None) if read::only_column(&body).is_some() => job.described = Some(body),
+            (b'D', Some(_), None) if read::only_value(&body).is_some() => job.row = Some(body),
+            (b'C', Some(_), Some(_)) if read::text(&body).is_some() => return Step::Whole(body),
+            (b'E', ..) => {
+                return match read::code(&body) {
+                    Some(TURNED_AWAY) if job.described.is_none() => Step::Turned(Fate::TurnedAway),
+                    Some(_) => Step::Turned(Fate::Errored),
+                    None => Step::Spoilt,
+                }
+            }
+            _ => return Step::Spoilt,
+        }
+        Step::On
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service/front.rs
@@ -0,0 +1,333 @@
+//! The clients' side: statements become hits, and each hit gets one final answer.
+
+use super::{Due, Peer, Service, MOST_UNSENT};
+use crate::statement;
+use bytes::BytesMut;
+use limewing::interface::{Event, Hit, HitId};
+use limewing_net::sockets::SocketId;
+use limewing_net::wheel::TimerKey;
+use limewing_pg::{read, waiting, write, Frames};
+use std::time::Duration;
+
+/// A connection whose client says nothing whole for so long is closed.
+const SPEAKS_WITHIN: Duration = Duration::from_millis(1500);
+/// A connection without a hit may be closed once it has been idle for so long.
+const IDLE_ENOUGH: Duration = Duration::from_secs(2);
+pub const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Statements that may wait behind the one that is served.
+const MOST_WAITING: usize = 8;
+/// Before a hit's time is up its final answer must be on its way.
+const MARGIN: Duration = Duration::from_millis(30);
+/// Messages of a client that are no statement are no longer than this.
+const LONGEST_OTHER: usize = 4 * 1024;
+/// A client that can't be understood hears so after this time, and is read no further meanwhile. Guards against
+/// one that says the same again as soon as it is turned away. Hurts a client with a fault by that wait.
+const TURNED_AWAY_AFTER: Duration = Duration::from_millis(1000);
+
+const REFUSED: &str = "53300";
+const LATE: &str = "57014";
+const FAILED: &str = "58000";
+const BAD_STATEMENT: &str = "42601";
+const BAD_MESSAGE: &str = "08P01";
+
+pub struct Client {
+    frames: Frames,
+    begun: bool,
+    /// It has had an answer to a statement of the form that is served.
+    served: bool,
+    hit: Option<HitId>,
+    since: Duration,
+    /// When it is closed if it says nothing whole.
+    silent: Option<TimerKey>,
+    /// It is turned away: with what code and words.
+    away: Option<(&'static str, String)>,
+}
+
+impl Service {
+    pub(super) fn client_came(&mut self, id: SocketId) {
+        self.clients += 1;
+        let silent = Some(self.wheel.arm(self.now + SPEAKS_WITHIN, Due::Silent(id)));
+        let (frames, since) = (Frames::default(), self.now);
+        let client = Client { frames, begun: false, served: false, hit: None, since, silent, away: None };
+        self.peers.insert(id, Peer::Client(Box::new(client)));
+    }
+
+    fn client(&mut self, id: SocketId) -> Option<&mut Client> {
+        match self.peers.get_mut(&id) {
+            Some(Peer::Client(client)) => Some(client),
+            _ => None,
+        }
+    }
+
+    pub(super) fn client_wrote(&mut self, id: SocketId) {
+        loop {
+            let ended = self.sockets.ended(id);
+            let Some(Peer::Client(client)) = self.peers.get_mut(&id) else { return };
+            if client.away.is_some() {
+                return;
+            }
+            if client.hit.is_some() {
+                // What comes behind waits its turn; a client that closed its side is gone.
+                return if ended { self.client_gone(id) } else { Default::default() };
+            }
+            // Nothing more is taken off a client that does not read its answers.
+            if self.sockets.unsent(id) > MOST_UNSENT {
+                return;
+            }
+            let Some(input) = self.sockets.input(id) else { return };
+            if !client.begun {
+                match read::startup(input) {
+                    Ok(Some(read::Startup::Session)) => self.welcome(id),
+                    Ok(Some(read::Startup::Encryption)) => self.sockets.send(id, b"N"),
+                    Ok(Some(read::Startup::CallOff)) => return self.client_gone(id),
+                    Ok(None) if ended => return self.client_gone(id),
+                    Ok(None) => return self.sockets.read_on(id),
+                    Err(why) => return self.turn_away(id, BAD_MESSAGE, why.to_string()),
+                }
+                continue;
+            }
+            let most = |kind| match kind {
+                b'Q' => Some(statement::LONGEST),
+                b'X' | b'P' | b'B' | b'E' | b'D' | b'C' | b'H' | b'S' | b'F' | b'd' | b'c' | b'f' | b'p' => {
+                    Some(LONGEST_OTHER)
+                }
+                _ => None,
+            };
+            let before = input.len();
+            match client.frames.take(input, most) {
+                Ok(Some(frame)) if frame.kind == b'Q' => match read::text(&frame.body) {
+                    Some(text) => self.statement(id, text),
+                    None => return self.turn_away(id, BAD_MESSAGE, "a query that is no text".into()),
+                },
+                Ok(Some(frame)) if frame.kind == b'X' => return self.client_gone(id),
+                Ok(Some(_)) => return self.turn_away(id, "0A000", "only simple queries are served".into()),
+                Ok(None) if ended => return self.client_gone(id),
+                Ok(None) => {
+                    if client.silent.is_none() && (client.frames.begun() || before > 0) {
+                        let at = self.now + SPEAKS_WITHIN;
+                        client.silent = Some(self.wheel.arm(at, Due::Silent(id)));
+                    }
+                    // What was held is taken over by now: the system may have more.
+                    return self.sockets.read_on(id);
+                }
+                Err(why) => return self.turn_away(id, BAD_MESSAGE, why.to_string()),
+            }
+        }
+    }
+
+    fn welcome(&mut self, id: SocketId) {
+        let Some(client) = self.client(id) else { return };
+        client.begun = true;
+        let mut out = BytesMut::with_capacity(256);
+        let parameters = [
+            ("server_version", "16.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+        ];
+        write::welcome(&mut out, &parameters);
+        self.sockets.send(id, &out);
+    }
+
+    fn statement(&mut self, id: SocketId, text: &str) {
+        let plain = text.trim().trim_end_matches(';').trim();
+        let verb = plain.split_ascii_whitespace().next().unwrap_or_default();
+        let mut out = BytesMut::new();
+        match verb.to_ascii_uppercase().as_str() {
+            "" => write::empty_query(&mut out),
+            verb @ ("SET" | "RESET" | "DISCARD") => write::complete(&mut out, verb),
+            _ => return self.hit(id, text),
+        }
+        write::ready(&mut out);
+        self.sockets.send(id, &out);
+        self.spoke(id);
+    }
+
+    /// A client said something whole: it is no longer waited for.
+    fn spoke(&mut self, id: SocketId) {
+        let now = self.now;
+        let Some(client) = self.client(id) else { return };
+        client.since = now;
+        client.silent.take().map(|key| self.wheel.cancel(key));
+    }
+
+    fn hit(&mut self, id: SocketId, text: &str) {
+        let statement = match self.names.read(text) {
+            Ok(statement) => statement,
+            Err(why) => return self.turn_away(id, BAD_STATEMENT, why.into()),
+        };
+        if self.ids.contains(&statement.id) {
+            return self.turn_away(id, BAD_STATEMENT, "the id is that of another hit that is open".into());
+        }
+        let behind = self.sockets.input(id).map_or(0, |input| waiting(input, MOST_WAITING + 1));
+        if behind > MOST_WAITING {
+            return self.turn_away(id, "54000", "too many statements at once".into());
+        }
+        self.spoke(id);
+        let due = self.now + statement.waits.saturating_sub(MARGIN);
+        let (group, customer, key) = (statement.group, statement.customer, statement.key);
+        self.ids.insert(statement.id.clone());
+        let hit = self.hits.open(id, due, statement);
+        self.events.push(Event::Hit(Hit { id: hit, group, customer, key, due }));
+        if let Some(client) = self.client(id) {
+            client.hit = Some(hit);
+        }
+    }
+
+    pub(super) fn bounce(&mut self, hit: HitId, retry_after: Duration) {
+        let mut digits = itoa::Buffer::new();
+        // No time is no advice.
+        let wait = (!retry_after.is_zero()).then(|| digits.format(retry_after.as_millis() as u64));
+        let mut out = BytesMut::new();
+        write::error(&mut out, "ERROR", REFUSED, "not served now: a retry is harmless", wait);
+        self.settle(hit, out);
+    }
+
+    pub(super) fn fail(&mut self, hit: HitId) {
+        let late = self.hits.get(hit).is_some_and(|open| self.now >= open.due);
+        let mut out = BytesMut::new();
+        write::error(&mut out, "ERROR", if late { LATE } else { FAILED }, "failed: it may have run", None);
+        self.settle(hit, out);
+    }
+
+    /// The final answer of a hit; `out` lacks the word that the next statement may come.
+    pub(super) fn settle(&mut self, hit: HitId, mut out: BytesMut) {
+        let Some(open) = self.hits.unsettled(hit) else { return };
+        open.over = true;
+        let client = open.client.take();
+        self.tidy(hit);
+        let Some(id) = client else { return };
+        write::ready(&mut out);
+        self.sockets.send(id, &out);
+        let (now, closed) = (self.now, self.leaving);
+        let Some(client) = self.client(id) else { return };
+        (client.hit, client.since, client.served) = (None, now, true);
+        // Whoever is served by a sidecar that leaves is to find another one. What it sent behind is still served.
+        let more = self.sockets.input(id).is_some_and(|input| !input.is_empty());
+        if closed && !more {
+            return self.drop_client(id);
+        }
+        self.client_wrote(id);
+    }
+
+    pub(super) fn tidy(&mut self, hit: HitId) {
+        let last = self.hits.tidy(hit);
+        self.forget(last);
+    }
+
+    pub(super) fn forget(&mut self, last: Option<statement::Statement>) {
+        if let Some(statement) = last {
+            self.ids.remove(&statement.id);
+        }
+    }
+
+    /// What a client says can't be used: it is told why, and its connection ends.
+    fn turn_away(&mut self, id: SocketId, code: &'static str, why: String) {
+        tracing::debug!(code, why, "a client is turned away");
+        let at = self.now + TURNED_AWAY_AFTER;
+        let Some(client) = self.client(id) else { return };
+        client.away = Some((code, why));
+        client.frames = Frames::default();
+        let old = client.silent.take();
+        old.map(|key| self.wheel.cancel(key));
+        let speak = self.wheel.arm(at, Due::Speak(id));
+        if let Some(client) = self.client(id) {
+            client.silent = Some(speak);
+        }
+    }
+
+    pub(super) fn turn_away_now(&mut self, id: SocketId) {
+        let Some(client) = self.client(id) else { return };
+        client.silent = None;
+        let Some((code, why)) = client.away.take() else { return };
+        let mut out = BytesMut::new();
+        write::error(&mut out, "FATAL", code, &why, None);
+        self.sockets.send(id, &out);
+        self.forget_client(id);
+        self.sockets.close(id);
+    }
+
+    pub(super) fn client_silent(&mut self, id: SocketId) {
+        let Some(client) = self.client(id) else { return };
+        client.silent = None;
+        if client.hit.is_none() {
+            let mut out = BytesMut::new();
+            write::error(&mut out, "FATAL", "57P05", "nothing whole was said in time", None);
+            self.sockets.send(id, &out);
+            self.drop_client(id);
+        }
+    }
+
+    /// Where many connections stand, those that have long been idle are closed: some clients keep theirs for good.
+    pub(super) fn sweep(&mut self) {
+        self.wheel.arm(self.now + SWEEP_EVERY, Due::Sweep);
+        if self.clients > self.room.accepted / 2 {
+            let before = self.now.saturating_sub(IDLE_ENOUGH);
+            let idle = self.idle_clients(|client| client.since <= before && client.served);
+            idle.into_iter().for_each(|(_, id)| self.drop_client(id));
+        }
+    }
+
+    fn idle_clients(&self, is: impl Fn(&Client) -> bool) -> Vec<((bool, Duration), SocketId)> {
+        let idle = self.peers.iter().filter_map(|(id, peer)| match peer {
+            Peer::Client(client) if client.hit.is_none() && is(client) => {
+                Some(((client.served, client.since), *id))
+            }
+            _ => None,
+        });
+        let mut idle: Vec<_> = idle.collect();
+        idle.sort_unstable();
+        idle
+    }
+
+    /// Clients wait to be let in: an eighth of those that ask nothing goes, first those that never did.
+    pub(super) fn make_room_for_clients(&mut self) {
+        let fresh = self.now.saturating_sub(Duration::from_millis(200));
+        let idle = self.idle_clients(|client| client.since <= fresh);
+        let some = idle.len().div_ceil(8);
+        idle.into_iter().take(some).for_each(|(_, id)| match self.client(id).map(|c| c.away.is_some()) {
+            Some(true) => self.turn_away_now(id),
+            _ => self.drop_client(id),
+        });
+        if self.sockets.open() >= self.room.shared {
+            (0..self.kept.len().div_ceil(8)).for_each(|_| self.drop_kept());
+        }
+    }
+
+    /// Those that still came are in; from now on each connection is closed once nothing is open on it.
+    pub(super) fn close_door(&mut self) {
+        self.closed = true;
+        self.sockets.close(self.listener);
+        let idle = self.idle_clients(|_| true);
+        idle.into_iter().for_each(|(_, id)| self.drop_client(id));
+    }
+
+    /// The client went: its hit is over, if it had one.
+    pub(super) fn client_gone(&mut self, id: SocketId) {
+        let hit = self.client(id).and_then(|client| client.hit.take());
+        self.forget_client(id);
+        self.sockets.close(id);
+        let Some(hit) = hit else { return };
+        let Some(open) = self.hits.get_mut(hit) else { return };
+        open.client = None;
+        if !open.over {
+            open.over = true;
+            self.events.push(Event::Left(hit));
+            self.tidy(hit);
+        }
+    }
+
+    /// Closes once all that was said is sent.
+    pub(super) fn drop_client(&mut self, id: SocketId) {
+        self.forget_client(id);
+        self.sockets.finish(id);
+    }
+
+    fn forget_client(&mut self, id: SocketId) {
+        let Some(Peer::Client(client)) = self.peers.remove(&id) else { return };
+        self.clients -= 1;
+        client.silent.map(|key| self.wheel.cancel(key));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service/mod.rs
@@ -0,0 +1,354 @@
+//! Drives sockets, clock and the decision module: the one loop of a sidecar on the platform.
+//!
+//! Due times come after what was read in the same round, so that an answer that came while the process stood
+//! still is known before the time-out that it beats.
+
+mod back;
+mod discovery;
+mod front;
+mod rollouts;
+
+use crate::config::{self, Places, Told, Unusable};
+use crate::listing::List;
+use crate::news::Latest;
+use crate::statement::{Names, Statement};
+use back::PodLink;
+use discovery::WatchLink;
+use front::Client;
+use limewing::interface::{Action, Event, ForwardNo, HitId, Repeat, VoteAnswer};
+use limewing::sidecar::Sidecar;
+use limewing_hosting::again::Again;
+use limewing_hosting::clock::Clock;
+use limewing_hosting::kept::Kept;
+use limewing_hosting::open::OpenHits;
+use limewing_hosting::room::Room;
+use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
+use limewing_net::wheel::Wheel;
+use rollouts::{NewsLink, VoteLink};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
+use thiserror::Error;
+
+const HANG_UP: i32 = 1;
+/// SIGTERM and SIGINT.
+const LEAVE_ON: [i32; 2] = [15, 2];
+/// How long connections go on coming after a sidecar was told to leave: it serves them until then.
+const STILL_FOUND: Duration = Duration::from_millis(550);
+/// A turn of the loop that takes longer is told: hits that came meanwhile have waited for it.
+const LONG_TURN: Duration = Duration::from_millis(20);
+/// Bytes that wait for a client before it is read no further.
+const MOST_UNSENT: usize = 64 * 1024;
+
+#[derive(Debug, Error)]
+pub enum StartTrouble {
+    #[error("can't listen on {at}: {why}")]
+    Listen { at: SocketAddr, why: io::Error },
+    #[error("the system gives no poll or signals: {0}")]
+    System(#[from] io::Error),
+    #[error(transparent)]
+    Config(#[from] Unusable),
+}
+
+enum Peer {
+    Client(Box<Client>),
+    Pod(Box<PodLink>),
+    Watch(Box<WatchLink>),
+    News(Box<NewsLink>),
+    Vote(Box<VoteLink>),
+}
+
+/// What is due at a time.
+enum Due {
+    Forward(HitId, ForwardNo),
+    Connect(SocketId),
+    Idle(SocketId),
+    Silent(SocketId),
+    Speak(SocketId),
+    Sweep,
+    WatchQuiet(SocketId),
+    AskNews,
+    NewsQuiet(SocketId),
+    VoteLate(SocketId),
+    CloseDoor,
+    Leave,
+}
+
+/// The settings as the few figures that the loop uses.
+struct Terms {
+    name: String,
+    connect_timeout: Duration,
+    idle_close: Duration,
+    max_forwards: usize,
+    vote_answer_within: Duration,
+    longest_hit: Duration,
+}
+
+pub struct Service {
+    file: PathBuf,
+    sockets: Sockets,
+    clock: Clock,
+    now: Duration,
+    module: Sidecar,
+    wake: Duration,
+    events: Vec<Event>,
+    terms: Terms,
+    places: Places,
+    names: Names,
+    groups: Vec<String>,
+    peers: FxHashMap<SocketId, Peer>,
+    wheel: Wheel<Due>,
+    listener: SocketId,
+    address: SocketAddr,
+    clients: usize,
+    hits: OpenHits<Statement>,
+    /// The ids of the hits that are held.
+    ids: FxHashSet<String>,
+    kept: Kept,
+    list: List,
+    watch: Option<SocketId>,
+    news: Option<SocketId>,
+    latest: Latest,
+    lost_news: Again,
+    room: Room,
+    leaving: bool,
+    /// No connection is accepted any more.
+    closed: bool,
+    left: bool,
+}
+
+impl Service {
+    /// Reads the configuration and listens.
+    ///
+    /// # Errors
+    /// The file can't be used, the port is taken, or the system refuses.
+    pub fn start(file: PathBuf) -> Result<Self, StartTrouble> {
+        let told = config::read(&file)?;
+        Self::start_told(file, told)
+    }
+
+    /// As `start`, with what the file holds.
+    ///
+    /// # Errors
+    /// The port is taken, or the system refuses.
+    pub fn start_told(file: PathBuf, told: Told) -> Result<Self, StartTrouble> {
+        let mut sockets = Sockets::new()?;
+        sockets.watch_signals(&[HANG_UP, LEAVE_ON[0], LEAVE_ON[1]])?;
+        let at = told.listen;
+        let (listener, address) = sockets.listen(at).map_err(|why| StartTrouble::Listen { at, why })?;
+        let (descriptors, memory) = granted();
+        let descriptors = told.descriptors.unwrap_or(usize::MAX).min(descriptors);
+        let memory = told.memory.unwrap_or(usize::MAX).min(memory);
+        let room = Room::of(descriptors, memory, MOST_INPUT + MOST_UNSENT);
+        sockets.accept_up_to(room.accepted, room.shared);
+        let clock = Clock::default();
+        let now = clock.now();
+        let tagged = |repeat: Repeat| matches!(repeat, Repeat::Tagged { .. });
+        let tagged: Vec<bool> = told.terms.groups.iter().map(|group| tagged(group.repeat)).collect();
+        let terms = Terms {
+            name: told.name,
+            connect_timeout: told.sockets.connect_timeout,
+            idle_close: told.sockets.idle_close,
+            max_forwards: told.terms.max_forwards.into(),
+            vote_answer_within: told.terms.release.vote_answer_within,
+            longest_hit: told.terms.groups.iter().map(|g| g.client_timeout).max().unwrap_or_default(),
+        };
+        let mut service = Self {
+            file,
+            sockets,
+            clock,
+            now,
+            module: Sidecar::new(now, told.terms),
+            wake: now,
+            events: Vec::new(),
+            terms,
+            places: told.places,
+            names: Names::new(&told.sockets.groups, &tagged, &told.sockets.customers),
+            groups: told.sockets.groups,
+            peers: FxHashMap::default(),
+            wheel: Wheel::default(),
+            listener,
+            address,
+            clients: 0,
+            hits: OpenHits::default(),
+            ids: FxHashSet::default(),
+            kept: Kept::default(),
+            list: List::new(&told.sockets.zones, &told.sockets.kinds),
+            watch: None,
+            news: None,
+            latest: Latest::default(),
+            lost_news: Again::new(told.seed),
+            room,
+            leaving: false,
+            closed: false,
+            left: false,
+        };
+        if let Some(state) = told.news {
+            service.stands(state, None);
+        }
+        if let Some(known) = told.known {
+            let news = service.list.recall(known, now, SystemTime::now());
+            service.events.push(Event::List(news));
+        } else {
+            service.ask_watch();
+        }
+        service.ask_news();
+        service.wheel.arm(now + front::SWEEP_EVERY, Due::Sweep);
+        Ok(service)
+    }
+
+    /// Where clients are served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub fn name(&self) -> &str {
+        &self.terms.name
+    }
+
+    /// Serves until it is told to leave and all it held is settled.
+    ///
+    /// # Errors
+    /// The poll failed.
+    pub fn run(mut self) -> io::Result<()> {
+        while !self.left {
+            self.turn()?;
+        }
+        Ok(())
+    }
+
+    fn turn(&mut self) -> io::Result<()> {
+        let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
+        let wait =
+            if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
+        let happened = self.sockets.wait(Some(wait))?;
+        self.now = self.clock.now();
+        happened.into_iter().for_each(|what| self.happened(what));
+        while let Some(due) = self.wheel.take(self.now) {
+            self.is_due(due);
+        }
+        if !self.events.is_empty() || self.now >= self.wake {
+            let events = std::mem::take(&mut self.events);
+            let actions = self.module.handle(self.now, events);
+            actions.into_iter().for_each(|action| self.carry_out(action));
+        }
+        let took = self.clock.now().saturating_sub(self.now);
+        if took > LONG_TURN {
+            let ms = took.as_secs_f64() * 1e3;
+            tracing::warn!(ms, open_hits = self.hits.len(), "a turn of the loop took long");
+        }
+        // The last answers are with the system before the process goes.
+        self.left |= self.closed && self.hits.is_empty() && self.sockets.all_unsent() == 0;
+        Ok(())
+    }
+
+    fn happened(&mut self, what: Happening) {
+        match what {
+            Happening::Accepted { socket, .. } => self.client_came(socket),
+            Happening::Connected(id) => match self.peers.get(&id) {
+                Some(Peer::Pod(_)) => self.pod_connected(id),
+                Some(Peer::Watch(_)) => self.watch_connected(id),
+                Some(Peer::News(_)) => self.news_connected(id),
+                Some(Peer::Vote(_)) => self.vote_connected(id),
+                Some(Peer::Client(_)) | None => {}
+            },
+            Happening::Readable(id) => match self.peers.get(&id) {
+                Some(Peer::Client(_)) => self.client_wrote(id),
+                Some(Peer::Pod(_)) => self.pod_wrote(id),
+                Some(Peer::Watch(_)) => self.watch_wrote(id),
+                Some(Peer::News(_)) => self.news_wrote(id),
+                Some(Peer::Vote(_)) => self.vote_wrote(id),
+                None => {}
+            },
+            Happening::Flushed(id) => {
+                if let Some(Peer::Client(_)) = self.peers.get(&id) {
+                    self.client_wrote(id);
+                }
+            }
+            Happening::Lost { socket, written, .. } => match self.peers.get(&socket) {
+                Some(Peer::Client(_)) => self.client_gone(socket),
+                Some(Peer::Pod(_)) => self.pod_lost(socket, written),
+                Some(Peer::Watch(_)) => self.watch_lost(socket, "the connection was lost"),
+                Some(Peer::News(_)) => self.news_lost(socket, "the connection was lost"),
+                Some(Peer::Vote(_)) => {
+                    let answer = if written == 0 { VoteAnswer::Failed } else { VoteAnswer::Unanswered };
+                    self.vote_over(socket, answer, None);
+                }
+                None => {}
+            },
+            Happening::Pressed { why, .. } => {
+                tracing::debug!(%why, open = self.sockets.open(), "can't accept; tried again in 100 ms");
+                self.make_room_for_clients();
+            }
+            Happening::Signal(HANG_UP) => self.told_anew(),
+            Happening::Signal(signal) => self.leave(signal),
+        }
+    }
+
+    fn is_due(&mut self, due: Due) {
+        match due {
+            Due::Forward(hit, no) => self.forward_late(hit, no),
+            Due::Connect(id) => self.connect_late(id),
+            Due::Idle(id) => self.close_idle(id),
+            Due::Silent(id) => self.client_silent(id),
+            Due::Speak(id) => self.turn_away_now(id),
+            Due::Sweep => self.sweep(),
+            Due::WatchQuiet(id) => self.watch_lost(id, "the watch says nothing"),
+            Due::AskNews => self.ask_news(),
+            Due::NewsQuiet(id) => self.news_lost(id, "the stream says nothing"),
+            Due::VoteLate(id) => self.vote_over(id, VoteAnswer::Unanswered, None),
+            Due::CloseDoor => self.close_door(),
+            Due::Leave => self.left = true,
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Forward { hit, pod, within } => self.forward(hit, pod, within),
+            Action::Cancel { hit, no } => self.cancel(hit, no),
+            Action::Bounce { hit, retry_after } => self.bounce(hit, retry_after),
+            Action::Fail { hit } => self.fail(hit),
+            Action::Vote { verdict, build, stage } => self.vote(verdict, build, stage),
+            Action::Watch => self.ask_watch(),
+            Action::Wake { at } => self.wake = at,
+            Action::Log(line) => tracing::info!(target: "limewing::decisions", "{line}"),
+        }
+    }
+
+    /// The configuration was replaced: the services may be elsewhere. One that can't be used changes nothing.
+    fn told_anew(&mut self) {
+        match config::read(&self.file) {
+            Ok(told) => self.moves(told.places),
+            Err(trouble) => {
+                tracing::warn!(%trouble, "the new configuration can't be used; the old one stays")
+            }
+        }
+    }
+
+    fn moves(&mut self, places: Places) {
+        tracing::info!(?places, "a new configuration");
+        let old = std::mem::replace(&mut self.places, places);
+        if old.discovery != places.discovery {
+            self.drop_watch();
+            self.ask_watch();
+        }
+        if old.rollouts != places.rollouts {
+            self.drop_news();
+            self.lost_news.answered();
+            self.ask_news();
+        }
+    }
+
+    /// Serves those that still come, then settles what is held and goes, in bounded time.
+    fn leave(&mut self, signal: i32) {
+        if self.leaving {
+            return;
+        }
+        tracing::info!(signal, open_hits = self.hits.len(), "leaving");
+        self.leaving = true;
+        self.wheel.arm(self.now + STILL_FOUND, Due::CloseDoor);
+        self.wheel.arm(self.now + STILL_FOUND + self.terms.longest_hit, Due::Leave);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service/rollouts.rs
@@ -0,0 +1,159 @@
+//! News of the newest build, reports of wrong answers, and votes. The service may be lost for long: the sidecar
+//! goes on with what it knows and asks again.
+
+use super::{Due, Peer, Service};
+use crate::lines::Lines;
+use crate::news::{self, State, Told};
+use bytes::{Bytes, BytesMut};
+use limewing::interface::{BuildId, Event, GroupId, StageNo, Verdict, VoteAnswer};
+use limewing_net::message::Responses;
+use limewing_net::sockets::SocketId;
+use limewing_net::wheel::TimerKey;
+use std::time::Duration;
+
+const LONGEST_LINE: usize = 16 * 1024;
+const MOST_ANSWER: usize = 16 * 1024;
+/// A sign of life comes every second: a stream that says less is lost.
+const QUIET_AT_MOST: Duration = Duration::from_millis(2500);
+
+pub struct NewsLink {
+    lines: Lines,
+    quiet: TimerKey,
+}
+
+pub struct VoteLink {
+    answers: Responses,
+    request: BytesMut,
+    timer: TimerKey,
+}
+
+impl Service {
+    /// How the newest build stands, told by the stream, or by the answer to a vote.
+    pub(super) fn stands(&mut self, state: State, answer: Option<VoteAnswer>) {
+        let news = self.latest.take(state);
+        match news {
+            Some(news) => tracing::info!(?news, "news"),
+            None => tracing::warn!(?state, "old news left out"),
+        }
+        if news.is_some() || answer.is_some() {
+            self.events.push(Event::Stage { news, answer });
+        }
+    }
+
+    pub(super) fn ask_news(&mut self) {
+        let Some(at) = self.places.rollouts.filter(|_| self.news.is_none()) else { return };
+        let Ok(link) = self.sockets.connect(at) else {
+            return self.news_again("no connection");
+        };
+        let quiet = self.wheel.arm(self.now + QUIET_AT_MOST, Due::NewsQuiet(link));
+        let lines = Lines::new(LONGEST_LINE);
+        self.peers.insert(link, Peer::News(Box::new(NewsLink { lines, quiet })));
+        self.news = Some(link);
+    }
+
+    pub(super) fn news_connected(&mut self, link: SocketId) {
+        let host = self.places.rollouts.map(|at| at.to_string()).unwrap_or_default();
+        let request = self.request("GET", "/v1/events", host, b"");
+        self.sockets.send(link, &request);
+    }
+
+    pub(super) fn news_wrote(&mut self, link: SocketId) {
+        let ended = self.sockets.ended(link);
+        let fresh = self.wheel.arm(self.now + QUIET_AT_MOST, Due::NewsQuiet(link));
+        let Some(Peer::News(of)) = self.peers.get_mut(&link) else { return };
+        self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
+        let Some(input) = self.sockets.input(link) else { return };
+        let read = of.lines.take(input);
+        let over = ended || of.lines.ended();
+        match read.and_then(|lines| lines.into_iter().try_for_each(|line| self.news_line(&line))) {
+            Err(why) => self.news_lost(link, &why),
+            Ok(()) if over => self.news_lost(link, "the stream ended"),
+            Ok(()) => self.sockets.read_on(link),
+        }
+    }
+
+    fn news_line(&mut self, line: &Bytes) -> Result<(), String> {
+        match news::read_line(line)? {
+            Told::News(state) => {
+                self.lost_news.answered();
+                self.stands(state, None);
+            }
+            Told::Report(report) => {
+                let pod = self.list.number(&report.instance_id);
+                let group = self.groups.iter().position(|name| *name == report.lane);
+                if let (Some(pod), Some(group)) = (pod, group) {
+                    self.events.push(Event::Flagged { pod, group: GroupId(group as u16) });
+                }
+            }
+            Told::Nothing => {}
+        }
+        Ok(())
+    }
+
+    pub(super) fn drop_news(&mut self) {
+        let Some(link) = self.news.take() else { return };
+        if let Some(Peer::News(of)) = self.peers.remove(&link) {
+            self.wheel.cancel(of.quiet);
+        }
+        self.sockets.close(link);
+    }
+
+    pub(super) fn news_lost(&mut self, link: SocketId, why: &str) {
+        if self.news == Some(link) {
+            self.drop_news();
+            self.news_again(why);
+        }
+    }
+
+    fn news_again(&mut self, why: &str) {
+        tracing::warn!(why, "no news; asked for again");
+        let wait = self.lost_news.wait();
+        self.wheel.arm(self.now + wait, Due::AskNews);
+    }
+
+    pub(super) fn vote(&mut self, verdict: Verdict, build: BuildId, stage: StageNo) {
+        tracing::info!(?verdict, build = build.0, stage = stage.0, "votes");
+        let Some(at) = self.places.rollouts else {
+            return self.events.push(Event::Stage { news: None, answer: Some(VoteAnswer::Failed) });
+        };
+        let Ok(link) = self.sockets.connect(at) else {
+            return self.events.push(Event::Stage { news: None, answer: Some(VoteAnswer::Failed) });
+        };
+        let body = news::vote(verdict, build, stage);
+        let request = self.request("POST", "/v1/votes", at.to_string(), &body);
+        let timer = self.wheel.arm(self.now + self.terms.vote_answer_within, Due::VoteLate(link));
+        let answers = Responses::new(MOST_ANSWER);
+        self.peers.insert(link, Peer::Vote(Box::new(VoteLink { answers, request, timer })));
+    }
+
+    pub(super) fn vote_connected(&mut self, link: SocketId) {
+        let Some(Peer::Vote(of)) = self.peers.get_mut(&link) else { return };
+        let request = std::mem::take(&mut of.request);
+        self.sockets.send(link, &request);
+    }
+
+    pub(super) fn vote_wrote(&mut self, link: SocketId) {
+        let ended = self.sockets.ended(link);
+        let Some(Peer::Vote(of)) = self.peers.get_mut(&link) else { return };
+        let Some(input) = self.sockets.input(link) else { return };
+        match of.answers.take(input, ended) {
+            Ok(Some((head, body))) => {
+                let (answer, state) = news::vote_answer(head.status, &body);
+                self.vote_over(link, answer, state);
+            }
+            Ok(None) if !ended => self.sockets.read_on(link),
+            _ => self.vote_over(link, VoteAnswer::Unanswered, None),
+        }
+    }
+
+    pub(super) fn vote_over(&mut self, link: SocketId, answer: VoteAnswer, state: Option<State>) {
+        let Some(Peer::Vote(of)) = self.peers.remove(&link) else { return };
+        self.wheel.cancel(of.timer);
+        self.sockets.close(link);
+        tracing::info!(?answer, "a vote was answered");
+        match state {
+            Some(state) => self.stands(state, Some(answer)),
+            None => self.events.push(Event::Stage { news: None, answer: Some(answer) }),
+        }
+    }
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,13 +1,10 @@
 //! The sidecar: sockets become events of the decision module, its actions become bytes on sockets.
 //!
-//! `again` tells when a lost service is asked again; `routes`, `pods`, `stages` and `memory` turn bytes into the module's words and back and are free of
+//! `routes`, `pods`, `stages` and `memory` turn bytes into the module's words and back and are free of
 //! sockets; `service` drives them. Which pod gets a hit, and when one is given up, is the module's alone.
 
-pub mod again;
-pub mod clock;
 pub mod memory;
 pub mod pods;
-pub mod room;
 pub mod routes;
 pub mod service;
 pub mod stages;
--- a/crates/sidecar/src/pods.rs
+++ b/crates/sidecar/src/pods.rs
@@ -6,7 +6,7 @@
 //! `kind`), `Node.Datacenter` (zone where Meta has none) and `Checks[].Status`: a critical check, as the
 //! maintenance mode sets one, means that the pod drains.
 
-use crate::clock;
+use limewing_hosting::clock;
 use limewing::interface::{BuildId, CellId, KindId, PodEntry, PodId, PodState, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -8,11 +8,11 @@
 mod back;
 mod front;
 
-use crate::again::Again;
-use crate::clock::Clock;
+use limewing_hosting::again::Again;
+use limewing_hosting::clock::Clock;
 use crate::memory;
 use crate::pods::{PodBook, Row};
-use crate::room::Room;
+use limewing_hosting::room::Room;
 use crate::routes::Routes;
 use crate::stages::Latest;
 use asks::{ListLink, NewsLink, VoteLink};
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -1,10 +1,10 @@
 //! Lists, stage news, votes and the state file: bytes in, words out.
 
 use limewing::interface::{PodState, VoteAnswer};
-use limewing_sidecar::again::Again;
+use limewing_hosting::again::Again;
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{rows, PodBook};
-use limewing_sidecar::room::Room;
+use limewing_hosting::room::Room;
 use limewing_sidecar::routes::path_of;
 use limewing_sidecar::stages::{vote_answer, EventReader, Latest, PhaseName, StageMessage};
 use rstest::rstest;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,7 @@
 mod write;
 
 pub use read::{read_batch, Batch, ListHow, Record, Trouble};
-pub use start::start_terms;
+pub use start::{socket_terms, start_terms, SocketTerms};
 pub use write::Reply;
 
 /// The largest frame that is taken, in bytes.
--- a/crates/wire/src/start.rs
+++ b/crates/wire/src/start.rs
@@ -6,15 +6,21 @@
 
 #[derive(Deserialize)]
 struct Options {
+    #[serde(default)]
+    azs: Vec<String>,
     balancers: u32,
     domain: Domain,
     layers: Vec<String>,
     limits: Limits,
     membership_mode: String,
     profiles: Vec<Profile>,
+    #[serde(default)]
+    realms: Vec<Realm>,
     rules: Rules,
     #[serde(default)]
     me: u32,
+    #[serde(default)]
+    shapes: Vec<String>,
     zone: u16,
 }
 
@@ -40,9 +46,31 @@
     votes_to_revert: u32,
 }
 
+#[derive(Deserialize)]
+struct Realm {
+    #[serde(default)]
+    name: String,
+}
+
+/// Where the settings are silent: a connection that stands by then, and idle ones that may be kept so long.
+const CONNECT_TIMEOUT_S: f64 = 0.25;
+const IDLE_CLOSE_S: f64 = 15.0;
+
+fn connect_timeout() -> f64 {
+    CONNECT_TIMEOUT_S
+}
+
+fn idle_close() -> f64 {
+    IDLE_CLOSE_S
+}
+
 #[derive(Deserialize)]
 struct Limits {
     cancel: bool,
+    #[serde(default = "connect_timeout")]
+    connect_timeout_s: f64,
+    #[serde(default = "idle_close")]
+    idle_close_s: f64,
     max_attempts: u16,
     #[serde(default)]
     max_retry_after_s: f64,
@@ -58,6 +86,8 @@
     group: String,
     #[serde(default)]
     late_worth: f64,
+    #[serde(default)]
+    name: String,
     repeat: String,
     #[serde(default)]
     streaming: bool,
@@ -108,9 +138,38 @@
     })
 }
 
+/// What only a host on sockets needs of the start terms: names, in the order of the module's numbers, and how
+/// connections are kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SocketTerms {
+    pub groups: Vec<String>,
+    pub customers: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub connect_timeout: Duration,
+    pub idle_close: Duration,
+}
+
+fn options(json: &[u8]) -> Result<Options, String> {
+    serde_json::from_slice(json).map_err(|e| format!("start terms: {e}"))
+}
+
+/// Reads what a host on sockets needs; what cannot be used is told in one line.
+pub fn socket_terms(json: &[u8]) -> Result<SocketTerms, String> {
+    let o = options(json)?;
+    Ok(SocketTerms {
+        groups: o.profiles.into_iter().map(|p| p.name).collect(),
+        customers: o.realms.into_iter().map(|r| r.name).collect(),
+        zones: o.azs,
+        kinds: o.shapes,
+        connect_timeout: span("limits.connect_timeout_s", o.limits.connect_timeout_s)?,
+        idle_close: span("limits.idle_close_s", o.limits.idle_close_s)?,
+    })
+}
+
 /// Reads the start terms; what cannot be used is told in one line.
-pub fn start_terms(seed: u64, options: &[u8]) -> Result<StartTerms, String> {
-    let o: Options = serde_json::from_slice(options).map_err(|e| format!("start terms: {e}"))?;
+pub fn start_terms(seed: u64, json: &[u8]) -> Result<StartTerms, String> {
+    let o = options(json)?;
     if o.layers.is_empty() || o.profiles.is_empty() || o.balancers == 0 {
         return Err("start terms: layers, profiles or balancers is empty".into());
     }
