--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -267,7 +267,8 @@
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     // Logs go by a thread of their own, and lines that standard error does not take in time are left out: a full
     // disk or a reader that stands still must not end or hold up a sidecar. Hurts by lines that are missing.
-    let (log, writes) = NonBlockingBuilder::default().buffered_lines_limit(MOST_LINES).lossy(true).finish(std::io::stderr());
+    let (log, writes) =
+        NonBlockingBuilder::default().buffered_lines_limit(MOST_LINES).lossy(true).finish(std::io::stderr());
     let lines = tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(log);
     lines.log_internal_errors(false).init();
     // A file at its size limit is told as an error of the write, as any other is; unwatched it ends the process.
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -192,7 +192,9 @@
 
     /// Whether nothing has come in: no byte, and no end. Asks the system, which may know more than was told.
     pub fn is_quiet(&mut self, id: SocketId) -> bool {
-        let Some(link) = self.link(id).filter(|link| link.input.is_empty() && !link.ended) else { return false };
+        let Some(link) = self.link(id).filter(|link| link.input.is_empty() && !link.ended) else {
+            return false;
+        };
         matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
@@ -254,6 +256,10 @@
                     self.poll.registry().deregister(&mut link.stream)
                 }
             };
+            // What waits to be let in need not wait out its time: there is room now.
+            if self.accept_at.is_some() {
+                self.accept_at = Some(Instant::now());
+            }
         }
     }
 
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -54,6 +54,8 @@
     entry: Entry,
     pod: PodId,
     started: Option<Duration>,
+    /// Since when it is listed with its build.
+    since: Duration,
 }
 
 /// The list as it is held, and the numbers that the module knows pods by.
@@ -85,7 +87,9 @@
     pub fn recall(&mut self, known: Listing, now: Duration, today: SystemTime) -> ListNews {
         let seq = known.seq;
         let entries = known.hosts.into_iter().filter(|entry| entry.health != Health::Terminated);
+        // It has been there for who knows how long.
         let entries = entries.map(|entry| self.put(entry, now, today)).collect();
+        self.rows.values_mut().for_each(|row| row.since = Duration::ZERO);
         self.seq = seq;
         ListNews::Remembered(entries)
     }
@@ -132,20 +136,23 @@
     fn put(&mut self, entry: Entry, now: Duration, today: SystemTime) -> PodEntry {
         let pod = self.pod(&entry.host);
         let told = |row: &&Row| row.entry.born_ms == entry.born_ms;
+        let same = |row: &&Row| row.entry.version_no == entry.version_no;
+        let since = self.rows.get(&entry.host).filter(same).map_or(now, |row| row.since);
         let started = match self.rows.get(&entry.host).filter(told) {
             // Kept, so that a step of the time of day does not look like a restart.
             Some(row) => row.started,
             None if entry.born_ms == 0 => None,
             None => clock::of_day(entry.born_ms as f64 / 1e3, now, today),
         };
-        let row = Row { pod, started, entry };
+        let row = Row { pod, started, since, entry };
         let told = self.entry(&row);
         self.rows.insert(row.entry.host.clone(), row);
         told
     }
 
     fn entry(&self, row: &Row) -> PodEntry {
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+        let place =
+            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
         let entry = &row.entry;
         PodEntry {
             pod: row.pod,
@@ -179,8 +186,9 @@
         self.rows.get(self.names.get(&pod)?).map(|row| row.entry.dial)
     }
 
-    pub fn number(&self, host: &str) -> Option<PodId> {
-        self.rows.get(host).map(|row| row.pod)
+    /// The pod that a forward was sent to then, if it still runs the build that it ran.
+    pub fn number(&self, host: &str, sent: Duration) -> Option<PodId> {
+        self.rows.get(host).filter(|row| row.since <= sent).map(|row| row.pod)
     }
 
     pub fn len(&self) -> usize {
--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -6,7 +6,7 @@
 
 use super::{Due, Peer, Service};
 use bytes::{Bytes, BytesMut};
-use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
+use limewing::interface::{Event, Fate, ForwardNo, HitId, KeyId, PodId};
 use limewing_hosting::open::Forward;
 use limewing_net::sockets::{is_own_want, SocketId};
 use limewing_net::wheel::TimerKey;
@@ -18,6 +18,9 @@
 const LONGEST_OTHER: usize = 8 * 1024;
 /// How long a pod may take to say that the next forward may come, once it has answered.
 const READY_WITHIN: Duration = Duration::from_millis(200);
+/// An answer that has begun is whole within this time: a pod writes it in one go. Guards against lengths that
+/// don't fit, for which nothing more ever comes. Hurts where a pod stands still in the middle of an answer.
+const WHOLE_WITHIN: Duration = Duration::from_millis(150);
 /// With this code a pod tells that it has not begun a hit.
 const TURNED_AWAY: &str = "53300";
 
@@ -25,9 +28,11 @@
     pod: PodId,
     state: State,
     frames: Frames,
-    /// While it comes up, or settles.
+    /// While it comes up, settles, or has begun an answer.
     timer: Option<TimerKey>,
     job: Option<Job>,
+    /// The statement's key and the row of the last answer.
+    last: Option<(Option<KeyId>, Bytes)>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -119,7 +124,8 @@
         })?;
         let timer = Some(self.wheel.arm(self.now + self.terms.connect_timeout, Due::Connect(link)));
         let (state, frames) = (State::Opening, Frames::default());
-        self.peers.insert(link, Peer::Pod(Box::new(PodLink { pod, state, frames, timer, job: None })));
+        let link_to = PodLink { pod, state, frames, timer, job: None, last: None };
+        self.peers.insert(link, Peer::Pod(Box::new(link_to)));
         Ok(link)
     }
 
@@ -143,10 +149,13 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         of.timer = None;
         match of.state {
-            State::Opening => self.pod_lost(link, 0),
-            State::Up | State::Settling => drop(self.peers.remove(&link)),
+            State::Opening => {
+                self.pod_lost(link, 0);
+                self.sockets.close(link);
+            }
+            // What began is no answer; or the pod does not say that the next forward may come.
+            State::Up | State::Settling => self.spoilt(link),
         }
-        self.sockets.close(link);
     }
 
     pub(super) fn pod_lost(&mut self, link: SocketId, written: u64) {
@@ -178,7 +187,15 @@
                     self.sockets.close(link);
                     return self.pod_lost(link, written);
                 }
-                Ok(None) => return self.sockets.read_on(link),
+                Ok(None) => {
+                    let begun = of.job.as_ref().is_some_and(|job| job.described.is_some())
+                        || of.frames.begun()
+                        || !input.is_empty();
+                    if of.state == State::Up && begun && of.timer.is_none() {
+                        of.timer = Some(self.wheel.arm(self.now + WHOLE_WITHIN, Due::Connect(link)));
+                    }
+                    return self.sockets.read_on(link);
+                }
                 Err(_) => Step::Spoilt,
             };
             match step {
@@ -216,11 +233,20 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return None };
         let job = of.job.take()?;
         of.state = State::Settling;
-        of.timer = Some(self.wheel.arm(at, Due::Connect(link)));
+        let old = of.timer.replace(self.wheel.arm(at, Due::Connect(link)));
+        old.map(|timer| self.wheel.cancel(timer));
         Some(job)
     }
 
     fn answer_whole(&mut self, link: SocketId, tag: &[u8]) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let Some(Job { hit, row: Some(row), .. }) = &of.job else { return };
+        let key = self.hits.get(*hit).and_then(|open| open.of.key);
+        // The last answer once more, to a statement about something else: a copy that came late.
+        if of.last.as_ref().is_some_and(|(asked, last)| *asked != key && last == row) {
+            return self.spoilt(link);
+        }
+        of.last = Some((key, row.clone()));
         let Some(job) = self.take_job(link) else { return };
         let (Some(described), Some(row)) = (job.described, job.row) else { return };
         let mut out = BytesMut::with_capacity(described.len() + row.len() + tag.len() + 32);
@@ -237,9 +263,8 @@
         if of.state == State::Opening {
             // It takes no more connections.
             let job = of.job.take();
-            let pod_gone = fate;
             self.close_link(link);
-            job.into_iter().for_each(|job| self.end_forward(job.hit, job.no, pod_gone));
+            job.into_iter().for_each(|job| self.end_forward(job.hit, job.no, fate));
             return;
         }
         match self.take_job(link) {
@@ -291,8 +316,7 @@
             return Some(Fate::Unreached);
         }
         let unwritten = self.sockets.written(link) < job.until;
-        self.peers.remove(&link);
-        self.sockets.close(link);
+        self.close_link(link);
         unwritten.then_some(Fate::Unreached)
     }
 
--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -73,7 +73,8 @@
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
-        let told: Listing = serde_json::from_slice(&line).map_err(|e| format!("an object of the list: {e}"))?;
+        let told: Listing =
+            serde_json::from_slice(&line).map_err(|e| format!("an object of the list: {e}"))?;
         let change = self.list.take(told, self.now, SystemTime::now())?;
         tracing::debug!(seq = self.list.seq, pods = self.list.len(), "the list");
         self.events.push(Event::List(change.news));
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -79,7 +79,8 @@
                 self.stands(state, None);
             }
             Told::Report(report) => {
-                let pod = self.list.number(&report.instance_id);
+                let age = Duration::from_millis(report.age_ms.clamp(0.0, 1e9) as u64);
+                let pod = self.list.number(&report.instance_id, self.now.saturating_sub(age));
                 let group = self.groups.iter().position(|name| *name == report.lane);
                 if let (Some(pod), Some(group)) = (pod, group) {
                     self.events.push(Event::Flagged { pod, group: GroupId(group as u16) });
--- /dev/null
+++ b/crates/platform/tests/sockets/help.rs
@@ -0,0 +1,43 @@
+//! A sidecar on a thread, and statements for it.
+
+use limewing_platform::config;
+use limewing_platform::service::Service;
+use limewing_standins::platform::{Config, Does, Listed, Pod};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+/// A statement of a path group, under an id of its own.
+pub fn ask(group: &str, waits_ms: u64) -> String {
+    statement(&format!(
+        "id={:016x},c={group},t=acme,d={waits_ms},k=abc",
+        NEXT.fetch_add(1, Ordering::Relaxed)
+    ))
+}
+
+/// A statement with this comment.
+pub fn statement(comment: &str) -> String {
+    format!("SELECT blob FROM rows WHERE handle = '7f3a' /* {comment} */")
+}
+
+/// Starts a sidecar; it runs until the test's process ends.
+pub fn sidecar(config: &Config) -> SocketAddr {
+    sidecar_of(PathBuf::from("none"), config)
+}
+
+pub fn sidecar_of(file: PathBuf, config: &Config) -> SocketAddr {
+    let told = config::understand(config.json().as_bytes()).unwrap();
+    let service = Service::start_told(file, told).unwrap();
+    let address = service.address();
+    std::thread::spawn(move || service.run());
+    address
+}
+
+/// A sidecar that knows one pod, which does these in turn.
+pub fn with_pod(script: Vec<Does>) -> (Pod, SocketAddr) {
+    let pod = Pod::new(script);
+    let at = sidecar(&Config::new(vec![Listed::new("p1", pod.at)]));
+    (pod, at)
+}
--- /dev/null
+++ b/crates/platform/tests/sockets/main.rs
@@ -0,0 +1,6 @@
+//! A sidecar on the platform's sockets, with pods, discovery and rollouts that do as they are told.
+
+mod clients;
+mod help;
+mod pods;
+mod services;
--- /dev/null
+++ b/crates/platform/tests/words.rs
@@ -0,0 +1,167 @@
+//! The platform's words as the module's: statements, the list, news.
+
+use limewing::interface::{ListNews, Phase, PodState, StageNo, VoteAnswer};
+use limewing_platform::config;
+use limewing_platform::lines::Lines;
+use limewing_platform::listing::{List, Listing};
+use limewing_platform::news::{read_line, vote_answer, Latest, State, Told};
+use limewing_platform::statement::{Names, Statement};
+use limewing_standins::platform::{listing, state, Config, Listed};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+fn names() -> Names {
+    let named = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    Names::new(&named(&["basket", "order"]), &[false, true], &named(&["acme", "other"]))
+}
+
+const INSERT: &str = "INSERT INTO rows (handle, blob) VALUES ('7f3a', '\\x9f03') RETURNING blob /* id=9b1f,c=order,t=other,d=480,k=5c0f */";
+
+#[test]
+fn a_statement_is_read_and_passed_on_with_another_wait() {
+    let read: Statement = names().read(INSERT).unwrap();
+    assert_eq!((read.group.0, read.customer.unwrap().0), (1, 1));
+    assert_eq!((read.id.as_str(), read.waits), ("9b1f", Duration::from_millis(480)));
+    assert_eq!(read.waiting(Duration::from_micros(99_900)), INSERT.replace("d=480", "d=99"));
+    let same =
+        names().read("SELECT blob FROM rows WHERE handle = '7f3a' /* id=9b20,c=basket,t=acme,d=480,r=1 */");
+    assert_eq!(same.unwrap().key, read.key);
+}
+
+#[rstest]
+#[case::other_table("SELECT blob FROM others WHERE handle = '7f3a' /* id=1,c=basket,t=acme,d=480 */")]
+#[case::two("SELECT blob FROM rows WHERE handle = '7f3a'; DROP TABLE rows /* id=1,c=basket,t=acme,d=480 */")]
+#[case::quote("SELECT blob FROM rows WHERE handle = '7f''3a' /* id=1,c=basket,t=acme,d=480 */")]
+#[case::odd(&INSERT.replace("9f03", "9f0"))]
+#[case::no_hex(&INSERT.replace("9f03", "9fxx"))]
+#[case::large(&INSERT.replace("9f03", &"00".repeat(64 * 1024 + 1)))]
+#[case::no_comment("SELECT blob FROM rows WHERE handle = '7f3a'")]
+#[case::end_within("SELECT blob FROM rows WHERE handle = '7f3a' /* id=1*/,c=basket,t=acme,d=480 */")]
+#[case::no_deadline("SELECT blob FROM rows WHERE handle = '7f3a' /* id=1,c=basket,t=acme */")]
+#[case::large_deadline(
+    "SELECT blob FROM rows WHERE handle = '7f3a' /* id=1,c=basket,t=acme,d=99999999999 */"
+)]
+#[case::signed("SELECT blob FROM rows WHERE handle = '7f3a' /* id=1,c=basket,t=acme,d=+480 */")]
+#[case::long_id(&INSERT.replace("9b1f", &"9".repeat(65)))]
+#[case::empty_mark(&INSERT.replace("k=5c0f", "k="))]
+fn another_form_is_no_hit(#[case] text: &str) {
+    assert!(names().read(text).is_err());
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_read_or_refused(text in ".{0,80}", at in 0usize..120, put in ".{0,3}") {
+        let _ = names().read(&text);
+        let mut near = INSERT.to_owned();
+        near.insert_str(at.min(near.len()), &put);
+        if let Ok(read) = names().read(&near) {
+            prop_assert!(read.waiting(Duration::from_millis(7)).contains("d=7"));
+        }
+    }
+}
+
+fn told(seq: u64, whole: bool, pods: &[Listed]) -> Listing {
+    serde_json::from_str(&listing(seq, whole, pods)).unwrap()
+}
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn list_of(pods: &[Listed]) -> List {
+    let mut list = List::new(&["a".into()], &["m".into()]);
+    list.recall(told(7, true, pods), Duration::from_secs(3600), SystemTime::now());
+    list
+}
+
+/// What is told again unchanged is left out, also in a whole list; what is missing from one is gone.
+#[test]
+fn a_list_tells_what_changed() {
+    let (one, two, three) = (Listed::new("p1", at(1)), Listed::new("p2", at(2)), Listed::new("p3", at(3)));
+    let mut list = list_of(&[one.clone(), two.clone()]);
+    let moved = Listed { dial: at(9), build: 2, ..two.clone() };
+    let now = Duration::from_secs(3610);
+    let change = list.take(told(9, true, &[moved, three]), now, SystemTime::now()).unwrap();
+    let ListNews::Change(rows) = change.news else { panic!("a change") };
+    let told: Vec<_> = rows.iter().map(|row| (row.pod.0, row.state, row.build.0)).collect();
+    assert_eq!(told, [(1, PodState::Gone, 1), (2, PodState::Ready, 2), (3, PodState::Ready, 1)]);
+    assert_eq!(change.moved.len(), 2);
+    assert_eq!((list.seq, list.address(rows[1].pod)), (9, Some(at(9))));
+}
+
+/// A report of a forward that was sent before the pod came back with another build speaks of the build before.
+#[test]
+fn a_report_of_an_earlier_build_is_not_laid_on_the_present_one() {
+    let mut list = list_of(&[Listed::new("p1", at(1))]);
+    let (before, then, after) =
+        (Duration::from_secs(3605), Duration::from_secs(3610), Duration::from_secs(3615));
+    assert!(list.number("p1", before).is_some());
+    let next = Listed { build: 2, ..Listed::new("p1", at(1)) };
+    list.take(told(8, false, &[next]), then, SystemTime::now()).unwrap();
+    assert!(list.number("p1", before).is_none() && list.number("p1", after).is_some());
+}
+
+fn stands(build: u16, stage: u8, name: &str) -> State {
+    serde_json::from_str(&state(build, stage, name, 0.3)).unwrap()
+}
+
+/// News come by more than one way: what has been overtaken is left out.
+#[test]
+fn a_build_never_stands_before_where_it_stood() {
+    let mut latest = Latest::default();
+    assert_eq!(latest.take(stands(4, 1, "Progressing")).unwrap().stage, StageNo(1));
+    assert!(latest.take(stands(4, 0, "Progressing")).is_none());
+    assert!(latest.take(stands(3, 2, "Healthy")).is_none());
+    assert_eq!(latest.take(stands(4, 2, "Healthy")).unwrap().phase, Phase::Released);
+    assert_eq!(latest.take(stands(4, 2, "Aborting")).unwrap().phase, Phase::GoingBack);
+    assert!(latest.take(stands(4, 1, "Progressing")).is_none());
+    assert!(latest.take(stands(5, 0, "Progressing")).is_some());
+}
+
+#[rstest]
+#[case::counted(200, state(2, 1, "Progressing", 0.3), VoteAnswer::Counted)]
+#[case::part(200, "{\"Revision\":2,".into(), VoteAnswer::Unanswered)]
+#[case::full(429, String::new(), VoteAnswer::Full)]
+#[case::moot(409, String::new(), VoteAnswer::Moot)]
+#[case::failed(500, String::new(), VoteAnswer::Failed)]
+#[case::refused(400, String::new(), VoteAnswer::Failed)]
+fn an_answer_to_a_vote_is_told(#[case] status: u16, #[case] body: String, #[case] answer: VoteAnswer) {
+    assert_eq!(vote_answer(status, body.as_bytes()).0, answer);
+}
+
+#[test]
+fn lines_of_a_stream_are_told_apart() {
+    let report = r#"{"type":"report","object":{"InstanceId":"p1","Lane":"basket","AgeMs":1200}}"#;
+    assert!(matches!(read_line(report.as_bytes()), Ok(Told::Report(told)) if told.lane == "basket"));
+    assert_eq!(read_line(b"{}"), Ok(Told::Nothing));
+    assert!(read_line(b"{\"type\":\"news\"}").is_err() && read_line(b"<html>").is_err());
+}
+
+proptest! {
+    /// No bytes of a service bring a panic, and no line is kept beyond its bound.
+    #[test]
+    fn any_bytes_are_lines_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut lines = Lines::new(50);
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let whole = [&head[..], format!("{:x}\r\n", bytes.len()).as_bytes(), &bytes, b"\r\n"].concat();
+        for input in [&bytes[..], &whole] {
+            for line in lines.take(&mut input.into()).unwrap_or_default() {
+                let _ = read_line(&line);
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::seed("8c1f30d27a5be964", "what", "expected up to 16 hexadecimal digits")]
+#[case::group("\"free\"", "\"sometimes\"", "unknown profiles.repeat")]
+#[case::name("\"name\":\"look\",", "", "a class has no name")]
+#[case::half("}}", "}", "EOF")]
+fn a_configuration_that_cannot_be_used_is_told(#[case] from: &str, #[case] to: &str, #[case] why: &str) {
+    let good = Config::new(vec![Listed::new("p1", at(1))]).json();
+    assert!(config::understand(good.as_bytes()).is_ok());
+    let trouble = config::understand(good.replacen(from, to, 9).as_bytes()).unwrap_err();
+    assert!(trouble.contains(why), "{trouble}");
+}
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -137,7 +137,6 @@
             true => ListNews::Change(self.book.changes(&self.rows, &rows, self.now, today)),
         };
         self.events.push(Event::List(news));
-        self.idle.retain(|_, kept| !kept.is_empty());
         if rows != self.rows {
             self.rows = rows;
             tracing::info!(pods = self.rows.len(), index = self.list_index, "a new list");
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -4,10 +4,11 @@
 //! says so (`limewing-not-begun`). A pod that closes a kept connection just as a hit is written to it proves
 //! nothing: the bytes may have arrived.
 
-use super::front::{Forward, FORWARD};
+use super::front::FORWARD;
 use super::{Due, Peer, Service};
 use bytes::BytesMut;
-use limewing::interface::{Event, Fate, ForwardNo, HitId, Outcome, PodId};
+use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
+use limewing_hosting::open::Forward;
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits, ResponseHead};
 use limewing_net::sockets::{is_own_want, SocketId};
@@ -45,7 +46,7 @@
 
 impl Service {
     pub(super) fn forward(&mut self, hit: HitId, pod: PodId, within: Duration) {
-        let Some(open) = self.hits.get_mut(&hit) else { return };
+        let Some(open) = self.hits.get_mut(hit) else { return };
         let no = ForwardNo(open.forwards.len() as u16);
         let due = if within.is_zero() { open.due } else { open.due.min(self.now + within) };
         let timer = self.wheel.arm(due, Due::Forward(hit, no));
@@ -53,11 +54,11 @@
         open.forwards.push(forward);
         let spent = open.forwards.len() > self.terms.max_forwards;
         // A body that was passed on is gone: nothing is left for another forward.
-        let gone = !open.whole && open.carrier.is_some();
-        if open.over || open.passing.is_some() || spent || gone || self.now >= due {
+        let gone = !open.of.whole && open.of.carrier.is_some();
+        if open.over || open.of.passing.is_some() || spent || gone || self.now >= due {
             return self.end_forward(hit, no, Fate::Void);
         }
-        let kept = self.idle.get_mut(&pod).and_then(Vec::pop);
+        let kept = self.idle.take(pod);
         let link = match kept {
             Some((link, timer)) => {
                 self.wheel.cancel(timer);
@@ -86,7 +87,7 @@
             },
         };
         let from = self.sockets.written(link);
-        if let Some(forward) = self.forward_of(hit, no) {
+        if let Some(forward) = self.hits.out(hit, no) {
             forward.link = Some(link);
         }
         let (answer, gathered) = (None, BytesMut::new());
@@ -102,10 +103,10 @@
         let Some(Peer::Pod(of)) = self.peers.get(&link) else { return };
         let Some(Job { hit, no, .. }) = &of.job else { return };
         let (hit, no) = (*hit, *no);
-        if let Some(open) = self.hits.get_mut(&hit) {
-            open.carrier = open.carrier.or(Some(no));
+        if let Some(open) = self.hits.get_mut(hit) {
+            open.of.carrier = open.of.carrier.or(Some(no));
         }
-        let Some(open) = self.hits.get(&hit) else { return };
+        let Some(open) = self.hits.get(hit) else { return };
         let mark = self.mark(hit, no);
         let own = [(FORWARD.as_bytes(), mark.as_bytes()), (&b"via"[..], self.terms.via.as_bytes())];
         // A pod that begins a hit only while it is waited for can't run it after its mark is forgotten.
@@ -114,15 +115,17 @@
         let left = digits.format(open.due.saturating_sub(self.now).as_millis() as u64);
         let left = field.map(|field| (field.as_bytes(), left.as_bytes()));
         let is_left = |name: &[u8]| field.is_some_and(|field| name.eq_ignore_ascii_case(field.as_bytes()));
-        let framing = if open.whole { Framing::Length(open.body.len() as u64) } else { open.head.framing };
-        let (whole, client) = (open.whole, open.client);
-        let mut out = BytesMut::with_capacity(512 + open.body.len());
-        let fields = open.head.fields.passed_on().filter(|(name, _)| !is_left(name)).chain(own).chain(left);
-        http::write_request(&mut out, &open.head.method, &open.head.target, fields, framing);
+        let framing =
+            if open.of.whole { Framing::Length(open.of.body.len() as u64) } else { open.of.head.framing };
+        let (whole, client) = (open.of.whole, open.client);
+        let mut out = BytesMut::with_capacity(512 + open.of.body.len());
+        let fields =
+            open.of.head.fields.passed_on().filter(|(name, _)| !is_left(name)).chain(own).chain(left);
+        http::write_request(&mut out, &open.of.head.method, &open.of.head.target, fields, framing);
         if framing == Framing::Chunked {
-            write_chunk(&mut out, &open.body);
+            write_chunk(&mut out, &open.of.body);
         } else {
-            out.extend_from_slice(&open.body);
+            out.extend_from_slice(&open.of.body);
         }
         self.sockets.send(link, &out);
         if !whole {
@@ -185,9 +188,9 @@
         let ended = self.sockets.ended(link);
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return Step::More };
         let Some(job) = &mut of.job else { return Step::More };
-        let Some(open) = self.hits.get(&job.hit) else { return Step::Broken };
+        let Some(open) = self.hits.get(job.hit) else { return Step::Broken };
         let (to_head, streamed) =
-            (open.head.method == "HEAD", self.terms.streamed[usize::from(open.group.0)]);
+            (open.of.head.method == "HEAD", self.terms.streamed[usize::from(open.of.group.0)]);
         let Some(input) = self.sockets.input(link) else { return Step::Broken };
         if job.answer.is_none() {
             match http::response(input, to_head, HeadLimits::default()) {
@@ -203,7 +206,7 @@
         let (hit, no, good) = (job.hit, job.no, head.status < 500);
         let most = self.terms.answer_gathered;
         // A streamed answer is the client's from its first byte.
-        let free = !open.over && open.passing.is_none();
+        let free = !open.over && open.of.passing.is_none();
         let mut begins = streamed && good && free;
         let mut over = false;
         let mut passed = Vec::new();
@@ -240,7 +243,7 @@
                 self.begin_passing(hit, no, &head);
                 self.events.push(Event::StreamStarted { hit });
                 // It is the client's now: its time-out stops.
-                if let Some(timer) = self.forward_of(hit, no).and_then(|f| f.timer.take()) {
+                if let Some(timer) = self.hits.out(hit, no).and_then(|f| f.timer.take()) {
                     self.wheel.cancel(timer);
                 }
             }
@@ -294,7 +297,7 @@
     /// Whether a part of the body of the hit on this connection is still to come.
     fn body_comes_on(&self, link: SocketId) -> bool {
         let Some(Peer::Pod(of)) = self.peers.get(&link) else { return false };
-        let open = of.job.as_ref().and_then(|job| self.hits.get(&job.hit)).filter(|open| !open.whole);
+        let open = of.job.as_ref().and_then(|job| self.hits.get(job.hit)).filter(|open| !open.of.whole);
         let client = open.and_then(|open| open.client).and_then(|client| self.peers.get(&client));
         matches!(client, Some(Peer::Client(client)) if client.reads_on())
     }
@@ -302,7 +305,7 @@
     /// More of a hit's body can be sent.
     pub(super) fn pod_drained(&mut self, link: SocketId) {
         let Some(Peer::Pod(of)) = self.peers.get(&link) else { return };
-        let open = of.job.as_ref().and_then(|job| self.hits.get(&job.hit)).filter(|open| !open.whole);
+        let open = of.job.as_ref().and_then(|job| self.hits.get(job.hit)).filter(|open| !open.of.whole);
         open.and_then(|open| open.client).into_iter().for_each(|client| self.pass_body(client));
     }
 
@@ -326,23 +329,13 @@
 
     /// Tells the module how a forward ended; each ends once.
     fn end_forward(&mut self, hit: HitId, no: ForwardNo, fate: Fate) {
-        let now = self.now;
-        let Some(open) = self.hits.get_mut(&hit) else { return };
-        let Some(forward) = open.forwards.get_mut(usize::from(no.0)).filter(|f| !f.ended) else { return };
-        forward.ended = true;
-        forward.link = None;
-        forward.timer.take().map(|timer| self.wheel.cancel(timer));
-        let (pod, took, over) = (forward.pod, now.saturating_sub(forward.sent), open.over);
-        self.events.push(Event::Outcome(Outcome { hit, no, pod, fate, took, over }));
-        self.tidy(hit);
-    }
-
-    fn forward_of(&mut self, hit: HitId, no: ForwardNo) -> Option<&mut Forward> {
-        self.hits.get_mut(&hit)?.forwards.get_mut(usize::from(no.0))
+        let Some(ended) = self.hits.end(hit, no, fate, self.now) else { return };
+        ended.timer.map(|timer| self.wheel.cancel(timer));
+        self.events.push(Event::Outcome(ended.outcome));
     }
 
     pub(super) fn forward_late(&mut self, hit: HitId, no: ForwardNo) {
-        let Some(forward) = self.forward_of(hit, no) else { return };
+        let Some(forward) = self.hits.out(hit, no) else { return };
         forward.timer = None;
         let link = forward.link.take();
         let fate = self.drop_job(link).unwrap_or(Fate::TimedOut);
@@ -350,9 +343,9 @@
     }
 
     pub(super) fn cancel(&mut self, hit: HitId, no: ForwardNo) {
-        let Some(open) = self.hits.get(&hit) else { return };
+        let Some(open) = self.hits.get(hit) else { return };
         let Some(forward) = open.forwards.get(usize::from(no.0)).filter(|f| !f.ended) else { return };
-        if open.passing == Some(no) {
+        if open.of.passing == Some(no) {
             return;
         }
         let link = forward.link;
@@ -362,7 +355,7 @@
 
     /// Ends a forward whose answer was passed on to a client that went.
     pub(super) fn cut(&mut self, hit: HitId, no: ForwardNo) {
-        let link = self.forward_of(hit, no).and_then(|forward| forward.link);
+        let link = self.hits.out(hit, no).and_then(|forward| forward.link);
         self.drop_job(link);
         self.end_forward(hit, no, Fate::Cancelled);
     }
@@ -385,7 +378,7 @@
 
     fn keep(&mut self, link: SocketId, pod: PodId) {
         let timer = self.wheel.arm(self.now + self.terms.idle_close, Due::Idle(link));
-        self.idle.entry(pod).or_default().push((link, timer));
+        self.idle.put(pod, link, timer);
     }
 
     pub(super) fn close_idle(&mut self, link: SocketId) {
@@ -412,27 +405,17 @@
 
     /// Clients wait to be let in: an eighth of the kept connections goes, where these take the room.
     pub(super) fn make_room_for_clients(&mut self) {
-        let kept: usize = self.idle.values().map(Vec::len).sum();
+        let kept = self.idle.len();
         if self.sockets.open() >= self.room.shared {
             (0..kept.div_ceil(8)).for_each(|_| self.drop_kept());
         }
     }
 
     fn drop_kept(&mut self) {
-        let most = self.idle.iter().max_by_key(|(_, kept)| kept.len()).and_then(|(_, kept)| kept.first());
-        if let Some((link, _)) = most.copied() {
-            self.close_link(link);
-        }
+        self.idle.spare().into_iter().for_each(|link| self.close_link(link));
     }
 
     fn forget_idle(&mut self, link: SocketId, pod: PodId) {
-        let Some(kept) = self.idle.get_mut(&pod) else { return };
-        if let Some(place) = kept.iter().position(|(id, _)| *id == link) {
-            let (_, timer) = kept.remove(place);
-            self.wheel.cancel(timer);
-        }
-        if kept.is_empty() {
-            self.idle.remove(&pod);
-        }
+        self.idle.forget(pod, link).map(|timer| self.wheel.cancel(timer));
     }
 }
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -4,6 +4,7 @@
 use crate::routes::{path_of, Traits};
 use bytes::{Bytes, BytesMut};
 use limewing::interface::{Event, ForwardNo, GroupId, Hit, HitId, PodId};
+use limewing_hosting::open::Open;
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, Refused, RequestHead, ResponseHead};
 use limewing_net::message::Requests;
@@ -43,9 +44,8 @@
     }
 }
 
-/// A hit that is not settled, or still has a forward out.
-pub struct OpenHit {
-    pub client: Option<SocketId>,
+/// What is held of a hit's request.
+pub struct Request {
     pub head: RequestHead,
     pub body: Bytes,
     /// The body is whole in `body`; else the rest is passed on as it comes, and no second forward can have it.
@@ -53,19 +53,13 @@
     /// The forward that the rest of the body goes with.
     pub carrier: Option<ForwardNo>,
     pub group: GroupId,
-    pub due: Duration,
-    pub forwards: Vec<Forward>,
-    pub over: bool,
     /// The forward whose answer is passed on as it comes.
     pub passing: Option<ForwardNo>,
 }
 
-pub struct Forward {
-    pub pod: PodId,
-    pub sent: Duration,
-    pub link: Option<SocketId>,
-    pub timer: Option<TimerKey>,
-    pub ended: bool,
+/// Whether no answer has been given, or begun.
+fn is_free(open: &Open<Request>) -> bool {
+    !open.over && open.of.passing.is_none()
 }
 
 /// Which pod each answer given lately came from, so that reports can be understood.
@@ -179,19 +173,14 @@
     }
 
     fn take_hit(&mut self, client: SocketId, head: RequestHead, body: Bytes, traits: Traits) {
-        let id = HitId(self.next_hit);
-        self.next_hit += 1;
         let Traits { group, customer, key, due } = traits;
+        let whole = self.client(client).is_none_or(|client| client.rest.is_none());
+        let (passing, carrier) = (None, None);
+        let id = self.hits.open(client, due, Request { head, body, whole, carrier, group, passing });
         self.events.push(Event::Hit(Hit { id, group, customer, key, due }));
-        let (forwards, over, passing, carrier) = (Vec::new(), false, None, None);
-        let mut whole = true;
         if let Some(client) = self.client(client) {
             client.hit = Some(id);
-            whole = client.rest.is_none();
         }
-        let client = Some(client);
-        let open = OpenHit { client, head, body, whole, carrier, group, due, forwards, over, passing };
-        self.hits.insert(id, open);
     }
 
     /// Passes on what has come of a body, as fast as the pod takes it.
@@ -199,10 +188,10 @@
         let ended = self.sockets.ended(id);
         let Some(Peer::Client(client)) = self.peers.get_mut(&id) else { return };
         let (Some(hit), Some(reader)) = (client.hit, client.rest.as_mut()) else { return };
-        let open = self.hits.get(&hit).filter(|open| !open.over);
+        let open = self.hits.get(hit).filter(|open| !open.over);
         let link = open.and_then(|open| {
-            let carrier = open.forwards.get(usize::from(open.carrier?.0))?;
-            Some((carrier.link?, open.head.framing))
+            let carrier = open.forwards.get(usize::from(open.of.carrier?.0))?;
+            Some((carrier.link?, open.of.head.framing))
         });
         // Before a pod has it, or while that one is full, the client is read no further.
         let Some((link, framing)) = link else {
@@ -270,29 +259,28 @@
     }
 
     pub(super) fn fail(&mut self, hit: HitId) {
-        let late = self.hits.get(&hit).is_some_and(|open| self.now >= open.due);
+        let late = self.hits.get(hit).is_some_and(|open| self.now >= open.due);
         let status = self.proxy_status("errored", false);
         self.settle(hit, if late { 504 } else { 502 }, &[("proxy-status", &status)]);
     }
 
     /// The final answer of a hit that no pod answered.
     fn settle(&mut self, hit: HitId, status: u16, fields: &[(&str, &str)]) {
-        let Some(open) = self.hits.get_mut(&hit).filter(|open| !open.over) else { return };
+        let Some(open) = self.hits.unsettled(hit) else { return };
         open.over = true;
         if let Some(client) = open.client.take() {
             self.reply(client, status, fields, b"");
             self.next_request(client);
         }
-        self.tidy(hit);
+        self.hits.tidy(hit);
     }
 
     /// Passes a gathered answer on: the hit is delivered.
     pub(super) fn deliver(&mut self, hit: HitId, no: ForwardNo, head: &ResponseHead, body: &[u8]) {
         // The first answer is the client's, also one that is still passed on.
-        let free = |open: &&mut OpenHit| !open.over && open.passing.is_none();
-        let Some(open) = self.hits.get_mut(&hit).filter(free) else { return };
+        let Some(open) = self.hits.get_mut(hit).filter(|open| is_free(open)) else { return };
         open.over = true;
-        let (client, to_head) = (open.client.take(), open.head.method == "HEAD");
+        let (client, to_head) = (open.client.take(), open.of.head.method == "HEAD");
         self.answered(hit, no);
         let Some(client) = client else { return };
         // The answer to HEAD tells the length that the body would have.
@@ -309,8 +297,8 @@
 
     /// Begins an answer that is passed on as it comes.
     pub(super) fn begin_passing(&mut self, hit: HitId, no: ForwardNo, head: &ResponseHead) {
-        let Some(open) = self.hits.get_mut(&hit) else { return };
-        open.passing = Some(no);
+        let Some(open) = self.hits.get_mut(hit) else { return };
+        open.of.passing = Some(no);
         let Some(client) = open.client else { return };
         self.answered(hit, no);
         let out = self.answer_head(client, hit, no, head, passed_framing(head));
@@ -318,7 +306,7 @@
     }
 
     pub(super) fn pass(&mut self, hit: HitId, head: &ResponseHead, piece: &[u8]) {
-        let Some(client) = self.hits.get(&hit).and_then(|open| open.client) else { return };
+        let Some(client) = self.hits.get(hit).and_then(|open| open.client) else { return };
         if passed_framing(head) == Framing::Chunked {
             let mut out = BytesMut::with_capacity(piece.len() + 16);
             write_chunk(&mut out, piece);
@@ -333,7 +321,7 @@
 
     /// Ends an answer that was passed on; one that broke is cut, so that the client sees it.
     pub(super) fn end_passing(&mut self, hit: HitId, head: &ResponseHead, whole: bool) {
-        let Some(open) = self.hits.get_mut(&hit) else { return };
+        let Some(open) = self.hits.get_mut(hit) else { return };
         open.over = true;
         let Some(client) = open.client.take() else { return };
         if !whole {
@@ -350,14 +338,14 @@
 
     /// Whether the client of a hit takes no more for now.
     pub(super) fn is_full(&mut self, hit: HitId) -> bool {
-        let client = self.hits.get(&hit).and_then(|open| open.client);
+        let client = self.hits.get(hit).and_then(|open| open.client);
         client.is_some_and(|client| self.sockets.unsent(client) > MOST_UNSENT)
     }
 
     fn answered(&mut self, hit: HitId, no: ForwardNo) {
-        let Some(open) = self.hits.get(&hit) else { return };
+        let Some(open) = self.hits.get(hit) else { return };
         let Some(forward) = open.forwards.get(usize::from(no.0)) else { return };
-        self.reports.note(hit, no, (forward.pod, open.group));
+        self.reports.note(hit, no, (forward.pod, open.of.group));
     }
 
     /// The head of an answer that a pod gave, as its client gets it.
@@ -441,7 +429,7 @@
             "pods": self.rows.len(),
             "list_index": self.list_index,
             "list_watched": self.list_link.is_some(),
-            "hits": self.next_hit,
+            "hits": self.hits.taken(),
             "unsent": self.sockets.all_unsent(),
         });
         self.reply(id, 200, &[("content-type", "application/json")], status.to_string().as_bytes());
@@ -451,10 +439,10 @@
         let Some(client) = self.client(id) else { return };
         let (hit, stalled) = (client.hit, client.stalled.take());
         stalled.map(|key| self.wheel.cancel(key));
-        match hit.and_then(|hit| self.hits.get(&hit)) {
+        match hit.and_then(|hit| self.hits.get(hit)) {
             Some(open) => {
                 let link =
-                    open.passing.and_then(|no| open.forwards.get(usize::from(no.0))).and_then(|f| f.link);
+                    open.of.passing.and_then(|no| open.forwards.get(usize::from(no.0))).and_then(|f| f.link);
                 link.into_iter().for_each(|link| self.pod_wrote(link));
             }
             None => self.client_wrote(id),
@@ -481,16 +469,16 @@
         self.forget_client(id);
         self.sockets.close(id);
         let Some(hit) = hit else { return };
-        let Some(open) = self.hits.get_mut(&hit) else { return };
+        let Some(open) = self.hits.get_mut(hit) else { return };
         open.client = None;
         if !open.over {
             open.over = true;
             self.events.push(Event::Left(hit));
             // An answer in mid-way has nobody to go to.
-            if let Some(no) = open.passing {
+            if let Some(no) = open.of.passing {
                 self.cut(hit, no);
             }
-            self.tidy(hit);
+            self.hits.tidy(hit);
         }
     }
 
@@ -507,15 +495,6 @@
             self.wheel.cancel(key);
         }
     }
-
-    /// Forgets a hit that is over once nothing of it is out.
-    pub(super) fn tidy(&mut self, hit: HitId) {
-        let settled =
-            self.hits.get(&hit).is_some_and(|open| open.over && open.forwards.iter().all(|f| f.ended));
-        if settled {
-            self.hits.remove(&hit);
-        }
-    }
 }
 
 /// A passed-on answer keeps its length; where the pod told none, chunks tell its end.
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -8,23 +8,24 @@
 mod back;
 mod front;
 
-use limewing_hosting::again::Again;
-use limewing_hosting::clock::Clock;
 use crate::memory;
 use crate::pods::{PodBook, Row};
-use limewing_hosting::room::Room;
 use crate::routes::Routes;
 use crate::stages::Latest;
 use asks::{ListLink, NewsLink, VoteLink};
 use back::PodLink;
-use front::{Client, OpenHit, Reports, MOST_UNSENT};
-use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, PodId, StartTerms, VoteAnswer};
+use front::{Client, Reports, Request, MOST_UNSENT};
+use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, StartTerms, VoteAnswer};
 use limewing::sidecar::Sidecar;
+use limewing_hosting::again::Again;
+use limewing_hosting::clock::Clock;
+use limewing_hosting::kept::Kept;
+use limewing_hosting::open::OpenHits;
+use limewing_hosting::room::Room;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::{TimerKey, Wheel};
 use limewing_settings::{Misfit, SidecarSettings};
 use rustc_hash::FxHashMap;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -118,11 +119,10 @@
     listener: SocketId,
     address: SocketAddr,
     clients: usize,
-    hits: FxHashMap<HitId, OpenHit>,
-    next_hit: u64,
+    hits: OpenHits<Request>,
     /// Told apart from the same sidecar's earlier lives.
     life: u32,
-    idle: BTreeMap<PodId, Vec<(SocketId, TimerKey)>>,
+    idle: Kept,
     book: PodBook,
     rows: Vec<Row>,
     list_index: u64,
@@ -203,10 +203,9 @@
             listener,
             address,
             clients: 0,
-            hits: FxHashMap::default(),
-            next_hit: 0,
+            hits: OpenHits::default(),
             life: rand::random(),
-            idle: BTreeMap::new(),
+            idle: Kept::default(),
             book: PodBook::new(&settings.fleet.zones),
             rows: Vec::new(),
             list_index: 0,
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -2,9 +2,9 @@
 
 use limewing::interface::{PodState, VoteAnswer};
 use limewing_hosting::again::Again;
+use limewing_hosting::room::Room;
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{rows, PodBook};
-use limewing_hosting::room::Room;
 use limewing_sidecar::routes::path_of;
 use limewing_sidecar::stages::{vote_answer, EventReader, Latest, PhaseName, StageMessage};
 use rstest::rstest;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for all that a sidecar speaks with, and the days that they play.
 //!
 //! `pod`, `marks` and `installer` are models without I/O; `script` is what a day's file says; `day` drives them
-//! all on one loop, with the sidecars as processes of their own, and writes the record.
+//! all on one loop, with the sidecars as processes of their own, and writes the record. `platform` holds the
+//! platform's parties, for tests.
 
 pub mod day;
 pub mod installer;
 pub mod marks;
+pub mod platform;
 pub mod pod;
 pub mod script;
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,132 @@
+//! Stand-ins for the platform's parties, each on threads of its own, that do as a test tells them: pods and
+//! clients in PostgreSQL's protocol, discovery and rollouts over HTTP.
+
+mod client;
+mod pod;
+mod services;
+
+pub use client::{Answer, Client};
+pub use pod::{Does, Pod};
+pub use services::{Discovery, Rollouts, Vote};
+
+use bytes::BytesMut;
+use limewing_pg::{Frame, Frames, Refused};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How long a stand-in waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A connection read message by message.
+pub struct Link {
+    pub stream: TcpStream,
+    pub input: BytesMut,
+    frames: Frames,
+}
+
+impl Link {
+    fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, input: BytesMut::new(), frames: Frames::default() })
+    }
+
+    /// Reads more; none at the end.
+    fn fill(&mut self) -> Option<()> {
+        let mut some = [0; 16 * 1024];
+        let length = self.stream.read(&mut some).ok().filter(|length| *length > 0)?;
+        self.input.extend_from_slice(&some[..length]);
+        Some(())
+    }
+
+    /// The next message; none at the end, or where none can be read.
+    pub fn hear(&mut self) -> Option<Frame> {
+        loop {
+            let read: Result<_, Refused> = self.frames.take(&mut self.input, |_| Some(1 << 20));
+            match read.ok()? {
+                Some(frame) => return Some(frame),
+                None => self.fill()?,
+            }
+        }
+    }
+}
+
+/// A pod as discovery lists it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub host: String,
+    pub dial: SocketAddr,
+    pub build: u16,
+    pub health: &'static str,
+}
+
+impl Listed {
+    pub fn new(host: &str, dial: SocketAddr) -> Self {
+        Self { host: host.into(), dial, build: 1, health: "in_service" }
+    }
+
+    fn json(&self) -> String {
+        let Self { host, dial, build, health } = self;
+        format!(
+            r#"{{"host":"{host}","dial":"{dial}","site":"a","class":"m","block":0,"health":"{health}","share":1.0,"born_ms":0,"version_no":{build}}}"#
+        )
+    }
+}
+
+/// One object of a watch.
+pub fn listing(seq: u64, whole: bool, pods: &[Listed]) -> String {
+    let pods: Vec<String> = pods.iter().map(Listed::json).collect();
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, pods.join(","))
+}
+
+/// How the newest build stands.
+pub fn state(build: u16, stage: u8, name: &str, cap: f64) -> String {
+    format!(r#"{{"Revision":{build},"Wave":{stage},"State":"{name}","MaxShare":{cap},"AgeMs":5}}"#)
+}
+
+/// A sidecar's configuration. Its path groups: `look` may run again, `order` has a mark against repeats, `pay`
+/// must not run twice.
+pub struct Config {
+    pub discovery: SocketAddr,
+    pub rollouts: Option<SocketAddr>,
+    pub known: Vec<Listed>,
+    pub descriptors: usize,
+    /// Client timeout of all path groups, in seconds.
+    pub patience: f64,
+    pub second_copies: bool,
+}
+
+impl Config {
+    /// With no discovery and no rollouts.
+    pub fn new(known: Vec<Listed>) -> Self {
+        let discovery = SocketAddr::from(([127, 0, 0, 1], 1));
+        Self { discovery, rollouts: None, known, descriptors: 256, patience: 5.0, second_copies: false }
+    }
+
+    pub fn json(&self) -> String {
+        let Self { discovery, descriptors, patience, second_copies, .. } = self;
+        let known = listing(7, true, &self.known);
+        let rollouts = self.rollouts.map_or(String::new(), |at| {
+            format!(r#""rollouts":{{"address":"{at}","news":{}}},"#, state(1, 0, "Healthy", 1.0))
+        });
+        let group = |name: &str, repeat: &str| {
+            format!(
+                r#"{{"name":"{name}","repeat":"{repeat}","group":"all","window_s":3,"target_s":{patience},"deadline_s":{patience},"worth":1}}"#
+            )
+        };
+        let groups =
+            [group("look", "free"), group("order", "guarded"), group("pay", "single_shot")].join(",");
+        format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{descriptors}}},{rollouts}"known":{known},
+            "settings":{{"balancers":1,"me":0,"zone":0,"azs":["a"],"shapes":["m"],"layers":["pods"],"membership_mode":"subscribe",
+              "profiles":[{groups}],"realms":[{{"name":"acme"}}],
+              "rules":{{"cold_from":0.5,"cold_s":1,"fall_multiple":2,"fall_s":1,"stop_sending_within_s":0.5}},
+              "limits":{{"cancel":true,"max_attempts":4,"max_retry_after_s":0.5,"retry_after":true,"second_copies":{second_copies},
+                "connect_timeout_s":1,"idle_close_s":15}},
+              "domain":{{"api_timeout_s":1,"counted_by":"all","gate_mode":"timer","most_shares":[0.5],"span_s":2,"stage_share":[0.5],
+                "uncounted":1,"vote_ttl_s":4,"votes_to_revert":1}}}}}}"#
+        )
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/pod.rs
@@ -0,0 +1,139 @@
+use super::Link;
+use bytes::{BufMut, BytesMut};
+use limewing_pg::{read, write};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// What a pod does with a statement.
+#[derive(Clone, Debug)]
+pub enum Does {
+    /// Answers with this value.
+    Serves(&'static str),
+    /// Answers, and sends the same again right after.
+    ServesTwice(&'static str),
+    /// Answers, but says that the next may come only after a word of the test.
+    ServesSlowly(&'static str),
+    /// Answers with this code.
+    Errs(&'static str),
+    /// Sends these bytes and keeps the connection.
+    Says(Vec<u8>),
+    /// Sends these bytes and closes.
+    SaysAndCloses(Vec<u8>),
+    Closes,
+    /// Says nothing until the sidecar closes.
+    Waits,
+}
+
+pub struct Pod {
+    pub at: SocketAddr,
+    /// Each statement that came, and `gone` when a connection ended.
+    pub seen: Receiver<String>,
+    pub go_on: Sender<()>,
+    links: Arc<AtomicUsize>,
+}
+
+impl Pod {
+    /// A pod that does these in turn, one for each statement, and the last of them ever after.
+    pub fn new(script: Vec<Does>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let ((tell, seen), (go_on, word)) = (channel(), channel());
+        let links = Arc::new(AtomicUsize::new(0));
+        let count = links.clone();
+        let script = Arc::new(Mutex::new(script));
+        let word = Arc::new(Mutex::new(word));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                count.fetch_add(1, Ordering::SeqCst);
+                let (tell, script, word) = (tell.clone(), script.clone(), word.clone());
+                std::thread::spawn(move || {
+                    serve(stream, &tell, &script, &word);
+                    let _ = tell.send("gone".into());
+                });
+            }
+        });
+        Self { at, seen, go_on, links }
+    }
+
+    pub fn hears(&self) -> String {
+        self.seen.recv_timeout(super::PATIENCE).expect("the pod hears something")
+    }
+
+    pub fn heard_nothing(&self) -> bool {
+        self.seen.try_recv().is_err()
+    }
+
+    /// Connections that were made so far.
+    pub fn links(&self) -> usize {
+        self.links.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    tell: &Sender<String>,
+    script: &Mutex<Vec<Does>>,
+    word: &Mutex<Receiver<()>>,
+) -> Option<()> {
+    let mut link = Link::new(stream).ok()?;
+    while read::startup(&mut link.input).ok()?.is_none() {
+        link.fill()?;
+    }
+    let mut out = BytesMut::new();
+    write::welcome(&mut out, &[("server_version", "16.0")]);
+    link.stream.write_all(&out).ok()?;
+    loop {
+        let frame = link.hear()?;
+        let text = read::text(&frame.body)?.to_owned();
+        let does = {
+            let mut script = script.lock().unwrap();
+            if script.len() > 1 {
+                script.remove(0)
+            } else {
+                script[0].clone()
+            }
+        };
+        let _ = tell.send(text);
+        let mut out = BytesMut::new();
+        match does {
+            Does::Serves(value) => answer(&mut out, value),
+            Does::ServesTwice(value) => {
+                answer(&mut out, value);
+                answer(&mut out, value);
+            }
+            Does::ServesSlowly(value) => {
+                answer(&mut out, value);
+                out.truncate(out.len() - 6);
+                link.stream.write_all(&out).ok()?;
+                out.clear();
+                let _ = word.lock().unwrap().recv_timeout(Duration::from_secs(20));
+                write::ready(&mut out);
+            }
+            Does::Errs(code) => {
+                write::error(&mut out, "ERROR", code, "as told", None);
+                write::ready(&mut out);
+            }
+            Does::Says(bytes) => out.put_slice(&bytes),
+            Does::SaysAndCloses(bytes) => {
+                let _ = link.stream.write_all(&bytes);
+                return None;
+            }
+            Does::Closes => return None,
+            Does::Waits => {}
+        }
+        link.stream.write_all(&out).ok()?;
+    }
+}
+
+/// An answer with a row, and the word that the next statement may come.
+fn answer(out: &mut BytesMut, value: &str) {
+    write::one_column(out, "blob");
+    write::one_value(out, value.as_bytes());
+    write::complete(out, "SELECT 1");
+    write::parameter(out, "load", "inflight=1");
+    write::ready(out);
+}
