Sound pods stay in use where connections break; a forward's last byte waits for a live connection

A third of all breaks came within 0.5 ms of the first bytes, so most proved nothing about the pod; kept connections idle for over 0.13 s broke in half of the cases, others in one of ten. Ruled out: CPU (2 s of 44), descriptors, turns of the loop.

At fault: choice.rs, Pod::learn (one Broken shut a pod for half a second or more); platform back.rs (all bytes written at once, so every break may have run).

--- a/crates/hosting/src/kept.rs
+++ b/crates/hosting/src/kept.rs
@@ -1,21 +1,32 @@
-//! Connections to pods that carry nothing now and wait for the next forward.
+//! Connections to pods that carry nothing now and wait for the next forward, and how long they may wait: what
+//! stands between may forget them long before the time that is told, and a forward that is written to one then
+//! may have run for all that its host can know.
 
 use limewing::interface::PodId;
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
 use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One kept connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    pub id: SocketId,
+    /// Closes it when it has been idle for long.
+    pub timer: TimerKey,
+    pub since: Duration,
+}
 
 #[derive(Default)]
-pub struct Kept(BTreeMap<PodId, Vec<(SocketId, TimerKey)>>);
+pub struct Kept(BTreeMap<PodId, Vec<Link>>);
 
 impl Kept {
-    /// The timer closes it when it has been idle for long.
-    pub fn put(&mut self, pod: PodId, link: SocketId, timer: TimerKey) {
-        self.0.entry(pod).or_default().push((link, timer));
+    pub fn put(&mut self, pod: PodId, link: Link) {
+        self.0.entry(pod).or_default().push(link);
     }
 
     /// The one that was used last: the others may grow old and close.
-    pub fn take(&mut self, pod: PodId) -> Option<(SocketId, TimerKey)> {
+    pub fn take(&mut self, pod: PodId) -> Option<Link> {
         let links = self.0.get_mut(&pod)?;
         let last = links.pop();
         if links.is_empty() {
@@ -27,22 +38,22 @@
     /// Takes one out; its timer is to be cancelled.
     pub fn forget(&mut self, pod: PodId, link: SocketId) -> Option<TimerKey> {
         let links = self.0.get_mut(&pod)?;
-        let place = links.iter().position(|(id, _)| *id == link)?;
-        let (_, timer) = links.remove(place);
+        let place = links.iter().position(|kept| kept.id == link)?;
+        let gone = links.remove(place);
         if links.is_empty() {
             self.0.remove(&pod);
         }
-        Some(timer)
+        Some(gone.timer)
     }
 
     pub fn of(&self, pod: PodId) -> Vec<SocketId> {
-        self.0.get(&pod).into_iter().flatten().map(|(link, _)| *link).collect()
+        self.0.get(&pod).into_iter().flatten().map(|link| link.id).collect()
     }
 
     /// The oldest one of the pod that most are kept to.
     pub fn spare(&self) -> Option<SocketId> {
         let most = self.0.values().max_by_key(|links| links.len())?;
-        most.first().map(|(link, _)| *link)
+        most.first().map(|link| link.id)
     }
 
     pub fn len(&self) -> usize {
@@ -53,3 +64,107 @@
         self.0.is_empty()
     }
 }
+
+/// Spans of idleness, each longer by half than the one before.
+const SPANS: usize = 24;
+const SHORTEST_MS: f64 = 4.0;
+const STEP: f64 = 1.5;
+/// So many must have broken before a span is held to be too long, and half as many as lived: chance alone, or a
+/// pod that dies, breaks fewer.
+const LEAST_BROKEN: u32 = 6;
+/// What was learned is forgotten after this time: what stands between may have been set right.
+const BELIEVED_FOR: Duration = Duration::from_secs(60);
+
+/// Learns after what time connections are forgotten by what stands between. Guards against forwards on dead
+/// connections, which fail hits that must not run twice and speak against sound pods. Hurts by new connections
+/// where chance alone broke many that had been idle for long.
+#[derive(Default)]
+pub struct Lapses {
+    /// By span: those that lived, and those that broke before a word was heard.
+    seen: [(u32, u32); SPANS],
+    since: Duration,
+    most: Option<Duration>,
+}
+
+fn span_of(idle: Duration) -> usize {
+    let times = (idle.as_secs_f64() * 1e3 / SHORTEST_MS).max(1.0);
+    ((times.ln() / STEP.ln()) as usize).min(SPANS - 1)
+}
+
+impl Lapses {
+    /// A connection that had been idle for so long lived, or broke, under the next forward.
+    pub fn note(&mut self, idle: Duration, lived: bool, now: Duration) {
+        if now > self.since + BELIEVED_FOR {
+            *self = Self { since: now, ..Self::default() };
+        }
+        let seen = &mut self.seen[span_of(idle)];
+        *(if lived { &mut seen.0 } else { &mut seen.1 }) += 1;
+        if !lived {
+            self.most = self.shortest_that_breaks();
+        }
+    }
+
+    fn shortest_that_breaks(&self) -> Option<Duration> {
+        let (mut lived, mut broke, mut found) = (0, 0, None);
+        for (span, here) in self.seen.iter().enumerate().rev() {
+            (lived, broke) = (lived + here.0, broke + here.1);
+            if broke >= LEAST_BROKEN && 2 * broke > lived && 2 * here.1 > here.0 {
+                found = Some(Duration::from_secs_f64(SHORTEST_MS * STEP.powi(span as i32) / 1e3));
+            }
+        }
+        found
+    }
+
+    /// Whether one that has been idle for so long may still be used.
+    pub fn bears(&self, idle: Duration) -> bool {
+        self.most.is_none_or(|most| idle < most)
+    }
+
+    /// How long one may be kept, of the time that is told.
+    pub fn keeps(&self, told: Duration) -> Duration {
+        self.most.map_or(told, |most| most.min(told))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const NOW: Duration = Duration::from_secs(10);
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    /// Nine in ten live whatever their age; beyond the time after which they are forgotten, none.
+    #[rstest]
+    #[case::soon(130)]
+    #[case::late(2000)]
+    fn the_time_after_which_connections_are_forgotten_is_learned(#[case] forgotten_after: u64) {
+        let mut lapses = Lapses::default();
+        for turn in 0..400 {
+            let idle = [3, 9, 20, 60, 100, 150, 400, 900, 2500, 4000][turn % 10];
+            lapses.note(ms(idle), idle < forgotten_after && turn / 10 % 10 != 0, NOW);
+        }
+        assert!(lapses.bears(ms(forgotten_after / 3)));
+        assert!(!lapses.bears(ms(forgotten_after + forgotten_after / 5)));
+        assert!(lapses.keeps(ms(15_000)) <= ms(forgotten_after));
+    }
+
+    #[test]
+    fn breaks_by_chance_shorten_nothing() {
+        let mut lapses = Lapses::default();
+        (0..400).for_each(|turn| lapses.note(ms(10 + 10 * turn), turn % 5 != 0, NOW));
+        assert!(lapses.bears(ms(10_000)));
+    }
+
+    #[test]
+    fn what_was_learned_is_tried_again_later() {
+        let mut lapses = Lapses::default();
+        (0..6).for_each(|_| lapses.note(ms(500), false, NOW));
+        assert!(!lapses.bears(ms(500)));
+        lapses.note(ms(5), true, NOW + BELIEVED_FOR * 2);
+        assert!(lapses.bears(ms(500)));
+    }
+}
--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -1,16 +1,19 @@
 //! The pods' side: forwards, what became of them, and the connections they go over.
 //!
 //! What proves that a forward never ran: its connection never came up, or broke before the last byte of the
-//! forward was with the system, or the pod says that it turned it away. A forward is written only once the pod
-//! has welcomed the connection, so that one that breaks before proves the same.
+//! forward was with the system, or the pod says that it turned it away. So the last byte is held back until
+//! the pod has answered an empty query that goes before it on the same connection: a connection that is dead,
+//! or that breaks under the first bytes, then proves that nothing ran, and another one carries the forward.
 
 use super::{Due, Peer, Service};
 use bytes::{Bytes, BytesMut};
 use limewing::interface::{Event, Fate, ForwardNo, HitId, KeyId, PodId};
+use limewing_hosting::kept::Link;
 use limewing_hosting::open::Forward;
 use limewing_net::sockets::{is_own_want, SocketId};
 use limewing_net::wheel::TimerKey;
 use limewing_pg::{read, write, Frame, Frames};
+use std::io::ErrorKind;
 use std::time::Duration;
 
 /// A row that a pod may send, and any other message of its.
@@ -21,6 +24,14 @@
 /// An answer that has begun is whole within this time: a pod writes it in one go. Guards against lengths that
 /// don't fit, for which nothing more ever comes. Hurts where a pod stands still in the middle of an answer.
 const WHOLE_WITHIN: Duration = Duration::from_millis(150);
+/// The last byte of every statement's message.
+const LAST: &[u8] = &[0];
+/// How long the last byte is held back once the empty query is answered: a reset that the first bytes brought
+/// about comes right behind that answer. Hurts each forward by that time.
+const HELD_BACK: Duration = Duration::from_millis(2);
+/// Connections that may break under a forward before it is written; then the pod counts as not reached. Guards
+/// against kept connections that a pod, or what stands between, has forgotten. Hurts by the time that they take.
+const MOST_BROKEN: u8 = 3;
 /// With this code a pod tells that it has not begun a hit.
 const TURNED_AWAY: &str = "53300";
 
@@ -31,6 +42,8 @@
     /// While it comes up, settles, or has begun an answer.
     timer: Option<TimerKey>,
     job: Option<Job>,
+    /// How long it had been idle before the present forward, if it was kept.
+    idle: Option<Duration>,
     /// The statement's key and the row of the last answer.
     last: Option<(Option<KeyId>, Bytes)>,
 }
@@ -48,8 +61,12 @@
 struct Job {
     hit: HitId,
     no: ForwardNo,
+    /// The connection's empty query is not answered yet, and the last byte not written.
+    checking: bool,
     /// Bytes written on this connection when all of it is.
     until: u64,
+    /// Connections that broke under it before it was written.
+    broken: u8,
     described: Option<Bytes>,
     row: Option<Bytes>,
 }
@@ -58,6 +75,8 @@
 enum Step {
     On,
     Up,
+    /// The empty query is answered.
+    Lives,
     /// The answer is whole: the completion's bytes.
     Whole(Bytes),
     Turned(Fate),
@@ -76,6 +95,12 @@
         if open.over || spent || now >= due {
             return self.end_forward(hit, no, Fate::Void);
         }
+        self.carry(hit, no, 0);
+    }
+
+    /// Puts a forward on a connection.
+    fn carry(&mut self, hit: HitId, no: ForwardNo, broken: u8) {
+        let Some(pod) = self.hits.out(hit, no).map(|forward| forward.pod) else { return };
         let link = match self.kept_link(pod) {
             Some(link) => link,
             None => match self.new_link(pod) {
@@ -87,7 +112,7 @@
             forward.link = Some(link);
         }
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
-        of.job = Some(Job { hit, no, until: u64::MAX, described: None, row: None });
+        of.job = Some(Job { hit, no, checking: true, until: u64::MAX, broken, described: None, row: None });
         if of.state == State::Up {
             self.write_forward(link);
         }
@@ -95,13 +120,17 @@
 
     /// A kept connection on which nothing has come since: what a pod says unasked would be taken for the answer.
     fn kept_link(&mut self, pod: PodId) -> Option<SocketId> {
-        while let Some((link, timer)) = self.kept.take(pod) {
+        while let Some(Link { id, timer, since }) = self.kept.take(pod) {
             self.wheel.cancel(timer);
-            if self.sockets.is_quiet(link) {
-                return Some(link);
+            let idle = self.now.saturating_sub(since);
+            if self.lapses.bears(idle) && self.sockets.is_quiet(id) {
+                if let Some(Peer::Pod(of)) = self.peers.get_mut(&id) {
+                    of.idle = Some(idle);
+                }
+                return Some(id);
             }
-            self.peers.remove(&link);
-            self.sockets.close(link);
+            self.peers.remove(&id);
+            self.sockets.close(id);
         }
         None
     }
@@ -124,7 +153,7 @@
         })?;
         let timer = Some(self.wheel.arm(self.now + self.terms.connect_timeout, Due::Connect(link)));
         let (state, frames) = (State::Opening, Frames::default());
-        let link_to = PodLink { pod, state, frames, timer, job: None, last: None };
+        let link_to = PodLink { pod, state, frames, timer, job: None, idle: None, last: None };
         self.peers.insert(link, Peer::Pod(Box::new(link_to)));
         Ok(link)
     }
@@ -133,10 +162,29 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let Some(job) = &mut of.job else { return };
         let Some(open) = self.hits.get(job.hit) else { return };
-        let mut out = BytesMut::with_capacity(open.of.text.len() + 16);
+        let mut out = BytesMut::with_capacity(open.of.text.len() + 24);
+        write::query(&mut out, "");
         write::query(&mut out, &open.of.waiting(open.due.saturating_sub(self.now)));
         job.until = self.sockets.written(link) + out.len() as u64;
-        self.sockets.send(link, &out);
+        let late = self.wheel.arm(self.now + self.terms.connect_timeout, Due::Connect(link));
+        of.timer = Some(late);
+        self.sockets.send(link, &out[..out.len() - LAST.len()]);
+    }
+
+    /// The empty query is answered: what breaks the connection may still be on its way.
+    fn lives(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let rest = self.wheel.arm(self.now + HELD_BACK, Due::Rest(link));
+        of.timer.replace(rest).map(|timer| self.wheel.cancel(timer));
+    }
+
+    /// The connection lives: the last byte goes, and the pod begins.
+    pub(super) fn write_rest(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let Some(job) = &mut of.job else { return };
+        job.checking = false;
+        of.timer = None;
+        self.sockets.send(link, LAST);
     }
 
     pub(super) fn pod_connected(&mut self, link: SocketId) {
@@ -148,25 +196,29 @@
     pub(super) fn connect_late(&mut self, link: SocketId) {
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         of.timer = None;
-        match of.state {
-            State::Opening => {
-                self.pod_lost(link, 0);
-                self.sockets.close(link);
-            }
+        let silent = of.state == State::Opening || of.job.as_ref().is_some_and(|job| job.checking);
+        if silent {
+            self.pod_lost(link, 0, ErrorKind::TimedOut);
+            self.sockets.close(link);
+        } else {
             // What began is no answer; or the pod does not say that the next forward may come.
-            State::Up | State::Settling => self.spoilt(link),
+            self.spoilt(link);
         }
     }
 
-    pub(super) fn pod_lost(&mut self, link: SocketId, written: u64) {
+    pub(super) fn pod_lost(&mut self, link: SocketId, written: u64, why: ErrorKind) {
         let Some(Peer::Pod(of)) = self.peers.remove(&link) else { return };
         of.timer.map(|timer| self.wheel.cancel(timer));
-        match of.job {
-            Some(job) => {
-                let never = of.state == State::Opening || written < job.until;
-                self.end_forward(job.hit, job.no, if never { Fate::Unreached } else { Fate::Broken });
-            }
-            None => self.forget_kept(link, of.pod),
+        let Some(job) = of.job else { return self.forget_kept(link, of.pod) };
+        if let Some(idle) = of.idle.filter(|_| job.described.is_none()) {
+            self.lapses.note(idle, false, self.now);
+        }
+        // Who refuses or is silent will do so again; what broke may have been the connection alone.
+        let ends = matches!(why, ErrorKind::ConnectionRefused | ErrorKind::TimedOut);
+        match of.state == State::Opening || written < job.until {
+            true if ends || job.broken >= MOST_BROKEN => self.end_forward(job.hit, job.no, Fate::Unreached),
+            true => self.carry(job.hit, job.no, job.broken + 1),
+            false => self.end_forward(job.hit, job.no, Fate::Broken),
         }
     }
 
@@ -177,7 +229,7 @@
             let Some(input) = self.sockets.input(link) else { return };
             let most = |kind| match kind {
                 b'D' => Some(LONGEST_ROW),
-                b'R' | b'S' | b'K' | b'Z' | b'T' | b'C' | b'E' | b'N' => Some(LONGEST_OTHER),
+                b'R' | b'S' | b'K' | b'Z' | b'T' | b'C' | b'E' | b'N' | b'I' => Some(LONGEST_OTHER),
                 _ => None,
             };
             let step = match of.frames.take(input, most) {
@@ -185,7 +237,7 @@
                 Ok(None) if ended => {
                     let written = self.sockets.written(link);
                     self.sockets.close(link);
-                    return self.pod_lost(link, written);
+                    return self.pod_lost(link, written, ErrorKind::ConnectionReset);
                 }
                 Ok(None) => {
                     let begun = of.job.as_ref().is_some_and(|job| job.described.is_some())
@@ -201,6 +253,7 @@
             match step {
                 Step::On => {}
                 Step::Up => self.pod_is_up(link),
+                Step::Lives => self.lives(link),
                 Step::Whole(tag) => self.answer_whole(link, &tag),
                 Step::Turned(fate) => self.answer_turned(link, fate),
                 Step::Spoilt => return self.spoilt(link),
@@ -221,8 +274,9 @@
             return self.close_link(link);
         }
         if free {
-            let timer = self.wheel.arm(self.now + self.terms.idle_close.mul_f64(0.7), Due::Idle(link));
-            self.kept.put(pod, link, timer);
+            let most = self.lapses.keeps(self.terms.idle_close.mul_f64(0.7));
+            let timer = self.wheel.arm(self.now + most, Due::Idle(link));
+            self.kept.put(pod, Link { id: link, timer, since: self.now });
         } else {
             self.write_forward(link);
         }
@@ -247,6 +301,9 @@
             return self.spoilt(link);
         }
         of.last = Some((key, row.clone()));
+        if let Some(idle) = of.idle.take() {
+            self.lapses.note(idle, true, self.now);
+        }
         let Some(job) = self.take_job(link) else { return };
         let (Some(described), Some(row)) = (job.described, job.row) else { return };
         let mut out = BytesMut::with_capacity(described.len() + row.len() + tag.len() + 32);
@@ -278,8 +335,15 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let (job, opening) = (of.job.take(), of.state == State::Opening);
         self.close_link(link);
-        let fate = if opening { Fate::Unreached } else { Fate::Errored };
-        job.into_iter().for_each(|job| self.end_forward(job.hit, job.no, fate));
+        match job {
+            // What comes before the empty query's answer is left from the hit before: the connection's fault.
+            Some(job) if job.checking && !opening && job.broken < MOST_BROKEN => {
+                self.carry(job.hit, job.no, job.broken + 1);
+            }
+            Some(job) if job.checking => self.end_forward(job.hit, job.no, Fate::Unreached),
+            Some(job) => self.end_forward(job.hit, job.no, Fate::Errored),
+            None => {}
+        }
     }
 
     /// Tells the module how a forward ended; each ends once.
@@ -294,30 +358,30 @@
         let Some(forward) = self.hits.out(hit, no) else { return };
         forward.timer = None;
         let link = forward.link.take();
-        let fate = self.drop_job(link).unwrap_or(Fate::TimedOut);
+        // Not written for want of time: no sign of the pod, whose connection has a time-out of its own.
+        let fate = if self.drop_job(link) { Fate::TimedOut } else { Fate::Void };
         self.end_forward(hit, no, fate);
     }
 
     pub(super) fn cancel(&mut self, hit: HitId, no: ForwardNo) {
         let Some(forward) = self.hits.out(hit, no) else { return };
         let link = forward.link.take();
-        let fate = self.drop_job(link).unwrap_or(Fate::Cancelled);
-        self.end_forward(hit, no, fate);
+        self.drop_job(link);
+        self.end_forward(hit, no, Fate::Cancelled);
     }
 
-    /// Takes a forward off its connection. One that still comes up is left to be used by others, and nothing
-    /// was written of the forward: it never ran. A connection with a forward on it is closed, as its answer
-    /// may still come.
-    fn drop_job(&mut self, link: Option<SocketId>) -> Option<Fate> {
-        let link = link?;
-        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return None };
-        let job = of.job.take()?;
+    /// Takes a forward off its connection; tells whether it had been written. A connection that still comes up
+    /// is left to be used by others. One with a forward on it is closed, as its answer may still come.
+    fn drop_job(&mut self, link: Option<SocketId>) -> bool {
+        let Some(link) = link else { return false };
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return false };
+        let Some(job) = of.job.take() else { return false };
         if of.state == State::Opening {
-            return Some(Fate::Unreached);
+            return false;
         }
-        let unwritten = self.sockets.written(link) < job.until;
+        let written = self.sockets.written(link) >= job.until;
         self.close_link(link);
-        unwritten.then_some(Fate::Unreached)
+        written
     }
 
     pub(super) fn close_idle(&mut self, link: SocketId) {
@@ -370,6 +434,12 @@
 
     fn answer(&mut self, kind: u8, body: Bytes) -> Step {
         let Some(job) = &mut self.job else { return Step::Spoilt };
+        match kind {
+            b'I' if job.checking && body.is_empty() => return Step::On,
+            b'Z' if job.checking => return Step::Lives,
+            _ if job.checking => return Step::Spoilt,
+            _ => {}
+        }
         match (kind, &job.described, &job.row) {
             (b'T', None, None) if read::only_column(&body).is_some() => job.described = Some(body),
             (b'D', Some(_), None) if read::only_value(&body).is_some() => job.row = Some(body),
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -19,7 +19,7 @@
 use limewing::sidecar::Sidecar;
 use limewing_hosting::again::Again;
 use limewing_hosting::clock::Clock;
-use limewing_hosting::kept::Kept;
+use limewing_hosting::kept::{Kept, Lapses};
 use limewing_hosting::open::OpenHits;
 use limewing_hosting::room::Room;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
@@ -64,6 +64,7 @@
 enum Due {
     Forward(HitId, ForwardNo),
     Connect(SocketId),
+    Rest(SocketId),
     Idle(SocketId),
     Silent(SocketId),
     Speak(SocketId),
@@ -107,6 +108,7 @@
     /// The ids of the hits that are held.
     ids: FxHashSet<String>,
     kept: Kept,
+    lapses: Lapses,
     list: List,
     watch: Option<SocketId>,
     news: Option<SocketId>,
@@ -175,6 +177,7 @@
             hits: OpenHits::default(),
             ids: FxHashSet::default(),
             kept: Kept::default(),
+            lapses: Lapses::default(),
             list: List::new(&told.sockets.zones, &told.sockets.kinds),
             watch: None,
             news: None,
@@ -267,9 +270,9 @@
                     self.client_wrote(id);
                 }
             }
-            Happening::Lost { socket, written, .. } => match self.peers.get(&socket) {
+            Happening::Lost { socket, written, why } => match self.peers.get(&socket) {
                 Some(Peer::Client(_)) => self.client_gone(socket),
-                Some(Peer::Pod(_)) => self.pod_lost(socket, written),
+                Some(Peer::Pod(_)) => self.pod_lost(socket, written, why),
                 Some(Peer::Watch(_)) => self.watch_lost(socket, "the connection was lost"),
                 Some(Peer::News(_)) => self.news_lost(socket, "the connection was lost"),
                 Some(Peer::Vote(_)) => {
@@ -291,6 +294,7 @@
         match due {
             Due::Forward(hit, no) => self.forward_late(hit, no),
             Due::Connect(id) => self.connect_late(id),
+            Due::Rest(id) => self.write_rest(id),
             Due::Idle(id) => self.close_idle(id),
             Due::Silent(id) => self.client_silent(id),
             Due::Speak(id) => self.turn_away_now(id),
--- a/crates/platform/tests/sockets/pods.rs
+++ b/crates/platform/tests/sockets/pods.rs
@@ -2,7 +2,7 @@
 
 use crate::help::{ask, sidecar, with_pod};
 use limewing_pg::write;
-use limewing_standins::platform::{Answer, Client, Config, Does, Listed, Pod};
+use limewing_standins::platform::{answer, Answer, Client, Config, Does, Listed, Pod};
 use rstest::rstest;
 use std::net::TcpListener;
 
@@ -27,6 +27,7 @@
 #[case::row_first(spoilt(b'D', &[0, 1, 0, 0, 0, 1, b'x']))]
 #[case::columns(spoilt(b'T', &[0, 2]))]
 #[case::code(spoilt(b'E', b"Cxx\0\0"))]
+#[case::not_whole(vec![b'T', 0, 0, 0, 50, 0, 1])]
 #[case::complete_first(spoilt(b'C', b"SELECT 1\0"))]
 fn a_spoilt_answer_is_not_passed_on_and_may_have_run(#[case] says: Vec<u8>) {
     let (answer, pod, _client) = one_hit(vec![Does::Says(says)], "pay");
@@ -81,6 +82,39 @@
     assert_eq!(pod.links(), 2);
 }
 
+/// Nor what it sends again only once the next statement has come.
+#[test]
+fn a_late_copy_of_an_answer_is_not_the_next_ones() {
+    let (_pod, at) = with_pod(vec![Does::Serves("red"), Does::Says(answer("red"))]);
+    let mut client = Client::new(at);
+    client.asks(&ask("pay", 2000));
+    assert_eq!(client.hears(), Answer::Row("red".into()));
+    client.asks(&ask("pay", 2000).replace("7f3a", "7f3b"));
+    assert_eq!(client.hears(), Answer::Error("58000".into(), None));
+}
+
+/// What breaks before the last byte of a statement never ran: another connection carries it, also where it must
+/// not run twice.
+#[rstest]
+#[case::kept(vec![Does::Serves("red"), Does::ClosesEarly, Does::Serves("blue")], 2)]
+#[case::two(vec![Does::Serves("red"), Does::ClosesEarly, Does::ClosesEarly, Does::Serves("blue")], 3)]
+fn a_connection_that_breaks_early_is_replaced(#[case] script: Vec<Does>, #[case] links: usize) {
+    let (pod, at) = with_pod(script);
+    let mut client = Client::new(at);
+    for value in ["red", "blue"] {
+        client.asks(&ask("pay", 2000));
+        assert_eq!(client.hears(), Answer::Row(value.into()));
+    }
+    assert_eq!(pod.links(), links);
+}
+
+/// A pod that is silent before the last byte has not run the hit: a refusal may say that a retry is harmless.
+#[test]
+fn a_silent_connection_proves_that_nothing_ran() {
+    let (answer, ..) = one_hit(vec![Does::WaitsEarly], "pay");
+    assert!(matches!(&answer, Answer::Error(code, _) if code == "53300"), "{answer:?}");
+}
+
 #[test]
 fn a_connection_serves_one_hit_after_the_other() {
     let (pod, at) = with_pod(vec![Does::Serves("red")]);
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -8,6 +8,7 @@
 use super::{Due, Peer, Service};
 use bytes::BytesMut;
 use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
+use limewing_hosting::kept::Link;
 use limewing_hosting::open::Forward;
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits, ResponseHead};
@@ -60,9 +61,9 @@
         }
         let kept = self.idle.take(pod);
         let link = match kept {
-            Some((link, timer)) => {
+            Some(Link { id, timer, .. }) => {
                 self.wheel.cancel(timer);
-                link
+                id
             }
             // What is left is for list, news and votes.
             None if !self.makes_room() => {
@@ -378,7 +379,7 @@
 
     fn keep(&mut self, link: SocketId, pod: PodId) {
         let timer = self.wheel.arm(self.now + self.terms.idle_close, Due::Idle(link));
-        self.idle.put(pod, link, timer);
+        self.idle.put(pod, Link { id: link, timer, since: self.now });
     }
 
     pub(super) fn close_idle(&mut self, link: SocketId) {
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -6,7 +6,7 @@
 mod services;
 
 pub use client::{Answer, Client};
-pub use pod::{Does, Pod};
+pub use pod::{answer, Does, Pod};
 pub use services::{Discovery, Rollouts, Vote};
 
 use bytes::BytesMut;
--- a/crates/standins/src/platform/pod.rs
+++ b/crates/standins/src/platform/pod.rs
@@ -26,6 +26,10 @@
     Closes,
     /// Says nothing until the sidecar closes.
     Waits,
+    /// Closes as soon as the first bytes come.
+    ClosesEarly,
+    /// Says nothing from the first bytes on.
+    WaitsEarly,
 }
 
 pub struct Pod {
@@ -89,6 +93,26 @@
     loop {
         let frame = link.hear()?;
         let text = read::text(&frame.body)?.to_owned();
+        if text.is_empty() {
+            // What is done early is done to the empty query before the statement.
+            let mut script = script.lock().unwrap();
+            let early =
+                script.first().filter(|does| matches!(does, Does::ClosesEarly | Does::WaitsEarly)).cloned();
+            if early.is_some() && script.len() > 1 {
+                script.remove(0);
+            }
+            drop(script);
+            match early {
+                Some(Does::ClosesEarly) => return None,
+                Some(_) => continue,
+                None => {}
+            }
+            let mut out = BytesMut::new();
+            write::empty_query(&mut out);
+            write::ready(&mut out);
+            link.stream.write_all(&out).ok()?;
+            continue;
+        }
         let does = {
             let mut script = script.lock().unwrap();
             if script.len() > 1 {
@@ -100,13 +124,13 @@
         let _ = tell.send(text);
         let mut out = BytesMut::new();
         match does {
-            Does::Serves(value) => answer(&mut out, value),
+            Does::Serves(value) => write_answer(&mut out, value),
             Does::ServesTwice(value) => {
-                answer(&mut out, value);
-                answer(&mut out, value);
+                write_answer(&mut out, value);
+                write_answer(&mut out, value);
             }
             Does::ServesSlowly(value) => {
-                answer(&mut out, value);
+                write_answer(&mut out, value);
                 out.truncate(out.len() - 6);
                 link.stream.write_all(&out).ok()?;
                 out.clear();
@@ -123,17 +147,24 @@
                 return None;
             }
             Does::Closes => return None,
-            Does::Waits => {}
+            Does::Waits | Does::ClosesEarly | Does::WaitsEarly => {}
         }
         link.stream.write_all(&out).ok()?;
     }
 }
 
 /// An answer with a row, and the word that the next statement may come.
-fn answer(out: &mut BytesMut, value: &str) {
+fn write_answer(out: &mut BytesMut, value: &str) {
     write::one_column(out, "blob");
     write::one_value(out, value.as_bytes());
     write::complete(out, "SELECT 1");
     write::parameter(out, "load", "inflight=1");
     write::ready(out);
 }
+
+/// The bytes of an answer.
+pub fn answer(value: &str) -> Vec<u8> {
+    let mut out = BytesMut::new();
+    write_answer(&mut out, value);
+    out.to_vec()
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -145,12 +145,13 @@
                 self.health.pace.add(took, PACE_OVER);
                 self.health = Health { last_answer: now, pace: self.health.pace, ..Health::default() };
             }
-            // No connection, a reset, silence, errors in a row: shut for a while, ever longer. An error is no
-            // sign of speed: a pod that fails at once would otherwise draw all hits.
+            // No connection, or resets, silence or errors in a row: shut for a while, ever longer. An error is no
+            // sign of speed: a pod that fails at once would otherwise draw all hits. One reset may be a
+            // connection's own fault; a pod that died refuses the next one.
             Fate::TimedOut | Fate::Errored if ended.sour => {}
             Fate::Unreached | Fate::Broken | Fate::TimedOut | Fate::Errored => {
                 self.health.strikes += 1;
-                let limit = if matches!(ended.outcome.fate, Fate::Errored | Fate::TimedOut) { 3 } else { 1 };
+                let limit = if ended.outcome.fate == Fate::Unreached { 1 } else { 3 };
                 (self.health.strikes >= limit).then(|| self.shut(now));
             }
             Fate::TurnedAway => self.health.pace.add(1.0, PACE_OVER),
@@ -843,19 +844,19 @@
         if untold || ended.sent < self.since {
             return;
         }
-        // A cold pod's time is told as the least it would have been on a warm one.
         let Some(entry) = self.pods.get(&ended.outcome.pod) else { return };
-        let strength = figures.strength(entry.started, ended.sent);
+        // A cold pod's time is its start's and its queue's, not its build's: it tells nothing of speed.
+        let warm = figures.strength(entry.started, ended.sent) >= 1.0;
         let target = figures.line(ended.group).target.as_secs_f64();
-        let took = ended.outcome.took.as_secs_f64() / target * strength;
+        let took = ended.outcome.took.as_secs_f64() / target;
         // The machines on trial may be of a slower kind.
         let calm = self.news.is_none_or(|n| n.phase != Phase::OnTrial);
         let earlier = self.news.is_some_and(|n| ended.build < n.build);
         let mean = self.kinds.entry(entry.kind).or_default();
-        if fate == Fate::Delivered && (calm || (earlier && mean.of < 50)) {
+        if fate == Fate::Delivered && warm && (calm || (earlier && mean.of < 50)) {
             mean.add(took, 50);
         }
-        let known = fate == Fate::Delivered && mean.of >= least_sample(figures);
+        let known = fate == Fate::Delivered && warm && mean.of >= least_sample(figures);
         let time = known.then(|| took / mean.value.max(0.001));
         let Some(sample) = self.sample(ended.build) else { return };
         // A reset is the mark of a dying pod, not of a build.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -258,6 +258,18 @@
     assert_eq!(judge.verdict(at(30.0), &figures), want);
 }
 
+/// What a cold pod takes is the time of its start and its queue: it counts as an outcome, not as a time.
+#[rstest]
+#[case::cold(Some(at(0.5)), 0)]
+#[case::warm(None, 1)]
+fn a_cold_pods_time_tells_nothing_of_its_build(#[case] started: Option<Duration>, #[case] times: usize) {
+    let mut judge = judge(&[], (0, 0, 0.1));
+    judge.kinds.insert(KindId(0), Mean { value: 0.1, of: 50 });
+    judge.pods.insert(PodId(0), PodEntry { started, ..pod(0, 1) });
+    judge.count(&ended(Fate::Delivered), &round(1.0).figures);
+    assert_eq!((judge.old.all().seen, judge.old.times().len()), (1, times));
+}
+
 #[rstest]
 #[case::short(2.0, true, Verdict::Hold)]
 #[case::held_long_enough(30.0, true, Verdict::Withhold)]
@@ -297,6 +309,17 @@
     assert!(pod.health.shut_until > round.now && pod.health.pace.of == 0);
 }
 
+/// A reset may be the fault of one connection; a pod that can't be reached is shut at once.
+#[rstest]
+#[case::one_reset(Fate::Broken, 1, false)]
+#[case::three_resets(Fate::Broken, 3, true)]
+#[case::unreached(Fate::Unreached, 1, true)]
+fn signs_against_a_pod_shut_it(#[case] fate: Fate, #[case] times: usize, #[case] shut: bool) {
+    let (mut pod, round) = (Pod::new(pod(0, 1)), round(1.0));
+    (0..times).for_each(|_| pod.learn(&ended(fate), &round));
+    assert_eq!(!pod.health.shut_until.is_zero(), shut);
+}
+
 #[rstest]
 #[case::still_silent(None, true)]
 #[case::answered(Some(Fate::Delivered), false)]
