--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -341,7 +341,8 @@
                 self.carry(job.hit, job.no, job.broken + 1);
             }
             Some(job) if job.checking => self.end_forward(job.hit, job.no, Fate::Unreached),
-            Some(job) => self.end_forward(job.hit, job.no, Fate::Errored),
+            // As one that broke off: bytes that went astray speak against no build.
+            Some(job) => self.end_forward(job.hit, job.no, Fate::Broken),
             None => {}
         }
     }
--- a/crates/platform/tests/sockets/services.rs
+++ b/crates/platform/tests/sockets/services.rs
@@ -73,6 +73,29 @@
     assert_eq!(rollouts.vote(Duration::from_millis(2200)).is_some(), again);
 }
 
+/// Errors speak against the build on trial; answers that come spoilt, as any pod's may, do not.
+#[rstest]
+#[case::errors(Does::Errs("XX000"), true)]
+#[case::spoilt(Does::Says(vec![0, 1, 2]), false)]
+fn spoilt_answers_speak_against_no_build(#[case] bad: Does, #[case] back: bool) {
+    let rollouts = Rollouts::new(&news(2, 0), vec![Vote::Says(200, state(2, 0, "Progressing", 0.5))]);
+    let good = Pod::new(vec![Does::Serves("red")]);
+    let half = [Does::Serves("red"), bad];
+    let trial = Pod::new(half.iter().cycle().take(400).cloned().collect());
+    let on_trial = Listed { build: 2, ..Listed::new("p2", trial.at) };
+    let mut config = Config::new(vec![Listed::new("p1", good.at), on_trial]);
+    config.rollouts = Some(rollouts.at);
+    let at = sidecar(&config);
+    rollouts.vote(SOON).expect("a vote to hold");
+    let mut client = Client::new(at);
+    for _ in 0..150 {
+        client.asks(&ask("look", 2000));
+        client.hears();
+    }
+    let votes = std::iter::from_fn(|| rollouts.vote(Duration::from_millis(1500)));
+    assert_eq!(votes.take(5).any(|vote| vote.contains("abort")), back);
+}
+
 fn news(build: u16, stage: u8) -> String {
     format!(r#"{{"type":"news","object":{}}}"#, state(build, stage, "Progressing", 0.5))
 }
