A vote's call is one type for both hosts

It is limewing_net::call::Call now. Left alike: the loop's dispatch by kind of peer, whose kinds differ, and a three-line accessor of a client.

--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -22,9 +22,10 @@
 use limewing_hosting::kept::{Kept, Lapses};
 use limewing_hosting::open::OpenHits;
 use limewing_hosting::room::Room;
+use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::Wheel;
-use rollouts::{NewsLink, VoteLink};
+use rollouts::NewsLink;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::io;
 use std::net::SocketAddr;
@@ -57,7 +58,7 @@
     Pod(Box<PodLink>),
     Watch(Box<WatchLink>),
     News(Box<NewsLink>),
-    Vote(Box<VoteLink>),
+    Vote(Box<Call>),
 }
 
 /// What is due at a time.
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -4,9 +4,9 @@
 use super::{Due, Peer, Service};
 use crate::lines::Lines;
 use crate::news::{self, State, Told};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use limewing::interface::{BuildId, Event, GroupId, StageNo, Verdict, VoteAnswer};
-use limewing_net::message::Responses;
+use limewing_net::call::{Call, Heard};
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
 use std::time::Duration;
@@ -21,12 +21,6 @@
     quiet: TimerKey,
 }
 
-pub struct VoteLink {
-    answers: Responses,
-    request: BytesMut,
-    timer: TimerKey,
-}
-
 impl Service {
     /// How the newest build stands, told by the stream, or by the answer to a vote.
     pub(super) fn stands(&mut self, state: State, answer: Option<VoteAnswer>) {
@@ -123,27 +117,24 @@
         let body = news::vote(verdict, build, stage);
         let request = self.request("POST", "/v1/votes", at.to_string(), &body);
         let timer = self.wheel.arm(self.now + self.terms.vote_answer_within, Due::VoteLate(link));
-        let answers = Responses::new(MOST_ANSWER);
-        self.peers.insert(link, Peer::Vote(Box::new(VoteLink { answers, request, timer })));
+        self.peers.insert(link, Peer::Vote(Box::new(Call::new(request, MOST_ANSWER, timer))));
     }
 
     pub(super) fn vote_connected(&mut self, link: SocketId) {
-        let Some(Peer::Vote(of)) = self.peers.get_mut(&link) else { return };
-        let request = std::mem::take(&mut of.request);
-        self.sockets.send(link, &request);
+        if let Some(Peer::Vote(call)) = self.peers.get_mut(&link) {
+            call.connected(link, &mut self.sockets);
+        }
     }
 
     pub(super) fn vote_wrote(&mut self, link: SocketId) {
-        let ended = self.sockets.ended(link);
-        let Some(Peer::Vote(of)) = self.peers.get_mut(&link) else { return };
-        let Some(input) = self.sockets.input(link) else { return };
-        match of.answers.take(input, ended) {
-            Ok(Some((head, body))) => {
-                let (answer, state) = news::vote_answer(head.status, &body);
-                self.vote_over(link, answer, state);
+        let Some(Peer::Vote(call)) = self.peers.get_mut(&link) else { return };
+        match call.hear(link, &mut self.sockets) {
+            Heard::NotYet => {}
+            Heard::Whole(head, body) => {
+                let (answer, told) = news::vote_answer(head.status, &body);
+                self.vote_over(link, answer, told);
             }
-            Ok(None) if !ended => self.sockets.read_on(link),
-            _ => self.vote_over(link, VoteAnswer::Unanswered, None),
+            Heard::Lost => self.vote_over(link, VoteAnswer::Unanswered, None),
         }
     }
 
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use limewing::interface::{BuildId, Event, ListNews, StageNews, StageNo, Verdict, VoteAnswer};
 use limewing_net::body::{BodyReader, Framing};
+use limewing_net::call::{Call, Heard};
 use limewing_net::http::{self, HeadLimits};
 use limewing_net::message::Responses;
 use limewing_net::sockets::SocketId;
@@ -33,12 +34,6 @@
     quiet: TimerKey,
 }
 
-pub struct VoteLink {
-    answers: Responses,
-    request: BytesMut,
-    timer: TimerKey,
-}
-
 fn not_old(latest: &mut Latest, message: StageMessage) -> Option<StageNews> {
     let news = latest.take(message);
     if news.is_none() {
@@ -255,27 +250,24 @@
         let mut request = self.request_head("POST", "/v1/votes", host, Framing::Length(body.len() as u64));
         request.extend_from_slice(&body);
         let timer = self.wheel.arm(self.now + self.terms.vote_answer_within, Due::VoteLate(link));
-        let answers = Responses::new(MOST_VOTE);
-        self.peers.insert(link, Peer::Vote(Box::new(VoteLink { answers, request, timer })));
+        self.peers.insert(link, Peer::Vote(Box::new(Call::new(request, MOST_VOTE, timer))));
     }
 
     pub(super) fn vote_connected(&mut self, link: SocketId) {
-        let Some(Peer::Vote(of)) = self.peers.get_mut(&link) else { return };
-        let request = std::mem::take(&mut of.request);
-        self.sockets.send(link, &request);
+        if let Some(Peer::Vote(call)) = self.peers.get_mut(&link) {
+            call.connected(link, &mut self.sockets);
+        }
     }
 
     pub(super) fn vote_wrote(&mut self, link: SocketId) {
-        let ended = self.sockets.ended(link);
-        let Some(Peer::Vote(of)) = self.peers.get_mut(&link) else { return };
-        let Some(input) = self.sockets.input(link) else { return };
-        match of.answers.take(input, ended) {
-            Ok(Some((head, body))) => {
-                let (answer, news) = vote_answer(head.status, &body);
-                self.vote_over(link, answer, news);
+        let Some(Peer::Vote(call)) = self.peers.get_mut(&link) else { return };
+        match call.hear(link, &mut self.sockets) {
+            Heard::NotYet => {}
+            Heard::Whole(head, body) => {
+                let (answer, told) = vote_answer(head.status, &body);
+                self.vote_over(link, answer, told);
             }
-            Ok(None) if !ended => self.sockets.read_on(link),
-            _ => self.vote_over(link, VoteAnswer::Unanswered, None),
+            Heard::Lost => self.vote_over(link, VoteAnswer::Unanswered, None),
         }
     }
 
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -12,7 +12,7 @@
 use crate::pods::{PodBook, Row};
 use crate::routes::Routes;
 use crate::stages::Latest;
-use asks::{ListLink, NewsLink, VoteLink};
+use asks::{ListLink, NewsLink};
 use back::PodLink;
 use front::{Client, Reports, Request, MOST_UNSENT};
 use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, StartTerms, VoteAnswer};
@@ -22,6 +22,7 @@
 use limewing_hosting::kept::Kept;
 use limewing_hosting::open::OpenHits;
 use limewing_hosting::room::Room;
+use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::{TimerKey, Wheel};
 use limewing_settings::{Misfit, SidecarSettings};
@@ -63,7 +64,7 @@
     Pod(Box<PodLink>),
     List(Box<ListLink>),
     News(Box<NewsLink>),
-    Vote(Box<VoteLink>),
+    Vote(Box<Call>),
 }
 
 /// What is due at a time.
