Votes are called in turns where the allowance can't carry one of each sidecar

Cause: vote_allowance 16 a second, vote_ttl_s 4, votes_to_revert 76. Judge::take asks again 0.3 s after a refusal (not_before) and Judge::vote renews after 0.6 of a life: 600 to 800 calls a second, so the bucket never fills and 16 x 4 = 64 votes stand at most (counted from the logs). Before that all sidecars call for a hold that 31 give. Ruled out: the answers of the platform (97% are its refusals, none was lost), the evidence itself (the sidecars do want it back), late news.

Change: cycles counted from the stage's news and its age, which all hear alike: holds by a third more than it takes, rest until a moment's allowance has filled up, then one call of each that wants to, in a window as short as the votes needed take.

The test of 300 judges before a platform with that allowance fails without turns.

--- a/crates/platform/src/news.rs
+++ b/crates/platform/src/news.rs
@@ -2,6 +2,7 @@
 
 use limewing::interface::{BuildId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 enum Standing {
@@ -19,6 +20,8 @@
     wave: u8,
     state: Standing,
     max_share: f64,
+    #[serde(default)]
+    age_ms: f64,
 }
 
 impl State {
@@ -33,6 +36,7 @@
                 Standing::Aborted => Phase::Withdrawn,
             },
             cap: if self.max_share.is_finite() { self.max_share.clamp(0.0, 1.0) } else { 0.0 },
+            age: Duration::from_millis(self.age_ms.clamp(0.0, 1e9) as u64),
         }
     }
 
--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -206,13 +206,17 @@
                 vote_life: ms(4000),
                 vote_answer_within: ms(1000),
                 back_votes: 1,
+                hold_votes: 1,
+                on_votes: 1,
+                vote_allowance: None,
             },
         };
         let (work, cores) = (0.05, 2);
         let pods = chance.random_range(6..=10usize);
         let rate = pods as f64 * cores as f64 / work * chance.random_range(0.25..0.8);
         let (now, build) = (START, BuildId(1));
-        let news = StageNews { build, stage: StageNo(2), phase: Phase::Released, cap: 1.0 };
+        let age = Duration::ZERO;
+        let news = StageNews { build, stage: StageNo(2), phase: Phase::Released, cap: 1.0, age };
         let mut world = Self {
             chance,
             now,
@@ -937,7 +941,7 @@
                 let of = of.map(|pod| pod.entry.build.0).min().unwrap_or(1);
                 self.bring_in(of, next.0, shares[0]);
                 let (stage, phase, cap) = (StageNo(0), Phase::OnTrial, caps[0]);
-                self.change(StageNews { build: next, stage, phase, cap });
+                self.change(StageNews { build: next, stage, phase, cap, ..self.news });
             }
             Phase::OnTrial if stage + 1 < shares.len() => {
                 let before = self.pods.iter().filter(|pod| pod.runs && pod.entry.build < build);
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -194,6 +194,10 @@
     pub clients: usize,
 }
 
+fn one() -> u32 {
+    1
+}
+
 fn ten() -> Seconds {
     Seconds(10.0)
 }
@@ -246,6 +250,15 @@
     pub vote_life: Seconds,
     pub vote_answer_within: Seconds,
     pub back_votes: u32,
+    /// Sidecars that it takes to hold a stage.
+    #[serde(default = "one")]
+    pub hold_votes: u32,
+    /// Sidecars that it takes to move a stage on, where votes do.
+    #[serde(default = "one")]
+    pub on_votes: u32,
+    /// Votes a second that the installer takes from all sidecars together, and twice that at one time; none: all.
+    #[serde(default)]
+    pub vote_allowance: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize, JsonSchema)]
@@ -337,6 +350,8 @@
         need(f64::from(self.releases.cap_window) > 0.0, "/releases/cap_window", "more than 0 seconds");
         need(self.releases.cap_free >= 0.0, "/releases/cap_free", "0 or more");
         need(self.releases.back_votes >= 1, "/releases/back_votes", "1 or more");
+        let allowance = self.releases.vote_allowance.is_none_or(|calls| calls > 0.0);
+        need(allowance, "/releases/vote_allowance", "more than 0 votes a second");
         found.extend(Router::new(&self.path_groups).err());
         found
     }
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -42,6 +42,9 @@
                 vote_life: releases.vote_life.into(),
                 vote_answer_within: releases.vote_answer_within.into(),
                 back_votes: releases.back_votes,
+                hold_votes: releases.hold_votes,
+                on_votes: releases.on_votes,
+                vote_allowance: releases.vote_allowance,
             },
         }
     }
--- a/crates/sidecar/src/stages.rs
+++ b/crates/sidecar/src/stages.rs
@@ -4,6 +4,7 @@
 use bytes::BytesMut;
 use limewing::interface::{BuildId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -24,6 +25,9 @@
     pub phase: PhaseName,
     /// The most of a sidecar's hits that may go to the build, 0 to 1.
     pub cap: f64,
+    /// How long ago it came to stand so.
+    #[serde(default)]
+    pub age_ms: f64,
 }
 
 impl StageMessage {
@@ -38,6 +42,7 @@
                 PhaseName::Withdrawn => Phase::Withdrawn,
             },
             cap: if self.cap.is_finite() { self.cap.clamp(0.0, 1.0) } else { 0.0 },
+            age: Duration::from_millis(self.age_ms.clamp(0.0, 1e9) as u64),
         }
     }
 }
--- a/crates/sidecar/tests/words.rs
+++ b/crates/sidecar/tests/words.rs
@@ -132,7 +132,7 @@
 }
 
 fn message(number: u64, cap: f64) -> StageMessage {
-    StageMessage { number, build: 2, stage: 0, phase: PhaseName::OnTrial, cap }
+    StageMessage { number, build: 2, stage: 0, phase: PhaseName::OnTrial, cap, age_ms: 0.0 }
 }
 
 /// Which of some news, given by number, is let through.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -118,6 +118,9 @@
             vote_life: spans(4.0),
             vote_answer_within: spans(1.0),
             back_votes: 1,
+            hold_votes: 1,
+            on_votes: 1,
+            vote_allowance: None,
         },
     }
 }
@@ -170,7 +173,7 @@
 
     fn news(&self, stage: u8, phase: Phase, cap: f64) -> Event {
         let (build, stage) = (BuildId(self.build), StageNo(stage));
-        Event::Stage { news: Some(StageNews { build, stage, phase, cap }), answer: None }
+        Event::Stage { news: Some(StageNews { build, stage, phase, cap, age: Duration::ZERO }), answer: None }
     }
 
     fn later(&mut self, wait: Duration, what: Due) {
--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -162,7 +162,7 @@
             other => return self.trouble(format!("unknown course {other}")),
         };
         let build = BuildId(self.u16()?);
-        let _age = self.span()?;
+        let age = self.span()?;
         let stage = StageNo(self.u8()?);
         let answer = match self.u16()? {
             0 => VoteAnswer::Counted,
@@ -173,7 +173,7 @@
             other => return self.trouble(format!("unknown vote result {other}")),
         };
         let asked = self.u8()? != 0;
-        let news = (answer == VoteAnswer::Counted).then_some(StageNews { build, stage, phase, cap });
+        let news = (answer == VoteAnswer::Counted).then_some(StageNews { build, stage, phase, cap, age });
         Ok(Event::Stage { news, answer: asked.then_some(answer) })
     }
     fn record(&mut self) -> Got<Record> {
--- a/crates/wire/src/start.rs
+++ b/crates/wire/src/start.rs
@@ -31,6 +31,8 @@
 #[derive(Deserialize)]
 struct Domain {
     api_timeout_s: f64,
+    #[serde(default)]
+    ayes_needed: u32,
     counted_by: String,
     gate_mode: String,
     #[serde(default)]
@@ -41,7 +43,11 @@
     span_s: f64,
     stage_share: Vec<f64>,
     uncounted: f64,
+    #[serde(default)]
+    vote_allowance: Option<f64>,
     vote_ttl_s: f64,
+    #[serde(default)]
+    votes_to_hold: u32,
     #[serde(default = "one_vote")]
     votes_to_revert: u32,
 }
@@ -176,6 +182,9 @@
     if o.domain.most_shares.len() != o.domain.stage_share.len() || o.domain.most_shares.is_empty() {
         return Err("start terms: domain.most_shares and domain.stage_share do not match".into());
     }
+    if o.domain.vote_allowance.is_some_and(|calls| !(calls > 0.0)) {
+        return Err("start terms: domain.vote_allowance is not over 0".into());
+    }
     let control = match o.domain.gate_mode.as_str() {
         "timer" => Control::Clock,
         "any" | "share" => Control::Votes,
@@ -212,6 +221,9 @@
             vote_life: span("domain.vote_ttl_s", o.domain.vote_ttl_s)?,
             vote_answer_within: span("domain.api_timeout_s", o.domain.api_timeout_s)?,
             back_votes: o.domain.votes_to_revert,
+            hold_votes: o.domain.votes_to_hold,
+            on_votes: o.domain.ayes_needed,
+            vote_allowance: o.domain.vote_allowance,
         },
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,7 +8,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{excess, median, rank, unevenness, Fading, Mean, Rate, Window};
+use crate::ledger::{drawn, excess, median, rank, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,6 +35,7 @@
 const FORGET_AFTER: Duration = Duration::from_secs(120); // nobody speaks of a pod that has been gone for this
 const MOST_SEEN: usize = 10_000; // a sample is halved here: what came late must still show, and memory end
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
+const MOMENT: Duration = Duration::from_secs(2); // the allowance of so long is taken at one time
 const SPARE: (f64, f64) = (0.15, 20.0); // further forwards for each hit taken, and the most saved up
 
 /// Watches the list and tells pods, gate and judge what changed.
@@ -185,18 +186,6 @@
     }
 }
 
-/// What is known comes before what is to be decided: a sidecar that stood still finds answers and hits at
-/// once. List and stage news come first of all: a forward that an outcome brings about must not go by a list or
-/// cap that has been replaced. Hurts by nothing: both speak of the same moment.
-pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
-    events.sort_by_key(|event| match event {
-        Event::List(_) | Event::Stage { .. } => 0,
-        Event::Outcome(_) => 1,
-        _ => 2,
-    });
-    events
-}
-
 /// Keeps the five rules: every forward and every final answer passes here.
 #[derive(Default)]
 pub struct Gate {
@@ -575,10 +564,10 @@
     }
 
     fn place(&mut self, hit: HitId, round: &mut Round) {
-        self.look_over();
+        self.overview.look_over(&mut self.cards);
         let (trial, share) = self.trial_share(round);
         if trial != self.overview.trial {
-            self.sort_ranks(trial);
+            self.overview.sort(&self.cards, trial);
         }
         let draw = round.chance();
         let Some(open) = self.hits.get(&hit) else { return };
@@ -640,28 +629,6 @@
         })
     }
 
-    /// Looks all cards over, if one came, went, shut or opened.
-    fn look_over(&mut self) {
-        if self.cards.take_changed() {
-            let builds = self.cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
-            let span = |span: Option<(BuildId, BuildId)>, b: BuildId| {
-                Some(span.map_or((b, b), |(l, h)| (b.min(l), b.max(h))))
-            };
-            self.overview.builds = builds.fold(None, span);
-            self.sort_ranks(self.overview.trial);
-        }
-    }
-
-    fn sort_ranks(&mut self, trial: Option<BuildId>) {
-        self.overview.trial = trial;
-        for (side, ranks) in self.overview.ranks.iter_mut().enumerate() {
-            let here = |c: &&Card| c.usable && usize::from(trial == Some(c.entry.build)) == side;
-            ranks.clear();
-            ranks.extend(self.cards.iter().filter(here).map(Card::ranked));
-            ranks.sort_unstable();
-        }
-    }
-
     /// What a pod can surely do by now, by its size, age and the usual pace of its kind.
     fn strength(&self, card: &Card, round: &Round) -> f64 {
         let pace = self.kinds.get(&card.entry.kind).map_or(1.0, |mean| mean.value);
@@ -771,6 +738,31 @@
     (2.0 * (figures.sidecars / figures.back_votes).ln()).sqrt().max(1.5)
 }
 
+/// When votes are called where the platform can't carry one of each sidecar at a time. Guards against calls
+/// that, made at once and again as soon as refused, spend the allowance so that the votes needed never stand
+/// together. In cycles from the stage's news: first, holds, by a third more than it takes; rest, until a moment's
+/// allowance has filled up; then a call of each that votes back or on, in a window no longer than the votes
+/// needed take. Hurts by the wait for the window.
+struct Turns {
+    holders: f64,
+    lead: Duration,
+    window: Duration,
+}
+
+impl Turns {
+    fn of(figures: &Figures) -> Option<Self> {
+        let (life, calls) = (figures.vote_life.as_secs_f64(), figures.vote_allowance);
+        let (holds, moment) = (figures.hold_votes * 1.3, MOMENT.as_secs_f64());
+        let window = (figures.most_votes * 1.1 / calls - moment).clamp(0.1 * life, 0.9 * life);
+        // Each would vote anew after 0.6 of a vote's life.
+        (figures.sidecars > calls * life * 0.6).then(|| Self {
+            holders: holds / figures.sidecars,
+            lead: Duration::from_secs_f64((holds / calls - moment).max(0.0)),
+            window: Duration::from_secs_f64(window),
+        })
+    }
+}
+
 /// Gathers evidence on the build on trial and votes.
 #[derive(Default)]
 pub struct Judge {
@@ -786,6 +778,9 @@
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
+    began: Duration,                // when the stage began, by the news that all hear
+    kept_until: Duration,           // until when a sign from the stage before is voted on
+    called: Option<(Verdict, u32)>, // the last call made in turn, and in which cycle
 }
 
 impl Judge {
@@ -826,8 +821,13 @@
             if base.all().seen >= least_sample(&round.figures) {
                 self.before = std::mem::take(base);
             }
+            // A verdict whose turn had not come is voted on in the next cycle.
+            let turns = Turns::of(&round.figures).filter(|_| self.bad && !next);
+            self.kept_until = turns.map_or(Duration::ZERO, |t| round.now + MOMENT + t.window);
+            (self.began, self.called) = (round.now, None);
             (self.new, self.old, self.since) = (Sample::default(), Sample::default(), round.now);
         }
+        self.began = self.began.min(round.ago(news.age));
         self.news = Some(news);
     }
 
@@ -881,7 +881,7 @@
             return Verdict::Withhold;
         }
         let short = || self.new.all().seen < least_sample(figures) || !self.settled(now);
-        if self.bad {
+        if self.bad || now < self.kept_until {
             return Verdict::Back;
         }
         match (news.phase, figures.clock) {
@@ -930,6 +930,24 @@
         slow && median(self.new.times_without_slowest()) > Some(SLOW_MARGIN * usual)
     }
 
+    fn has_turn(&mut self, verdict: Verdict, news: StageNews, round: &Round) -> bool {
+        let Some(turns) = Turns::of(&round.figures) else { return true };
+        let told = round.now.saturating_sub(self.began);
+        let (cycle, since) = (MOMENT + turns.window, told.saturating_sub(turns.lead));
+        let nth = (since.as_secs_f64() / cycle.as_secs_f64()) as u32;
+        let draw = drawn(round.figures.own_number.into(), news.turn(nth));
+        let due = match verdict {
+            Verdict::Withhold => false, // it lapses by itself
+            Verdict::Hold => {
+                nth == 0 && draw < turns.holders && told >= turns.lead.mul_f64(draw / turns.holders)
+            }
+            Verdict::On | Verdict::Back => since >= cycle * nth + MOMENT + turns.window.mul_f64(draw),
+        };
+        let due = due && self.called != Some((verdict, nth));
+        self.called = if due { Some((verdict, nth)) } else { self.called };
+        due
+    }
+
     /// Calls only on a changed verdict or a lapsing vote.
     fn vote(&mut self, round: &mut Round) {
         let Some(news) = self.news else { return };
@@ -943,7 +961,7 @@
             Some(v) if v.verdict == Verdict::Withhold => verdict == Verdict::Withhold,
             Some(v) => v.verdict == verdict && now < v.at + life.mul_f64(0.6),
         };
-        if same || self.asked.is_some() || now < self.not_before {
+        if same || self.asked.is_some() || now < self.not_before || !self.has_turn(verdict, news, round) {
             return;
         }
         let (build, stage, new, old) = (news.build, news.stage, &self.new, &self.old);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -1,6 +1,7 @@
 //! Each test builds the state that it needs and calls one function.
 
 use super::*;
+use crate::sidecar::in_order;
 use rstest::rstest;
 
 fn at(seconds: f64) -> Duration {
@@ -46,6 +47,9 @@
             vote_life: at(4.0),
             vote_answer_within: at(1.0),
             back_votes: 1,
+            hold_votes: 1,
+            on_votes: 0,
+            vote_allowance: None,
         },
     }
 }
@@ -63,7 +67,7 @@
 }
 
 fn news(phase: Phase, cap: f64) -> StageNews {
-    StageNews { build: BuildId(2), stage: StageNo(0), phase, cap }
+    StageNews { build: BuildId(2), stage: StageNo(0), phase, cap, age: Duration::ZERO }
 }
 
 /// A gate with pods 0 to 2 on build 1 and pod 3 on build 2, and hit 0 of a path group, due at 9 s.
@@ -449,7 +453,7 @@
 fn the_few_pods_in_use_stay_when_one_is_shut() {
     let mut desk = desk(40);
     let in_use = |desk: &mut Desk| {
-        desk.look_over();
+        desk.overview.look_over(&mut desk.cards);
         let [(last, part), _] = desk.used();
         let cards: Vec<Card> =
             desk.cards.iter().filter(|c| c.usable && c.ranked() >= last).cloned().collect();
@@ -471,7 +475,7 @@
         let card = desk.cards.get(PodId(id)).cloned().unwrap();
         desk.cards.put(Card { usable: false, ..card });
     }
-    desk.look_over();
+    desk.overview.look_over(&mut desk.cards);
     assert_eq!(desk.used().map(|(_, part)| part), [1.0, 1.0]);
 }
 
@@ -598,3 +602,106 @@
     judge.pods.get_mut(&PodId(3)).unwrap().started = Some(at(9.5));
     assert_eq!(judge.is_bad(at(now), &round(now).figures), want);
 }
+
+/// Takes votes as the platform does: so many calls a second, and twice that many at one time.
+struct Votes {
+    left: f64,
+    last: Duration,
+    standing: BTreeMap<usize, Vote>,
+}
+
+impl Votes {
+    fn call(&mut self, from: usize, vote: Vote, allowance: f64) -> VoteAnswer {
+        let filled = (vote.at - self.last).as_secs_f64() * allowance;
+        (self.left, self.last) = ((self.left + filled).min(2.0 * allowance), vote.at);
+        if self.left < 1.0 {
+            return VoteAnswer::Full;
+        }
+        self.left -= 1.0;
+        self.standing.insert(from, vote);
+        VoteAnswer::Counted
+    }
+
+    fn stand(&self, verdict: Verdict, now: Duration, life: Duration) -> usize {
+        self.standing.values().filter(|v| v.verdict == verdict && now < v.at + life).count()
+    }
+}
+
+/// Of 300 sidecars many want a build back, from when they know: the votes it takes stand together within a life and
+/// a half of a vote, or two if they come to know in the middle of a window (the rest of it, the rest after it and
+/// the time that the allowance takes), also while a part of the fleet is dead or late.
+#[rstest]
+#[case::all_from_the_start(300, 0.0, 1.0, 0.0, 1.5)]
+#[case::all_at_a_windows_end(300, 5.6, 1.0, 0.0, 1.5)]
+#[case::hardly_enough(84, 0.0, 1.0, 0.0, 1.5)]
+#[case::hardly_enough_later(84, 7.3, 1.0, 0.0, 1.5)]
+#[case::a_third_is_dead(300, 3.0, 0.67, 0.0, 2.0)]
+#[case::a_third_heard_late(300, 4.5, 1.0, 1.5, 2.0)]
+fn the_votes_needed_stand_together(
+    #[case] wanting: usize,
+    #[case] from: f64,
+    #[case] alive: f64,
+    #[case] late: f64,
+    #[case] lives: f64,
+) {
+    let (sidecars, allowance, life) = (300, 16.0, at(4.0));
+    let figures = |own_number| Figures {
+        sidecars: sidecars as f64,
+        own_number,
+        back_votes: 76.0,
+        most_votes: 76.0,
+        hold_votes: 31.0,
+        vote_allowance: allowance,
+        ..round(0.0).figures
+    };
+    let start = |own: usize| {
+        let mut judge = Judge::default();
+        let heard = if own % 3 == 0 { late } else { 0.0 };
+        let mut round = Round { figures: figures(own as u32), ..round(heard) };
+        judge.enter(StageNews { age: at(heard), ..news(Phase::OnTrial, 0.2) }, &round);
+        round.now = Duration::ZERO;
+        (judge, round)
+    };
+    let mut fleet: Vec<(Judge, Round)> = (0..sidecars).map(start).collect();
+    let mut votes = Votes { left: 2.0 * allowance, last: Duration::ZERO, standing: BTreeMap::new() };
+    let mut under_way: Vec<(Duration, usize, VoteAnswer)> = Vec::new();
+    for step in 0..800u32 {
+        let now = BEAT * step;
+        let due = under_way.extract_if(.., |(when, ..)| *when <= now).collect::<Vec<_>>();
+        for (_, from, answer) in due {
+            let (judge, round) = &mut fleet[from];
+            round.now = now;
+            judge.take(Note::VoteAnswered(answer), round);
+        }
+        for (own, (judge, round)) in fleet.iter_mut().enumerate() {
+            // Whose number is dead or wants says nothing of its turn.
+            let place = own * 7 % sidecars;
+            if place as f64 >= alive * sidecars as f64 {
+                continue;
+            }
+            round.now = now;
+            judge.bad = place < wanting && now >= at(from);
+            judge.vote(round);
+            for action in std::mem::take(&mut round.out) {
+                let Action::Vote { verdict, build, stage } = action else { continue };
+                let answer = votes.call(own, Vote { verdict, build, stage, at: now }, allowance);
+                under_way.push((now + BEAT * 2, own, answer));
+            }
+        }
+        if votes.stand(Verdict::Back, now, life) >= 76 {
+            assert!(now <= at(from) + life.mul_f64(lives) + BEAT * 2, "only after {:?}", now - at(from));
+            return;
+        }
+    }
+    panic!("they never stood together");
+}
+
+/// Where every vote can be carried, a sidecar waits for no turn.
+#[test]
+fn with_an_ample_allowance_votes_are_called_at_once() {
+    let (mut judge, mut round) = (judge(&[], (0, 200, 0.1)), round(0.0));
+    round.figures = Figures { vote_allowance: 25.0, ..round.figures };
+    judge.bad = true;
+    judge.vote(&mut round);
+    assert!(round.out.iter().any(|a| matches!(a, Action::Vote { verdict: Verdict::Back, .. })));
+}
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -44,8 +44,12 @@
     pub keys_stay: bool,
     pub vote_life: Duration,
     pub vote_answer_within: Duration,
-    /// Sidecars that it takes to send a build back.
+    /// Sidecars that it takes to send a build back, to hold a stage, and for any other verdict at the most.
     pub back_votes: f64,
+    pub hold_votes: f64,
+    pub most_votes: f64,
+    /// Calls a second that the platform takes from all sidecars together.
+    pub vote_allowance: f64,
 }
 
 impl Figures {
@@ -88,6 +92,9 @@
             vote_life: release.vote_life,
             vote_answer_within: release.vote_answer_within,
             back_votes: f64::from(release.back_votes.clamp(1, terms.sidecars.max(1))),
+            hold_votes: f64::from(release.hold_votes.clamp(1, terms.sidecars.max(1))),
+            most_votes: f64::from(release.back_votes.max(release.on_votes).clamp(1, terms.sidecars.max(1))),
+            vote_allowance: release.vote_allowance.unwrap_or(f64::INFINITY),
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -69,8 +69,12 @@
     pub keys_stay: bool,
     pub vote_life: Duration,
     pub vote_answer_within: Duration,
-    /// How many sidecars it takes to send a build back.
+    /// How many sidecars it takes to send a build back, to hold a stage, and to move it on.
     pub back_votes: u32,
+    pub hold_votes: u32,
+    pub on_votes: u32,
+    /// Calls a second that are taken from all sidecars together; of twice that many at one time. None: all are.
+    pub vote_allowance: Option<f64>,
 }
 
 #[derive(Clone, Debug)]
@@ -185,6 +189,15 @@
     pub stage: StageNo,
     pub phase: Phase,
     pub cap: f64,
+    /// How long ago, by whoever tells it, it came to stand so.
+    pub age: Duration,
+}
+
+impl StageNews {
+    /// A number of its own for each time that something of this stage comes round.
+    pub fn turn(&self, nth: u32) -> u64 {
+        u64::from(self.build.0) << 48 | u64::from(self.stage.0) << 40 | u64::from(nth)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -62,6 +62,22 @@
     }
 }
 
+/// How likely so many or more of all are, if each is with that chance.
+pub fn tail(many: usize, all: usize, chance: f64) -> f64 {
+    let mut exactly = (1.0 - chance).powi(all as i32);
+    let mut fewer = 0.0;
+    for n in 0..many.min(all + 1) {
+        fewer += exactly;
+        exactly *= (all - n) as f64 / (n + 1) as f64 * chance / (1.0 - chance).max(1e-9);
+    }
+    (1.0 - fewer).max(0.0)
+}
+
+/// A share from 0 to 1 that looks like chance but is always the same for the same two numbers.
+pub fn drawn(own: u64, number: u64) -> f64 {
+    (rank(own, number) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// A number that looks like chance but is always the same for the same one (splitmix64).
 pub fn mixed(number: u64) -> u64 {
     let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -276,6 +276,30 @@
     pub ranks: [Vec<(u64, PodId)>; 2],
 }
 
+impl Overview {
+    /// Looks all cards over, if one came, went, shut or opened.
+    pub fn look_over(&mut self, cards: &mut Cards) {
+        if cards.take_changed() {
+            let builds = cards.iter().filter(|c| c.ready).map(|c| c.entry.build);
+            let span = |span: Option<(BuildId, BuildId)>, b: BuildId| {
+                Some(span.map_or((b, b), |(l, h)| (b.min(l), b.max(h))))
+            };
+            self.builds = builds.fold(None, span);
+            self.sort(cards, self.trial);
+        }
+    }
+
+    pub fn sort(&mut self, cards: &Cards, trial: Option<BuildId>) {
+        self.trial = trial;
+        for (side, ranks) in self.ranks.iter_mut().enumerate() {
+            let here = |c: &&Card| c.usable && usize::from(trial == Some(c.entry.build)) == side;
+            ranks.clear();
+            ranks.extend(cards.iter().filter(here).map(Card::ranked));
+            ranks.sort_unstable();
+        }
+    }
+}
+
 /// The gate's account of one hit.
 pub struct Account {
     pub group: GroupId,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,11 +1,23 @@
 //! One sidecar: its parts, and the loop that empties their inboxes. The parts decide, in `choice`.
 
-use crate::choice::{in_order, Desk, Gate, Judge, Lister, Pod, BEAT};
+use crate::choice::{Desk, Gate, Judge, Lister, Pod, BEAT};
 use crate::interface::*;
 use crate::notes::{Note, Round, To};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// What is known comes before what is to be decided: a sidecar that stood still finds answers and hits at
+/// once. List and stage news come first of all: a forward that an outcome brings about must not go by a list or
+/// cap that has been replaced. Hurts by nothing: both speak of the same moment.
+pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
+    events.sort_by_key(|event| match event {
+        Event::List(_) | Event::Stage { .. } => 0,
+        Event::Outcome(_) => 1,
+        _ => 2,
+    });
+    events
+}
+
 pub struct Sidecar {
     round: Round,
     pods: BTreeMap<PodId, Pod>,
