Two errors speak where dozens must agree; a window of votes outlasts a stage's end

Cause: worse() asks for three errors and a normal margin that is far too wide for five outcomes; Judge::enter began a new cycle of votes with each stage and phase, in the middle of a window; holds called on late news came into the first window and spent 32 of its calls.

Change: where two dozen votes or more are needed two errors do if the binomial tail says that a sound build shows them to fewer than half as many sidecars; the least sample's floor is 3; a window under way goes on over a stage's end; a hold that comes late is left out.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,7 +8,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{drawn, excess, median, rank, unevenness, Fading, Mean, Rate, Window};
+use crate::ledger::{drawn, excess, median, part, rank, tail, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +25,7 @@
 /// The design's margins for a vote back: error points over the earlier build, and times its median latency.
 const ERROR_MARGIN: f64 = 0.05;
 const SLOW_MARGIN: f64 = 1.5;
+const DOZENS: f64 = 24.0; // votes needed from which on each may be light
 const COLD_LOAD: f64 = 1.4; // a cold pod's load against that of warm ones of its present strength, at most
 const RATE_OVER: Duration = Duration::from_secs(2); // rates are smoothed over this
 const MOST_SHED: f64 = 0.9; // turned away by chance at most, so that what goes on tells when it ends
@@ -372,7 +373,6 @@
             return;
         }
         sent.fate = Some(outcome.fate);
-        // The time that this sidecar itself stood still is no sign of the pod's.
         outcome.took = outcome.took.saturating_sub(round.late);
         let (pod, build, at) = (sent.pod, sent.build, sent.at);
         let was_open = !account.over;
@@ -443,17 +443,12 @@
 
 /// The cap and stage of a build on trial; none for builds that are not. One without news of it counts as in
 /// the first stage, unless nothing older runs.
-fn cap(
-    build: BuildId,
-    lowest: Option<BuildId>,
-    news: Option<StageNews>,
-    figures: &Figures,
-) -> Option<(f64, u8)> {
+fn cap(build: BuildId, lowest: Option<BuildId>, news: Option<StageNews>, by: &Figures) -> Option<(f64, u8)> {
     match news {
         None if lowest.is_none_or(|l| build <= l) => None,
         Some(n) if build < n.build || (build == n.build && n.phase == Phase::Released) => None,
         Some(n) if build == n.build => Some((n.cap, n.stage.0)),
-        _ => Some((figures.caps[0], 0)),
+        _ => Some((by.caps[0], 0)),
     }
 }
 
@@ -720,16 +715,20 @@
     }
 }
 
-/// Whether `new` is worse than `old` by more than `margin` and `sigmas` of chance; both (bad, seen).
-fn worse(new: (usize, usize), old: (usize, usize), margin: f64, sigmas: f64) -> bool {
+/// Whether `new` is worse than `old` by more than `margin` and chance; both (bad, seen).
+fn worse(new: (usize, usize), old: (usize, usize), margin: f64, figures: &Figures) -> bool {
     let (more, noise) = excess(new, old);
-    new.0 >= 3 && more > margin + sigmas * noise
+    let usual = (old.0 as f64 + 0.5) / (old.1 as f64 + 1.0) + margin;
+    // Where dozens must agree, two do if a sound build shows them to fewer than half as many as it takes.
+    let rare = figures.back_votes / figures.sidecars * 0.5;
+    (new.0 >= 3 && more > margin + sigmas(figures) * noise)
+        || (new.0 >= 2 && figures.back_votes >= DOZENS && tail(new.0, new.1, usual) < rare)
 }
 
 /// The design's least sample is for a vote that decides alone. Where many must agree each may be lighter,
 /// though not in proportion: what they see is alike.
 fn least_sample(figures: &Figures) -> usize {
-    ((LEAST_SAMPLE as f64 / figures.back_votes.sqrt()).ceil() as usize).max(4)
+    ((LEAST_SAMPLE as f64 / figures.back_votes.sqrt()).ceil() as usize).max(3)
 }
 
 /// How far a sign must stand out of chance: of many sidecars that look at one sound build, the noise of as
@@ -740,8 +739,8 @@
 
 /// When votes are called where the platform can't carry one of each sidecar at a time. Guards against calls
 /// that, made at once and again as soon as refused, spend the allowance so that the votes needed never stand
-/// together. In cycles from the stage's news: first, holds, by a third more than it takes; rest, until a moment's
-/// allowance has filled up; then a call of each that votes back or on, in a window no longer than the votes
+/// together. In cycles from the stage's news: first, holds, by a third more than it takes; rest, until a
+/// moment's allowance has filled up; then a call of each that votes back or on, in a window no longer than the votes
 /// needed take. Hurts by the wait for the window.
 struct Turns {
     holders: f64,
@@ -761,6 +760,10 @@
             window: Duration::from_secs_f64(window),
         })
     }
+
+    fn cycle(&self) -> Duration {
+        MOMENT + self.window
+    }
 }
 
 /// Gathers evidence on the build on trial and votes.
@@ -778,7 +781,7 @@
     standing: Option<Vote>,
     asked: Option<Vote>,
     not_before: Duration,
-    began: Duration,                // when the stage began, by the news that all hear
+    began: Duration,                // when cycles of votes began, by the news that all hear
     kept_until: Duration,           // until when a sign from the stage before is voted on
     called: Option<(Verdict, u32)>, // the last call made in turn, and in which cycle
 }
@@ -821,10 +824,14 @@
             if base.all().seen >= least_sample(&round.figures) {
                 self.before = std::mem::take(base);
             }
-            // A verdict whose turn had not come is voted on in the next cycle.
-            let turns = Turns::of(&round.figures).filter(|_| self.bad && !next);
-            self.kept_until = turns.map_or(Duration::ZERO, |t| round.now + MOMENT + t.window);
-            (self.began, self.called) = (round.now, None);
+            // A verdict whose turn had not come is voted on in the next cycle; a window goes on to its end.
+            let turns = Turns::of(&round.figures).filter(|_| !next);
+            let cycle = turns.as_ref().map_or(Duration::ZERO, Turns::cycle);
+            self.kept_until = round.now + cycle * u32::from(self.bad);
+            let told = round.ago(news.age).saturating_sub(self.began);
+            if turns.is_none_or(|t| part(told.saturating_sub(t.lead), cycle).1 < MOMENT) {
+                (self.began, self.called) = (round.now, None);
+            }
             (self.new, self.old, self.since) = (Sample::default(), Sample::default(), round.now);
         }
         self.began = self.began.min(round.ago(news.age));
@@ -849,7 +856,6 @@
         let warm = figures.strength(entry.started, ended.sent) >= 1.0;
         let target = figures.line(ended.group).target.as_secs_f64();
         let took = ended.outcome.took.as_secs_f64() / target;
-        // The machines on trial may be of a slower kind.
         let calm = self.news.is_none_or(|n| n.phase != Phase::OnTrial);
         let earlier = self.news.is_some_and(|n| ended.build < n.build);
         let mean = self.kinds.entry(entry.kind).or_default();
@@ -859,7 +865,6 @@
         let known = fate == Fate::Delivered && warm && mean.of >= least_sample(figures);
         let time = known.then(|| took / mean.value.max(0.001));
         let Some(sample) = self.sample(ended.build) else { return };
-        // A reset is the mark of a dying pod, not of a build.
         sample.count(ended.group, ended.outcome.pod, fate, time);
         (sample.all().seen >= MOST_SEEN).then(|| sample.halve());
     }
@@ -895,13 +900,12 @@
         let (least, sigmas) = (least_sample(figures), sigmas(figures));
         let beside = self.old.all().seen >= least;
         let old = if beside { &self.old } else { &self.before };
-        // With no earlier build beside it, nothing tells a build's time-outs from any trouble that came
-        // since.
+        // With no earlier build beside it, nothing tells time-outs from those of trouble that came since.
         let bad = |c: &Count| (if beside { c.bad } else { c.bad - c.timed_out }, c.seen);
         let pairs = self.new.groups.iter().map(|(g, c)| (*c, old.groups.get(g).copied().unwrap_or_default()));
         let pairs: Vec<(Count, Count)> = pairs.chain([(self.new.all(), old.all())]).collect();
-        let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, sigmas));
-        let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, sigmas));
+        let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, figures));
+        let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, figures));
         let faulty = (errs && self.is_even(|p| p.bad)) || (wrong && self.is_even(|p| p.flagged));
         self.new.all().seen >= least && (faulty || (self.settled(now) && self.is_slow(least, sigmas)))
     }
@@ -916,8 +920,7 @@
     }
 
     /// Slower by more than chance explains, also without its slowest pod, beside an earlier build that bears
-    /// the same load now and well: under overload, or in a cold fleet of the last stage, all times are
-    /// queues.
+    /// the same load now and well: under overload, or in a last stage's cold fleet, all times are queues.
     fn is_slow(&self, least: usize, sigmas: f64) -> bool {
         let (new, old) = (self.new.times(), self.old.times());
         if new.len().min(old.len()) < least {
@@ -933,19 +936,16 @@
     fn has_turn(&mut self, verdict: Verdict, news: StageNews, round: &Round) -> bool {
         let Some(turns) = Turns::of(&round.figures) else { return true };
         let told = round.now.saturating_sub(self.began);
-        let (cycle, since) = (MOMENT + turns.window, told.saturating_sub(turns.lead));
-        let nth = (since.as_secs_f64() / cycle.as_secs_f64()) as u32;
+        let (nth, since) = part(told.saturating_sub(turns.lead), turns.cycle());
         let draw = drawn(round.figures.own_number.into(), news.turn(nth));
         let due = match verdict {
             Verdict::Withhold => false, // it lapses by itself
-            Verdict::Hold => {
-                nth == 0 && draw < turns.holders && told >= turns.lead.mul_f64(draw / turns.holders)
-            }
-            Verdict::On | Verdict::Back => since >= cycle * nth + MOMENT + turns.window.mul_f64(draw),
+            // One that comes late would spend what the first window needs.
+            Verdict::Hold if draw >= turns.holders || told > turns.lead + MOMENT / 2 => false,
+            Verdict::Hold => told >= turns.lead.mul_f64(draw / turns.holders),
+            Verdict::On | Verdict::Back => since >= MOMENT + turns.window.mul_f64(draw),
         };
-        let due = due && self.called != Some((verdict, nth));
-        self.called = if due { Some((verdict, nth)) } else { self.called };
-        due
+        due && self.called.replace((verdict, nth)) != Some((verdict, nth))
     }
 
     /// Calls only on a changed verdict or a lapsing vote.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -603,6 +603,25 @@
     assert_eq!(judge.is_bad(at(now), &round(now).figures), want);
 }
 
+/// Where dozens must agree, two errors among a light sidecar's few outcomes speak against a build; where one
+/// decides alone, or where the earlier build errs as well, they do not.
+#[rstest]
+#[case::many_agree(300.0, 76.0, (2, 6), (0, 40), true)]
+#[case::one_error(300.0, 76.0, (1, 6), (0, 40), false)]
+#[case::of_many_outcomes(300.0, 76.0, (2, 30), (0, 200), false)]
+#[case::the_earlier_errs_too(300.0, 76.0, (2, 6), (8, 40), false)]
+#[case::decides_alone(300.0, 1.0, (2, 6), (0, 40), false)]
+fn few_signs_do_where_many_agree(
+    #[case] sidecars: f64,
+    #[case] back_votes: f64,
+    #[case] new: (usize, usize),
+    #[case] old: (usize, usize),
+    #[case] want: bool,
+) {
+    let figures = Figures { sidecars, back_votes, ..round(0.0).figures };
+    assert_eq!(worse(new, old, ERROR_MARGIN, &figures), want);
+}
+
 /// Takes votes as the platform does: so many calls a second, and twice that many at one time.
 struct Votes {
     left: f64,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -78,6 +78,12 @@
     (rank(own, number) >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// How many whole spans have passed, and how much of the next.
+pub fn part(passed: Duration, span: Duration) -> (u32, Duration) {
+    let whole = (passed.as_nanos() / span.as_nanos().max(1)) as u32;
+    (whole, passed.saturating_sub(span * whole))
+}
+
 /// A number that looks like chance but is always the same for the same one (splitmix64).
 pub fn mixed(number: u64) -> u64 {
     let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
