Several platform processes with faults between them, held to the five rules by the account

Need: the platform's way in was tested on threads of one process, and no record of its protocol was checked.

SIGTERM with hits waiting, forwarded and answered half; a watch gone silent; SIGHUP before the new discovery stands; SIGKILL and a start from an old list. What the drivers decided (when a client is turned away, whose connection goes first, what an ended connection proves) stands in crates/platform/src/bounds.rs, without I/O, tested. Numbers of pods that left are given back after 300 s.

--- a/crates/cli/tests/command/help.rs
+++ b/crates/cli/tests/command/help.rs
@@ -1,5 +1,7 @@
 //! Sidecars as processes of their own, with what the system grants them.
 
+use limewing_standins::platform::Config;
+use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -78,6 +80,58 @@
     }
 }
 
+/// A process of `limewing platform`, ended with its test.
+pub struct Platform {
+    child: Child,
+    pub at: SocketAddr,
+    folder: tempfile::TempDir,
+}
+
+impl Platform {
+    /// Starts one and waits until it listens; its log is read on, so that it is never held up by it.
+    pub fn start(config: &Config) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("config.json");
+        std::fs::write(&file, config.json()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_limewing"));
+        command.arg("platform").arg(&file).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        let at = loop {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "it does not listen");
+            let told = line.split_once("\"address\":\"").and_then(|(_, rest)| rest.split('"').next());
+            if let Some(at) = told.filter(|_| line.contains("\"listening\"")) {
+                break at.parse().unwrap();
+            }
+        };
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Self { child, at, folder }
+    }
+
+    /// Replaces its configuration.
+    pub fn write(&self, config: &Config) {
+        std::fs::write(self.folder.path().join("config.json"), config.json()).unwrap();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Waits until it has ended; whether it did so by itself and well.
+    pub fn ends(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 pub fn status(of: &str) -> String {
     let mut client = TcpStream::connect(of).unwrap();
     client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -2,4 +2,5 @@
 
 mod days;
 mod help;
+mod platform;
 mod wants;
--- /dev/null
+++ b/crates/cli/tests/command/platform.rs
@@ -0,0 +1,262 @@
+//! Several processes of `limewing platform`, with faults between them and their pods, clients and services.
+
+use crate::help::Platform;
+use limewing_account::record::{Entry, Line, OrderId, PodNo, SidecarNo, Try};
+use limewing_account::rules::{check, Rule};
+use limewing_standins::platform::{
+    listing, Answer, Client, Config, Discovery, Does, Faults, Listed, Pod, World,
+};
+use rstest::rstest;
+use rustix::process::Signal;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, SystemTime};
+
+fn ask(group: &str, id: u32) -> String {
+    format!("SELECT blob FROM rows WHERE handle = '7f3a' /* id={id:x},c={group},t=acme,d=2000,k=ab{id:x} */")
+}
+
+fn with_pod(does: Vec<Does>) -> (Pod, Platform, Client) {
+    let pod = Pod::new(does);
+    let config = Config { patience: 2.0, ..Config::new(vec![Listed::new("p1", pod.at)]) };
+    let sidecar = Platform::start(&config);
+    let client = Client::new(sidecar.at);
+    (pod, sidecar, client)
+}
+
+/// Asks on new connections until the answer is that one.
+fn asks_until(at: SocketAddr, wanted: &str) {
+    for id in 0.. {
+        let Some(mut client) = Client::try_new(at, Duration::from_secs(5)) else { continue };
+        client.asks(&ask("look", 0x1000 + id));
+        if client.hears() == Answer::Row(wanted.into()) {
+            return;
+        }
+    }
+}
+
+/// A sidecar that is told to leave settles what it holds in whatever state, and ends by itself.
+#[rstest]
+#[case::forwarded(Does::ServesLater("red"))]
+#[case::answered_half(Does::Halves("red"))]
+fn a_leaving_sidecar_settles_what_is_out(#[case] does: Does) {
+    let half = matches!(does, Does::Halves(_));
+    let (pod, mut sidecar, mut client) = with_pod(vec![does]);
+    client.asks(&ask("pay", 1));
+    assert!(pod.hears().starts_with("SELECT"));
+    if half {
+        assert_eq!(pod.hears(), "half");
+    }
+    sidecar.signal(Signal::TERM);
+    pod.go_on.send(()).unwrap();
+    let answer = client.hears();
+    // Half an answer that stands still for long is given up; but an answer there is.
+    assert!(answer == Answer::Row("red".into()) || half && answer != Answer::End, "{answer:?}");
+    assert!(sidecar.ends());
+}
+
+#[test]
+fn a_leaving_sidecar_settles_what_waits() {
+    let config = Config { patience: 1.0, ..Config::new(Vec::new()) };
+    let mut sidecar = Platform::start(&config);
+    let mut client = Client::new(sidecar.at);
+    client.asks(&ask("pay", 1));
+    sidecar.signal(Signal::TERM);
+    assert!(matches!(client.hears(), Answer::Error(code, _) if code == "53300"));
+    assert!(sidecar.ends());
+}
+
+/// A watch that says nothing more is taken up again, from what is known; a watch that goes on is not asked for anew.
+#[test]
+fn a_watch_gone_silent_is_taken_up_again() {
+    let (old, new) = (Pod::new(vec![Does::Serves("old")]), Pod::new(vec![Does::Serves("new")]));
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let mut config = Config::new(vec![Listed::new("p1", old.at)]);
+    config.discovery = discovery.at;
+    let sidecar = Platform::start(&config);
+    assert!(discovery.is_asked().contains("since=7 "));
+    assert!(discovery.is_asked().contains("since=8 "));
+    asks_until(sidecar.at, "old");
+    let gone = Listed { health: "terminated", ..Listed::new("p1", old.at) };
+    discovery.says(&listing(9, false, &[gone, Listed::new("p2", new.at)]));
+    asks_until(sidecar.at, "new");
+}
+
+/// The services of a new configuration may come up later than it.
+#[test]
+fn services_that_are_not_there_yet_are_found() {
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let first = Discovery::new(listing(8, false, &[]));
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.discovery = first.at;
+    let sidecar = Platform::start(&config);
+    first.is_asked();
+    let later = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    config.discovery = later;
+    sidecar.write(&config);
+    sidecar.signal(Signal::HUP);
+    asks_until(sidecar.at, "red");
+    let second = Discovery::at(later, listing(9, false, &[]));
+    assert!(second.is_asked().contains("since=8 "));
+    asks_until(sidecar.at, "red");
+}
+
+/// Killed outright and started under the same name, it goes by its old list at first; a pod that came back meanwhile
+/// with another build is served from as soon as the list says so.
+#[test]
+fn a_killed_sidecar_starts_from_an_old_list() {
+    let (old, new) = (Pod::new(vec![Does::Serves("old")]), Pod::new(vec![Does::Serves("new")]));
+    let mut config = Config::new(vec![Listed::new("p1", old.at)]);
+    let mut sidecar = Platform::start(&config);
+    asks_until(sidecar.at, "old");
+    sidecar.signal(Signal::KILL);
+    assert!(!sidecar.ends());
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64;
+    let again = Listed { build: 2, born_ms: now, ..Listed::new("p1", new.at) };
+    let discovery = Discovery::new(listing(9, true, &[again]));
+    (config.discovery, config.listen) = (discovery.at, sidecar.at);
+    let sidecar = Platform::start(&config);
+    assert!(discovery.is_asked().contains("since=7 "));
+    asks_until(sidecar.at, "new");
+}
+
+const READY: &str = "in_service";
+const DRAINS: &str = "terminating";
+
+/// A day of four sidecars: pods that fail in every way, a sidecar killed, one told to leave, one stopped; a build on
+/// trial on cold pods, a drain, the build taken back. Plays it and gives the record.
+fn rough_day() -> Vec<Line> {
+    const ALL: usize = 4;
+    let mut world = World::new(ALL, World::terms(vec![0.5]), 7);
+    let mut list: Vec<(usize, &'static str, u64)> = Vec::new();
+    list.extend((0..4).map(|_| (world.pod(1, false, Faults::default()), READY, 0)));
+    let config = |world: &World, own: usize, listen| Config {
+        discovery: world.discovery[own].at,
+        rollouts: Some(world.rollouts[own].at),
+        known: (0..4).map(|pod| world.listed(own, pod, READY, 0)).collect(),
+        patience: 1.0,
+        sidecars: (ALL as u32, own as u32),
+        listen,
+        ..Config::new(Vec::new())
+    };
+    let sidecar = |own: usize| SidecarNo(own as u32);
+    let start = |world: &World, own: usize, listen: SocketAddr| {
+        world.note(Entry::SidecarUp { sidecar: sidecar(own) });
+        world.knows(own, &[(0, READY, 0), (1, READY, 0), (2, READY, 0), (3, READY, 0)]);
+        world.knows_news(own, 1, 0, "Healthy", 1.0);
+        Platform::start(&config(world, own, listen))
+    };
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut all: Vec<Platform> = (0..ALL).map(|own| start(&world, own, free)).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = (0..3 * ALL).map(|n| {
+        let own = n % ALL;
+        world.client((own, all[own].at), n as u64 + 1, Duration::from_secs(1), stop.clone())
+    });
+    let clients: Vec<_> = clients.collect();
+    let pause = |ms| sleep(Duration::from_millis(ms));
+    pause(300);
+    let rough = Faults { errs: 0.05, turns_away: 0.1, closes: 0.05, spoilt: 0.05, silent: 0.02 };
+    (0..4).for_each(|pod| world.fail(pod, rough));
+    pause(500);
+
+    world.note(Entry::SidecarDown { sidecar: sidecar(0) });
+    all[0].signal(Signal::KILL);
+    all[0].ends();
+    // Its clients notice before another process stands at its address.
+    pause(300);
+    all[0] = start(&world, 0, all[0].at);
+
+    world.note(Entry::SidecarLeaves { sidecar: sidecar(1) });
+    all[1].signal(Signal::TERM);
+    assert!(all[1].ends());
+    pause(300);
+    world.note(Entry::SidecarDown { sidecar: sidecar(1) });
+    all[1] = start(&world, 1, all[1].at);
+
+    world.note(Entry::SidecarStopped { sidecar: sidecar(2) });
+    all[2].signal(Signal::STOP);
+    pause(400);
+    all[2].signal(Signal::CONT);
+    world.note(Entry::SidecarGoesOn { sidecar: sidecar(2) });
+    pause(300);
+
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64;
+    list.extend((0..2).map(|_| (world.pod(2, true, Faults::default()), READY, now)));
+    world.tell_news(2, 0, "Progressing", 0.5);
+    (0..ALL).for_each(|own| world.tell_list(own, &list));
+    pause(1200);
+    list[0].1 = DRAINS;
+    (0..ALL).for_each(|own| world.tell_list(own, &list));
+    pause(1200);
+    world.tell_news(2, 0, "Aborting", 0.0);
+    pause(800);
+    stop.store(true, Ordering::SeqCst);
+    let delivered: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert!(delivered > 300, "only {delivered} hits were delivered");
+    world.lines()
+}
+
+fn broken(lines: &[Line]) -> Vec<Rule> {
+    let account = check(lines).unwrap();
+    let of = account.findings.iter().filter(|finding| !finding.breaches.is_empty());
+    of.map(|finding| finding.rule).collect()
+}
+
+/// Puts something in right behind the first line that fits.
+fn plant(
+    lines: &[Line],
+    after: impl Fn(&Line) -> bool,
+    later: f64,
+    what: impl Fn(&Line) -> Vec<Entry>,
+) -> Vec<Line> {
+    let mut lines = lines.to_vec();
+    let first = lines.iter().find(|line| after(line)).expect("such a line").clone();
+    let at = first.at + Duration::from_secs_f64(later);
+    let place = lines.partition_point(|line| line.at <= at);
+    lines.splice(place..place, what(&first).into_iter().map(|entry| Line { at, entry }));
+    lines
+}
+
+#[test]
+fn a_rough_day_of_several_processes_keeps_the_five_rules() {
+    let lines = rough_day();
+    let account = check(&lines).unwrap();
+    assert!(account.kept(), "{:#?}", account.findings);
+    for (rule, finding) in Rule::ALL.iter().zip(&account.findings) {
+        assert!(finding.counted > 0, "nothing was held to rule {rule}");
+    }
+
+    let nobody = |n: usize| Try(OrderId(u64::MAX - n as u64), 0);
+    let work = Duration::from_millis(10);
+    let sent = move |pod: u32, n: usize| {
+        let (pod, sidecar) = (PodNo(pod), SidecarNo(3));
+        Entry::Arrived { pod, sidecar, of: nobody(n), group: 0, work }
+    };
+    let answered = |line: &Line| matches!(line.entry, Entry::Answered { .. });
+    let twice = plant(&lines, answered, 0.0, |line| vec![line.entry.clone()]);
+    assert_eq!(broken(&twice), [Rule::OneAnswer]);
+
+    let pay = |line: &Line| matches!(line.entry, Entry::Arrived { group: 2, pod: PodNo(1), .. });
+    let again = |line: &Line| match &line.entry {
+        Entry::Arrived { sidecar, of, group, work, .. } => {
+            vec![Entry::Arrived { pod: PodNo(2), sidecar: *sidecar, of: *of, group: *group, work: *work }]
+        }
+        _ => unreachable!(),
+    };
+    assert_eq!(broken(&plant(&lines, pay, 0.0, again)), [Rule::NoEffectTwice]);
+
+    let drained = |line: &Line| matches!(&line.entry, Entry::ListTold { sidecar: SidecarNo(3), draining, .. } if !draining.is_empty());
+    assert_eq!(broken(&plant(&lines, drained, 1.0, |_| vec![sent(0, 0)])), [Rule::Drains]);
+
+    let cold = |line: &Line| matches!(line.entry, Entry::PodUp { pod: PodNo(4), .. });
+    // Before the news the sidecar's exposure counts as in the first stage: many sidecars share the sends.
+    let crowd = |_: &Line| (0..900).map(|n| sent(4, n)).collect();
+    assert!(broken(&plant(&lines, cold, 0.05, crowd)).contains(&Rule::Cold));
+
+    let trial = |line: &Line| matches!(line.entry, Entry::StageTold { sidecar: SidecarNo(3), build: 2, cap, .. } if cap > 0.0);
+    let over = |_: &Line| (0..200).map(|n| sent(5, n)).collect();
+    assert!(broken(&plant(&lines, trial, 1.1, over)).contains(&Rule::Exposure));
+}
--- /dev/null
+++ b/crates/platform/src/bounds.rs
@@ -0,0 +1,153 @@
+//! What this host decides beside the module, with no I/O and no clock: how long a party is waited for and how much of
+//! it is borne, whose connection goes first, and what a connection that ends proves.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+/// A connection whose client says nothing whole for so long is closed.
+pub const SPEAKS_WITHIN: Duration = Duration::from_millis(1500);
+/// A connection without a hit may be closed once it has been idle for so long.
+const IDLE_ENOUGH: Duration = Duration::from_secs(2);
+/// One that has just come is not yet taken for idle.
+const JUST_CAME: Duration = Duration::from_millis(200);
+pub const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Statements that may wait behind the one that is served: more are no client's that means well.
+pub const MOST_WAITING: usize = 8;
+/// Before a hit's time is up its final answer must be on its way.
+pub const MARGIN: Duration = Duration::from_millis(30);
+/// A client that can't be understood hears so after this time, and is read no further meanwhile. Guards against
+/// one that says the same again as soon as it is turned away. Hurts a client with a fault by that wait.
+pub const TURNED_AWAY_AFTER: Duration = Duration::from_millis(1000);
+/// How long a pod may take to say that the next forward may come, once it has answered.
+pub const READY_WITHIN: Duration = Duration::from_millis(200);
+/// An answer that has begun is whole within this time: a pod writes it in one go. Guards against lengths that
+/// don't fit, for which nothing more ever comes. Hurts where a pod stands still in the middle of an answer.
+pub const WHOLE_WITHIN: Duration = Duration::from_millis(150);
+/// How long the last byte is held back once the empty query is answered: a reset that the first bytes brought
+/// about comes right behind that answer. Hurts each forward by that time.
+pub const HELD_BACK: Duration = Duration::from_millis(2);
+/// Connections that may break under a forward before it is written; then the pod counts as not reached. Guards
+/// against kept connections that a pod, or what stands between, has forgotten. Hurts by the time that they take.
+const MOST_BROKEN: u8 = 3;
+/// The part of the time told after which idle connections to pods are closed from here: the pod's own close must not
+/// cross a forward.
+const KEPT_PART: f64 = 0.7;
+
+/// What becomes of a forward whose connection ended or said what can't be an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Another connection to the same pod carries it: it was not written.
+    Again,
+    /// It was not written, and the pod counts as not reached.
+    Unreached,
+    /// It may have run.
+    Broken,
+}
+
+/// A connection ended under a forward, before (`unwritten`) or after its last byte was with the system; so many had
+/// before it.
+pub fn after_end(unwritten: bool, why: ErrorKind, broken: u8) -> Next {
+    // Who refuses or is silent will do so again; what broke may have been the connection alone.
+    let stays = matches!(why, ErrorKind::ConnectionRefused | ErrorKind::TimedOut);
+    match unwritten {
+        true if stays || broken >= MOST_BROKEN => Next::Unreached,
+        true => Next::Again,
+        false => Next::Broken,
+    }
+}
+
+/// A pod said what can't be an answer, while its connection came up, while the last byte was held back (`unwritten`), or
+/// after it.
+pub fn after_noise(opening: bool, unwritten: bool, broken: u8) -> Next {
+    match unwritten {
+        // What comes before the empty query's answer is left from the hit before: the connection's fault.
+        true if !opening && broken < MOST_BROKEN => Next::Again,
+        true => Next::Unreached,
+        // As one that broke off: bytes that went astray speak against no build.
+        false => Next::Broken,
+    }
+}
+
+/// How long a connection to a pod is kept idle, of the time after which the pod closes it.
+pub fn kept(told: Duration) -> Duration {
+    told.mul_f64(KEPT_PART)
+}
+
+/// A client's connection that has no hit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Idle {
+    /// It has had an answer to a statement of the form that is served.
+    pub served: bool,
+    pub since: Duration,
+}
+
+/// Whether it may be closed now that more than half of the clients' room is taken: some keep theirs for good.
+pub fn overstays(idle: &Idle, clients: usize, room: usize, now: Duration) -> bool {
+    clients > room / 2 && idle.served && now >= idle.since + IDLE_ENOUGH
+}
+
+/// Clients wait to be let in: an eighth of those that ask nothing goes, first those that never did, then the oldest.
+pub fn make_room<T: Ord>(idle: Vec<(Idle, T)>, now: Duration) -> Vec<T> {
+    let mut idle: Vec<(Idle, T)> = idle.into_iter().filter(|(i, _)| now >= i.since + JUST_CAME).collect();
+    idle.sort_unstable();
+    let some = idle.len().div_ceil(8);
+    idle.into_iter().take(some).map(|(_, id)| id).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::refused(true, ErrorKind::ConnectionRefused, 0, Next::Unreached)]
+    #[case::silent(true, ErrorKind::TimedOut, 0, Next::Unreached)]
+    #[case::reset_early(true, ErrorKind::ConnectionReset, 0, Next::Again)]
+    #[case::reset_early_too_often(true, ErrorKind::ConnectionReset, 3, Next::Unreached)]
+    #[case::reset_late(false, ErrorKind::ConnectionReset, 0, Next::Broken)]
+    #[case::refused_late(false, ErrorKind::ConnectionRefused, 0, Next::Broken)]
+    fn what_an_end_proves(
+        #[case] unwritten: bool,
+        #[case] why: ErrorKind,
+        #[case] broken: u8,
+        #[case] want: Next,
+    ) {
+        assert_eq!(after_end(unwritten, why, broken), want);
+    }
+
+    #[rstest]
+    #[case::left_from_before(false, true, 0, Next::Again)]
+    #[case::too_often(false, true, 3, Next::Unreached)]
+    #[case::no_welcome(true, true, 0, Next::Unreached)]
+    #[case::instead_of_an_answer(false, false, 0, Next::Broken)]
+    fn what_noise_proves(
+        #[case] opening: bool,
+        #[case] unwritten: bool,
+        #[case] broken: u8,
+        #[case] want: Next,
+    ) {
+        assert_eq!(after_noise(opening, unwritten, broken), want);
+    }
+
+    #[test]
+    fn those_that_never_asked_make_room_first() {
+        let now = Duration::from_secs(10);
+        let idle = |served, ms| Idle { served, since: now - Duration::from_millis(ms) };
+        let all = [(true, 9000), (false, 300), (false, 100), (true, 400), (false, 2000)];
+        let all: Vec<(Idle, usize)> = all.into_iter().map(|(s, ms)| idle(s, ms)).zip(0..).collect();
+        // Of nine that may go two do; one that has just come may not.
+        assert_eq!(make_room(all.clone(), now), [4]);
+        let more = all.iter().chain(&all).chain(&all).copied().collect();
+        assert_eq!(make_room(more, now), [4, 4]);
+    }
+
+    #[rstest]
+    #[case::room_is_left(40, true, 9, false)]
+    #[case::idle_long(60, true, 9, true)]
+    #[case::idle_a_moment(60, true, 1, false)]
+    #[case::never_asked(60, false, 9, false)]
+    fn who_overstays(#[case] clients: usize, #[case] served: bool, #[case] s: u64, #[case] want: bool) {
+        let idle = Idle { served, since: Duration::from_secs(100 - s) };
+        assert_eq!(overstays(&idle, clients, 100, Duration::from_secs(100)), want);
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,9 +2,10 @@
 //! Sockets become events of the decision module, its actions become bytes on sockets.
 //!
 //! `config` and `statement` turn the platform's words into the module's; `lines` reads streams of JSON lines;
-//! `service` drives sockets, with `front` (clients), `back` (pods), `discovery` and `rollouts`. Nothing is
-//! decided here. `docs/platform.md` has the pages.
+//! `bounds` holds what this host decides beside the module; `service` drives sockets, with `front` (clients), `back`
+//! (pods), `discovery` and `rollouts`. `docs/platform.md` has the pages.
 
+pub mod bounds;
 pub mod config;
 pub mod lines;
 pub mod listing;
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -4,7 +4,7 @@
 use limewing_hosting::clock;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
@@ -47,6 +47,8 @@
     1.0
 }
 
+/// Longer than the module speaks of a pod that is gone.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(300);
 /// Entries of one object, at most.
 pub const MOST_ENTRIES: usize = 10_000;
 
@@ -65,6 +67,8 @@
     rows: BTreeMap<String, Row>,
     names: FxHashMap<PodId, String>,
     numbers: BTreeMap<String, PodId>,
+    /// Who left, and when, in order.
+    left: VecDeque<(Duration, String)>,
     next: u64,
     pub seq: u64,
 }
@@ -80,7 +84,7 @@
     pub fn new(zones: &[String], kinds: &[String]) -> Self {
         let (zones, kinds) = (zones.to_vec(), kinds.to_vec());
         let (rows, names, numbers) = (BTreeMap::new(), FxHashMap::default(), BTreeMap::new());
-        Self { zones, kinds, rows, names, numbers, next: 1, seq: 0 }
+        Self { zones, kinds, rows, names, numbers, left: VecDeque::new(), next: 1, seq: 0 }
     }
 
     /// The list as it was held last, before the start.
@@ -108,7 +112,7 @@
             let listed: Vec<&str> = told.hosts.iter().map(|entry| entry.host.as_str()).collect();
             let gone = self.rows.keys().filter(|host| !listed.contains(&host.as_str()));
             for host in gone.cloned().collect::<Vec<_>>() {
-                rows.extend(self.remove(&host, &mut moved));
+                rows.extend(self.remove(&host, now, &mut moved));
             }
         }
         for entry in told.hosts {
@@ -117,22 +121,35 @@
                 continue;
             }
             if entry.health == Health::Terminated {
-                rows.extend(self.remove(&entry.host, &mut moved));
+                rows.extend(self.remove(&entry.host, now, &mut moved));
                 continue;
             }
             moved.extend(old.filter(|old| old.entry.dial != entry.dial).map(|old| old.pod));
             rows.push(self.put(entry, now, today));
         }
+        self.forget(now);
         self.seq = told.seq;
         Ok(Change { news: ListNews::Change(rows), moved })
     }
 
-    fn remove(&mut self, host: &str, moved: &mut Vec<PodId>) -> Option<PodEntry> {
+    fn remove(&mut self, host: &str, now: Duration, moved: &mut Vec<PodId>) -> Option<PodEntry> {
         let row = self.rows.remove(host)?;
+        self.left.push_back((now, host.to_owned()));
         moved.push(row.pod);
         Some(PodEntry { state: PodState::Gone, ..self.entry(&row) })
     }
 
+    /// Gives back the numbers of pods that left long ago: a name that returns later is a new pod's.
+    fn forget(&mut self, now: Duration) {
+        let old = |left: &mut (Duration, String)| now >= left.0 + FORGOTTEN_AFTER;
+        while let Some((_, host)) = self.left.pop_front_if(old) {
+            let again = self.rows.contains_key(&host) || self.left.iter().any(|(_, left)| *left == host);
+            if !again {
+                self.numbers.remove(&host).map(|pod| self.names.remove(&pod));
+            }
+        }
+    }
+
     fn put(&mut self, entry: Entry, now: Duration, today: SystemTime) -> PodEntry {
         let pod = self.pod(&entry.host);
         let told = |row: &&Row| row.entry.born_ms == entry.born_ms;
--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -6,6 +6,7 @@
 //! or that breaks under the first bytes, then proves that nothing ran, and another one carries the forward.
 
 use super::{Due, Peer, Service};
+use crate::bounds::{self, Next, HELD_BACK, READY_WITHIN, WHOLE_WITHIN};
 use bytes::{Bytes, BytesMut};
 use limewing::interface::{Event, Fate, ForwardNo, HitId, KeyId, PodId};
 use limewing_hosting::kept::Link;
@@ -19,19 +20,8 @@
 /// A row that a pod may send, and any other message of its.
 const LONGEST_ROW: usize = 64 * 1024 + 64;
 const LONGEST_OTHER: usize = 8 * 1024;
-/// How long a pod may take to say that the next forward may come, once it has answered.
-const READY_WITHIN: Duration = Duration::from_millis(200);
-/// An answer that has begun is whole within this time: a pod writes it in one go. Guards against lengths that
-/// don't fit, for which nothing more ever comes. Hurts where a pod stands still in the middle of an answer.
-const WHOLE_WITHIN: Duration = Duration::from_millis(150);
 /// The last byte of every statement's message.
 const LAST: &[u8] = &[0];
-/// How long the last byte is held back once the empty query is answered: a reset that the first bytes brought
-/// about comes right behind that answer. Hurts each forward by that time.
-const HELD_BACK: Duration = Duration::from_millis(2);
-/// Connections that may break under a forward before it is written; then the pod counts as not reached. Guards
-/// against kept connections that a pod, or what stands between, has forgotten. Hurts by the time that they take.
-const MOST_BROKEN: u8 = 3;
 /// With this code a pod tells that it has not begun a hit.
 const TURNED_AWAY: &str = "53300";
 
@@ -213,12 +203,16 @@
         if let Some(idle) = of.idle.filter(|_| job.described.is_none()) {
             self.lapses.note(idle, false, self.now);
         }
-        // Who refuses or is silent will do so again; what broke may have been the connection alone.
-        let ends = matches!(why, ErrorKind::ConnectionRefused | ErrorKind::TimedOut);
-        match of.state == State::Opening || written < job.until {
-            true if ends || job.broken >= MOST_BROKEN => self.end_forward(job.hit, job.no, Fate::Unreached),
-            true => self.carry(job.hit, job.no, job.broken + 1),
-            false => self.end_forward(job.hit, job.no, Fate::Broken),
+        let unwritten = of.state == State::Opening || written < job.until;
+        self.goes_on(job, |broken| bounds::after_end(unwritten, why, broken));
+    }
+
+    /// What becomes of a forward whose connection is gone.
+    fn goes_on(&mut self, job: Job, next: impl FnOnce(u8) -> Next) {
+        match next(job.broken) {
+            Next::Again => self.carry(job.hit, job.no, job.broken + 1),
+            Next::Unreached => self.end_forward(job.hit, job.no, Fate::Unreached),
+            Next::Broken => self.end_forward(job.hit, job.no, Fate::Broken),
         }
     }
 
@@ -274,7 +268,7 @@
             return self.close_link(link);
         }
         if free {
-            let most = self.lapses.keeps(self.terms.idle_close.mul_f64(0.7));
+            let most = self.lapses.keeps(bounds::kept(self.terms.idle_close));
             let timer = self.wheel.arm(self.now + most, Due::Idle(link));
             self.kept.put(pod, Link { id: link, timer, since: self.now });
         } else {
@@ -335,16 +329,9 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let (job, opening) = (of.job.take(), of.state == State::Opening);
         self.close_link(link);
-        match job {
-            // What comes before the empty query's answer is left from the hit before: the connection's fault.
-            Some(job) if job.checking && !opening && job.broken < MOST_BROKEN => {
-                self.carry(job.hit, job.no, job.broken + 1);
-            }
-            Some(job) if job.checking => self.end_forward(job.hit, job.no, Fate::Unreached),
-            // As one that broke off: bytes that went astray speak against no build.
-            Some(job) => self.end_forward(job.hit, job.no, Fate::Broken),
-            None => {}
-        }
+        let Some(job) = job else { return };
+        let unwritten = job.checking;
+        self.goes_on(job, |broken| bounds::after_noise(opening, unwritten, broken));
     }
 
     /// Tells the module how a forward ended; each ends once.
--- a/crates/platform/src/service/front.rs
+++ b/crates/platform/src/service/front.rs
@@ -1,6 +1,7 @@
 //! The clients' side: statements become hits, and each hit gets one final answer.
 
 use super::{Due, Peer, Service, MOST_UNSENT};
+use crate::bounds::{self, Idle, MARGIN, MOST_WAITING, SPEAKS_WITHIN, SWEEP_EVERY, TURNED_AWAY_AFTER};
 use crate::statement;
 use bytes::BytesMut;
 use limewing::interface::{Event, Hit, HitId};
@@ -9,21 +10,8 @@
 use limewing_pg::{read, waiting, write, Frames};
 use std::time::Duration;
 
-/// A connection whose client says nothing whole for so long is closed.
-const SPEAKS_WITHIN: Duration = Duration::from_millis(1500);
-/// A connection without a hit may be closed once it has been idle for so long.
-const IDLE_ENOUGH: Duration = Duration::from_secs(2);
-pub const SWEEP_EVERY: Duration = Duration::from_millis(500);
-/// Statements that may wait behind the one that is served.
-const MOST_WAITING: usize = 8;
-/// Before a hit's time is up its final answer must be on its way.
-const MARGIN: Duration = Duration::from_millis(30);
 /// Messages of a client that are no statement are no longer than this.
 const LONGEST_OTHER: usize = 4 * 1024;
-/// A client that can't be understood hears so after this time, and is read no further meanwhile. Guards against
-/// one that says the same again as soon as it is turned away. Hurts a client with a fault by that wait.
-const TURNED_AWAY_AFTER: Duration = Duration::from_millis(1000);
-
 const REFUSED: &str = "53300";
 const LATE: &str = "57014";
 const FAILED: &str = "58000";
@@ -263,31 +251,25 @@
     /// Where many connections stand, those that have long been idle are closed: some clients keep theirs for good.
     pub(super) fn sweep(&mut self) {
         self.wheel.arm(self.now + SWEEP_EVERY, Due::Sweep);
-        if self.clients > self.room.accepted / 2 {
-            let before = self.now.saturating_sub(IDLE_ENOUGH);
-            let idle = self.idle_clients(|client| client.since <= before && client.served);
-            idle.into_iter().for_each(|(_, id)| self.drop_client(id));
-        }
+        let (now, clients, room) = (self.now, self.clients, self.room.accepted);
+        let idle = self.idle_clients().into_iter();
+        let over: Vec<_> = idle.filter(|(idle, _)| bounds::overstays(idle, clients, room, now)).collect();
+        over.into_iter().for_each(|(_, id)| self.drop_client(id));
     }
 
-    fn idle_clients(&self, is: impl Fn(&Client) -> bool) -> Vec<((bool, Duration), SocketId)> {
+    fn idle_clients(&self) -> Vec<(Idle, SocketId)> {
         let idle = self.peers.iter().filter_map(|(id, peer)| match peer {
-            Peer::Client(client) if client.hit.is_none() && is(client) => {
-                Some(((client.served, client.since), *id))
+            Peer::Client(client) if client.hit.is_none() => {
+                Some((Idle { served: client.served, since: client.since }, *id))
             }
             _ => None,
         });
-        let mut idle: Vec<_> = idle.collect();
-        idle.sort_unstable();
-        idle
+        idle.collect()
     }
 
-    /// Clients wait to be let in: an eighth of those that ask nothing goes, first those that never did.
     pub(super) fn make_room_for_clients(&mut self) {
-        let fresh = self.now.saturating_sub(Duration::from_millis(200));
-        let idle = self.idle_clients(|client| client.since <= fresh);
-        let some = idle.len().div_ceil(8);
-        idle.into_iter().take(some).for_each(|(_, id)| match self.client(id).map(|c| c.away.is_some()) {
+        let go = bounds::make_room(self.idle_clients(), self.now);
+        go.into_iter().for_each(|id| match self.client(id).map(|c| c.away.is_some()) {
             Some(true) => self.turn_away_now(id),
             _ => self.drop_client(id),
         });
@@ -300,7 +282,8 @@
     pub(super) fn close_door(&mut self) {
         self.closed = true;
         self.sockets.close(self.listener);
-        let idle = self.idle_clients(|_| true);
+        let mut idle = self.idle_clients();
+        idle.sort_unstable();
         idle.into_iter().for_each(|(_, id)| self.drop_client(id));
     }
 
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -8,6 +8,7 @@
 mod front;
 mod rollouts;
 
+use crate::bounds;
 use crate::config::{self, Places, Told, Unusable};
 use crate::listing::List;
 use crate::news::Latest;
@@ -199,7 +200,7 @@
             service.ask_watch();
         }
         service.ask_news();
-        service.wheel.arm(now + front::SWEEP_EVERY, Due::Sweep);
+        service.wheel.arm(now + bounds::SWEEP_EVERY, Due::Sweep);
         Ok(service)
     }
 
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -19,6 +19,24 @@
 
 const INSERT: &str = "INSERT INTO rows (handle, blob) VALUES ('7f3a', '\\x9f03') RETURNING blob /* id=9b1f,c=order,t=other,d=480,k=5c0f */";
 
+/// A pod that left long ago gives its number back; one that returns soon has it still.
+#[rstest]
+#[case::soon(299, true)]
+#[case::late(301, false)]
+fn the_number_of_a_pod_that_left_is_given_back(#[case] later: u64, #[case] same: bool) {
+    let (mut list, today) = (List::new(&[], &[]), SystemTime::now());
+    let dial = SocketAddr::from(([127, 0, 0, 1], 9));
+    let mut told = |seq, pods: &[Listed], s| {
+        let told: Listing = serde_json::from_str(&listing(seq, true, pods)).unwrap();
+        list.take(told, Duration::from_secs(s), today).unwrap();
+        list.number("p1", Duration::from_secs(s))
+    };
+    let first = told(1, &[Listed::new("p1", dial)], 1000).unwrap();
+    assert_eq!(told(2, &[], 1000), None);
+    told(3, &[Listed::new("p2", dial)], 1000 + later);
+    assert_eq!(told(4, &[Listed::new("p1", dial)], 1000 + later).unwrap() == first, same);
+}
+
 #[test]
 fn a_statement_is_read_and_passed_on_with_another_wait() {
     let read: Statement = names().read(INSERT).unwrap();
--- a/crates/standins/src/platform/client.rs
+++ b/crates/standins/src/platform/client.rs
@@ -1,8 +1,9 @@
-use super::Link;
+use super::{Link, PATIENCE};
 use bytes::BytesMut;
 use limewing_pg::{read, write};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 /// What a client is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +19,9 @@
 
 pub struct Client {
     link: Link,
+    /// When it asked last, and how long it waits for the answer.
+    last: Instant,
+    patience: Duration,
 }
 
 impl Client {
@@ -31,9 +35,27 @@
         client
     }
 
+    /// As `new`, where nobody may be there or welcome it; an answer is waited for so long.
+    pub fn try_new(to: SocketAddr, patience: Duration) -> Option<Self> {
+        let link = Link::new(TcpStream::connect(to).ok()?).ok()?;
+        link.stream.set_read_timeout(Some(patience)).ok()?;
+        let mut client = Self { link, last: Instant::now(), patience };
+        let mut out = BytesMut::new();
+        write::startup(&mut out, &[("user", "api"), ("database", "ledger")]);
+        client.sends(&out).then_some(())?;
+        while client.link.hear()?.kind != b'Z' {}
+        Some(client)
+    }
+
+    /// Whether the last answer did not come in the time that it was waited for.
+    pub fn waited_out(&self) -> bool {
+        self.last.elapsed() >= self.patience
+    }
+
     /// A client that has said nothing.
     pub fn silent(to: SocketAddr) -> Self {
-        Self { link: Link::new(TcpStream::connect(to).unwrap()).unwrap() }
+        let link = Link::new(TcpStream::connect(to).unwrap()).unwrap();
+        Self { link, last: Instant::now(), patience: PATIENCE }
     }
 
     /// Whether all of it could be sent.
@@ -41,10 +63,12 @@
         self.link.stream.write_all(bytes).is_ok()
     }
 
-    pub fn asks(&mut self, statement: &str) {
+    /// Whether it could be written.
+    pub fn asks(&mut self, statement: &str) -> bool {
         let mut out = BytesMut::new();
         write::query(&mut out, statement);
-        self.sends(&out);
+        self.last = Instant::now();
+        self.sends(&out)
     }
 
     /// The next answer, and that the next statement may come.
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -4,10 +4,12 @@
 mod client;
 mod pod;
 mod services;
+mod world;
 
 pub use client::{Answer, Client};
 pub use pod::{answer, Does, Pod};
 pub use services::{Discovery, Rollouts, Vote};
+pub use world::{Faults, World};
 
 use bytes::BytesMut;
 use limewing_pg::{Frame, Frames, Refused};
@@ -59,17 +61,19 @@
     pub dial: SocketAddr,
     pub build: u16,
     pub health: &'static str,
+    /// When it started, in Unix time in milliseconds; 0: long ago.
+    pub born_ms: u64,
 }
 
 impl Listed {
     pub fn new(host: &str, dial: SocketAddr) -> Self {
-        Self { host: host.into(), dial, build: 1, health: "in_service" }
+        Self { host: host.into(), dial, build: 1, health: "in_service", born_ms: 0 }
     }
 
     fn json(&self) -> String {
-        let Self { host, dial, build, health } = self;
+        let Self { host, dial, build, health, born_ms } = self;
         format!(
-            r#"{{"host":"{host}","dial":"{dial}","site":"a","class":"m","block":0,"health":"{health}","share":1.0,"born_ms":0,"version_no":{build}}}"#
+            r#"{{"host":"{host}","dial":"{dial}","site":"a","class":"m","block":0,"health":"{health}","share":1.0,"born_ms":{born_ms},"version_no":{build}}}"#
         )
     }
 }
@@ -95,17 +99,23 @@
     /// Client timeout of all path groups, in seconds.
     pub patience: f64,
     pub second_copies: bool,
+    pub listen: SocketAddr,
+    /// How many sidecars there are, and which of them this one is.
+    pub sidecars: (u32, u32),
 }
 
 impl Config {
     /// With no discovery and no rollouts.
     pub fn new(known: Vec<Listed>) -> Self {
         let discovery = SocketAddr::from(([127, 0, 0, 1], 1));
-        Self { discovery, rollouts: None, known, descriptors: 256, patience: 5.0, second_copies: false }
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (rollouts, descriptors, patience, second_copies) = (None, 256, 5.0, false);
+        Self { discovery, rollouts, known, descriptors, patience, second_copies, listen, sidecars: (1, 0) }
     }
 
     pub fn json(&self) -> String {
-        let Self { discovery, descriptors, patience, second_copies, .. } = self;
+        let Self { discovery, descriptors, patience, second_copies, listen, sidecars, .. } = self;
+        let (sidecars, own) = sidecars;
         let known = listing(7, true, &self.known);
         let rollouts = self.rollouts.map_or(String::new(), |at| {
             format!(r#""rollouts":{{"address":"{at}","news":{}}},"#, state(1, 0, "Healthy", 1.0))
@@ -118,9 +128,9 @@
         let groups =
             [group("look", "free"), group("order", "guarded"), group("pay", "single_shot")].join(",");
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n{own}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":64,"sockets":{descriptors}}},{rollouts}"known":{known},
-            "settings":{{"balancers":1,"me":0,"zone":0,"azs":["a"],"shapes":["m"],"layers":["pods"],"membership_mode":"subscribe",
+            "settings":{{"balancers":{sidecars},"me":{own},"zone":0,"azs":["a"],"shapes":["m"],"layers":["pods"],"membership_mode":"subscribe",
               "profiles":[{groups}],"realms":[{{"name":"acme"}}],
               "rules":{{"cold_from":0.5,"cold_s":1,"fall_multiple":2,"fall_s":1,"stop_sending_within_s":0.5}},
               "limits":{{"cancel":true,"max_attempts":4,"max_retry_after_s":0.5,"retry_after":true,"second_copies":{second_copies},
--- a/crates/standins/src/platform/pod.rs
+++ b/crates/standins/src/platform/pod.rs
@@ -17,6 +17,10 @@
     ServesTwice(&'static str),
     /// Answers, but says that the next may come only after a word of the test.
     ServesSlowly(&'static str),
+    /// Answers after a word of the test.
+    ServesLater(&'static str),
+    /// Answers half, and the rest after a word of the test.
+    Halves(&'static str),
     /// Answers with this code.
     Errs(&'static str),
     /// Sends these bytes and keeps the connection.
@@ -83,13 +87,7 @@
     script: &Mutex<Vec<Does>>,
     word: &Mutex<Receiver<()>>,
 ) -> Option<()> {
-    let mut link = Link::new(stream).ok()?;
-    while read::startup(&mut link.input).ok()?.is_none() {
-        link.fill()?;
-    }
-    let mut out = BytesMut::new();
-    write::welcome(&mut out, &[("server_version", "16.0")]);
-    link.stream.write_all(&out).ok()?;
+    let mut link = welcome(stream)?;
     loop {
         let frame = link.hear()?;
         let text = read::text(&frame.body)?.to_owned();
@@ -137,6 +135,18 @@
                 let _ = word.lock().unwrap().recv_timeout(Duration::from_secs(20));
                 write::ready(&mut out);
             }
+            Does::ServesLater(value) => {
+                let _ = word.lock().unwrap().recv_timeout(Duration::from_secs(20));
+                write_answer(&mut out, value);
+            }
+            Does::Halves(value) => {
+                write_answer(&mut out, value);
+                let rest = out.split_off(out.len() / 2);
+                link.stream.write_all(&out).ok()?;
+                let _ = tell.send("half".into());
+                let _ = word.lock().unwrap().recv_timeout(Duration::from_secs(20));
+                out = rest;
+            }
             Does::Errs(code) => {
                 write::error(&mut out, "ERROR", code, "as told", None);
                 write::ready(&mut out);
@@ -153,6 +163,41 @@
     }
 }
 
+/// A connection that is welcomed.
+pub(super) fn welcome(stream: TcpStream) -> Option<Link> {
+    let mut link = Link::new(stream).ok()?;
+    while read::startup(&mut link.input).ok()?.is_none() {
+        link.fill()?;
+    }
+    let mut out = BytesMut::new();
+    write::welcome(&mut out, &[("server_version", "16.0")]);
+    link.stream.write_all(&out).ok()?;
+    Some(link)
+}
+
+/// The next statement; empty queries before it are answered.
+pub(super) fn read_statement(link: &mut Link) -> Option<String> {
+    loop {
+        let frame = link.hear()?;
+        let text = read::text(&frame.body)?;
+        if !text.is_empty() {
+            return Some(text.to_owned());
+        }
+        let mut out = BytesMut::new();
+        write::empty_query(&mut out);
+        write::ready(&mut out);
+        link.stream.write_all(&out).ok()?;
+    }
+}
+
+/// The bytes of an error.
+pub(super) fn error(code: &str) -> Vec<u8> {
+    let mut out = BytesMut::new();
+    write::error(&mut out, "ERROR", code, "as told", None);
+    write::ready(&mut out);
+    out.to_vec()
+}
+
 /// An answer with a row, and the word that the next statement may come.
 fn write_answer(out: &mut BytesMut, value: &str) {
     write::one_column(out, "blob");
--- a/crates/standins/src/platform/services.rs
+++ b/crates/standins/src/platform/services.rs
@@ -46,7 +46,12 @@
 impl Discovery {
     /// Begins each watch with these bytes: an object, or whatever else.
     pub fn new(first: String) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::at(SocketAddr::from(([127, 0, 0, 1], 0)), first)
+    }
+
+    /// One at this address, which may have had nobody before.
+    pub fn at(at: SocketAddr, first: String) -> Self {
+        let listener = TcpListener::bind(at).unwrap();
         let at = listener.local_addr().unwrap();
         let (tell, calls) = channel();
         let streams = Streams::default();
--- a/crates/wire/src/start.rs
+++ b/crates/wire/src/start.rs
@@ -182,7 +182,7 @@
     if o.domain.most_shares.len() != o.domain.stage_share.len() || o.domain.most_shares.is_empty() {
         return Err("start terms: domain.most_shares and domain.stage_share do not match".into());
     }
-    if o.domain.vote_allowance.is_some_and(|calls| !(calls > 0.0)) {
+    if o.domain.vote_allowance.is_some_and(|calls| calls.is_nan() || calls <= 0.0) {
         return Err("start terms: domain.vote_allowance is not over 0".into());
     }
     let control = match o.domain.gate_mode.as_str() {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -675,7 +675,7 @@
     };
     let start = |own: usize| {
         let mut judge = Judge::default();
-        let heard = if own % 3 == 0 { late } else { 0.0 };
+        let heard = if own.is_multiple_of(3) { late } else { 0.0 };
         let mut round = Round { figures: figures(own as u32), ..round(heard) };
         judge.enter(StageNews { age: at(heard), ..news(Phase::OnTrial, 0.2) }, &round);
         round.now = Duration::ZERO;
