--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,149 @@
+//! What a sidecar holds of its fleet, and fleets played under scripts of faults.
+
+use crate::Stop;
+use comfy_table::presets::ASCII_MARKDOWN;
+use comfy_table::Table;
+use limewing_links::{Script, World};
+use limewing_settings::{Checked, Misfit, SidecarSettings};
+use limewing_sidecar::service::View;
+use limewing_standins::fleet::{self, Member, Plan};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// A script as a file of settings.
+#[derive(Clone, Debug, Serialize, Deserialize, schemars::JsonSchema)]
+#[serde(transparent)]
+pub struct ScriptFile(pub Script);
+
+impl Checked for ScriptFile {
+    fn misfits(&self) -> Vec<Misfit> {
+        self.0
+            .misfits()
+            .into_iter()
+            .map(|m| Misfit::new(m.path, format!("expected {}", m.expected)))
+            .collect()
+    }
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN).set_header(head);
+    table
+}
+
+/// Prints one sidecar's view of its fleet.
+pub fn show(at: SocketAddr) -> Result<(), Stop> {
+    let text = fleet::ask(at).map_err(|e| Stop::failed(format!("{at}: {e}")))?;
+    let view: View = serde_json::from_str(&text).map_err(|e| Stop::failed(format!("{at}: {e}")))?;
+    println!(
+        "{} at {}, started {}, incarnation {}, slowness {} of 8",
+        view.name, view.at, view.start, view.incarnation, view.slowness
+    );
+    let mut rows = table(&["member", "at", "standing", "start", "incarnation", "for s"]);
+    for seen in view.members {
+        let spans = format!("{:.1}", seen.for_s);
+        rows.add_row([
+            seen.name,
+            seen.at.to_string(),
+            seen.standing,
+            seen.start.to_string(),
+            seen.incarnation.to_string(),
+            spans,
+        ]);
+    }
+    println!("{rows}");
+    println!("{} bytes sent", view.bytes_sent);
+    for (why, count) in view.refused {
+        println!("{count} datagrams refused: {why}");
+    }
+    Ok(())
+}
+
+/// Plays a script with processes of the program; fails if one crashed, or if those that run at the end do not hold each
+/// other as they should.
+pub fn play(
+    script: &Script,
+    settings: &SidecarSettings,
+    members: usize,
+    period: Duration,
+    folder: &Path,
+) -> Result<(), Stop> {
+    let program = std::env::current_exe().map_err(Stop::failed)?;
+    let plan = Plan { program: &program, script, members, period, settings, folder };
+    let played = fleet::play(&plan).map_err(Stop::failed)?;
+    let spent = played.ended.as_secs_f64().max(1e-9) * members as f64;
+    let dead = played.held_dead_while_running();
+    let wrong = played.wrong_at_the_end(members);
+    let mut rows = table(&["what", "figure"]);
+    rows.add_row(["members".to_owned(), members.to_string()]);
+    rows.add_row(["views taken".to_owned(), played.samples.len().to_string()]);
+    rows.add_row([
+        "datagrams a second and member".to_owned(),
+        format!("{:.1}", played.sent.0 as f64 / spent),
+    ]);
+    rows.add_row(["bytes a second and member".to_owned(), format!("{:.0}", played.sent.1 as f64 / spent)]);
+    rows.add_row(["datagrams refused".to_owned(), played.refused.to_string()]);
+    rows.add_row(["views that held one that ran to be dead".to_owned(), dead.len().to_string()]);
+    rows.add_row(["held wrongly at the end".to_owned(), wrong.len().to_string()]);
+    println!("{rows}");
+    for (of, whom, held) in wrong.iter().take(20) {
+        println!("s{of} holds s{whom} to be {held}");
+    }
+    if !played.crashed.is_empty() {
+        return Err(Stop::failed(format!(
+            "ended by themselves: {:?}; see the logs in {}",
+            played.crashed,
+            folder.display()
+        )));
+    }
+    if wrong.is_empty() {
+        Ok(())
+    } else {
+        Err(Stop::failed("the members do not hold each other as they should"))
+    }
+}
+
+/// Plays a script in simulated time.
+pub fn simulate(script: &Script, members: usize) -> Result<(), Stop> {
+    let mut world = World::<Member>::new(script, members);
+    let began = std::time::Instant::now();
+    world.run_to(script.length());
+    let spent = script.seconds * members as f64;
+    let (views, deaths) = (fleet::views(&world), fleet::deaths(&world));
+    let runs = |name: &str| {
+        let number = name.strip_prefix('s').and_then(|n| n.parse::<usize>().ok());
+        number.is_some_and(|number| world.core(number).is_some())
+    };
+    let mut rows = table(&["what", "figure"]);
+    rows.add_row(["members".to_owned(), members.to_string()]);
+    rows.add_row(["datagrams a second and member".to_owned(), format!("{:.1}", world.sent.0 as f64 / spent)]);
+    rows.add_row(["bytes a second and member".to_owned(), format!("{:.0}", world.sent.1 as f64 / spent)]);
+    rows.add_row(["members said to be dead by somebody".to_owned(), deaths.len().to_string()]);
+    rows.add_row([
+        "of them, that run at the end".to_owned(),
+        deaths.keys().filter(|name| runs(name)).count().to_string(),
+    ]);
+    // Of those that do not run: from the first that said so to the last.
+    let mut spread: Vec<f64> = deaths
+        .iter()
+        .filter(|(name, _)| !runs(name))
+        .map(|(_, said)| {
+            let times = said.iter().map(|(_, at)| at.as_secs_f64());
+            times.clone().fold(0.0, f64::max) - times.fold(f64::MAX, f64::min)
+        })
+        .collect();
+    spread.sort_by(f64::total_cmp);
+    if let Some(last) = spread.last() {
+        let median = spread[spread.len() / 2];
+        rows.add_row([
+            "from the first to the last that says so, s (median, worst)".to_owned(),
+            format!("{median:.1}, {last:.1}"),
+        ]);
+    }
+    rows.add_row(["held wrongly at the end".to_owned(), (views.missing + views.ghosts).to_string()]);
+    rows.add_row(["real seconds".to_owned(), format!("{:.1}", began.elapsed().as_secs_f64())]);
+    println!("{rows}");
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,13 +1,14 @@
 //! The command `limewing`.
 
 mod day;
+mod fleet;
 mod show;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use limewing_load::compare;
 use limewing_load::generate::{self, Load};
 use limewing_load::idle;
-use limewing_settings::SidecarSettings;
+use limewing_settings::{KeyFile, SidecarSettings};
 use limewing_sidecar::service::Service;
 use limewing_standins::script::DayScript;
 use signal_hook::consts::SIGXFSZ;
@@ -51,6 +52,9 @@
     /// Compare a sidecar under load with a bare relay and with none
     #[command(subcommand)]
     Load(LoadCommand),
+    /// What a sidecar holds of its fleet; fleets under scripts of faults
+    #[command(subcommand)]
+    Fleet(FleetCommand),
     /// Play one bad day, and show how it went and whether the rules were kept
     Demo {
         /// Where the record and the sidecars' logs go; a folder that is removed afterwards if absent
@@ -59,6 +63,36 @@
     },
 }
 
+#[derive(Subcommand)]
+enum FleetCommand {
+    /// Print one sidecar's view of its fleet
+    Show {
+        /// Where the sidecar serves its clients
+        at: std::net::SocketAddr,
+    },
+    /// Play a script of faults with processes of this program
+    Play {
+        script: PathBuf,
+        /// Settings that all start from; names, addresses and peers are put in
+        #[arg(long)]
+        settings: PathBuf,
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(2..=64))]
+        members: u16,
+        /// Milliseconds between two probes of a member
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(10..=60_000))]
+        period_ms: u64,
+        /// Where settings, keys and logs go
+        #[arg(long)]
+        folder: PathBuf,
+    },
+    /// Play a script of faults in simulated time
+    Simulate {
+        script: PathBuf,
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u16).range(2..=1000))]
+        members: u16,
+    },
+}
+
 #[derive(Subcommand)]
 enum SettingsCommand {
     /// Say whether a file of settings can be used, and if not why
@@ -78,6 +112,10 @@
 enum Kind {
     Sidecar,
     Day,
+    /// A script of faults between sidecars
+    Faults,
+    /// The keys of a fleet
+    Keys,
 }
 
 #[derive(Subcommand)]
@@ -196,6 +234,10 @@
                     drop(limewing_settings::read::<SidecarSettings>(&file).map_err(Stop::input)?)
                 }
                 Kind::Day => drop(limewing_settings::read::<DayScript>(&file).map_err(Stop::input)?),
+                Kind::Faults => {
+                    drop(limewing_settings::read::<fleet::ScriptFile>(&file).map_err(Stop::input)?)
+                }
+                Kind::Keys => drop(limewing_settings::read::<KeyFile>(&file).map_err(Stop::input)?),
             }
             println!("{}: can be used", file.display());
             Ok(())
@@ -204,10 +246,23 @@
             let schema = match of {
                 Kind::Sidecar => schemars::schema_for!(SidecarSettings),
                 Kind::Day => schemars::schema_for!(DayScript),
+                Kind::Faults => schemars::schema_for!(fleet::ScriptFile),
+                Kind::Keys => schemars::schema_for!(KeyFile),
             };
             println!("{}", serde_json::to_string_pretty(&schema).map_err(Stop::failed)?);
             Ok(())
         }
+        Command::Fleet(FleetCommand::Show { at }) => fleet::show(at),
+        Command::Fleet(FleetCommand::Play { script, settings, members, period_ms, folder }) => {
+            let script: fleet::ScriptFile = limewing_settings::read(&script).map_err(Stop::input)?;
+            let settings: SidecarSettings = limewing_settings::read(&settings).map_err(Stop::input)?;
+            let period = std::time::Duration::from_millis(period_ms);
+            fleet::play(&script.0, &settings, members.into(), period, &folder)
+        }
+        Command::Fleet(FleetCommand::Simulate { script, members }) => {
+            let script: fleet::ScriptFile = limewing_settings::read(&script).map_err(Stop::input)?;
+            fleet::simulate(&script.0, members.into())
+        }
         Command::Day(DayCommand::Play { script, folder }) => {
             let script = limewing_settings::read(&script).map_err(Stop::input)?;
             day::play(&script, &folder)
--- /dev/null
+++ b/crates/cli/tests/command/fleet.rs
@@ -0,0 +1,224 @@
+//! Sidecars as processes that know of each other, under the scripts of `fleets/` with time made shorter.
+
+use crate::help::{in_repo, settings, status};
+use limewing_links::Script;
+use limewing_settings::SidecarSettings;
+use limewing_standins::fleet::{ask, play, Plan, Played};
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// A script with its times made shorter, to fit a period of that many milliseconds in place of 200.
+fn script(name: &str, part: f64) -> Script {
+    let text = std::fs::read_to_string(in_repo(&format!("fleets/{name}.json"))).unwrap();
+    let mut script: Script = serde_json::from_str(&text).unwrap();
+    assert_eq!(script.misfits(), []);
+    script.seconds *= part;
+    script.steps.iter_mut().for_each(|step| step.at *= part);
+    script
+}
+
+fn plays(name: &str, members: usize, folder: &Path) -> Played {
+    let file = settings(folder, "127.0.0.1:0");
+    let told: SidecarSettings = limewing_settings::read(&file).unwrap();
+    let script = script(name, 0.5);
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_limewing"));
+    let period = Duration::from_millis(100);
+    let plan = Plan { program: &program, script: &script, members, period, settings: &told, folder };
+    play(&plan).unwrap()
+}
+
+#[rstest]
+#[case::half_cut("half-cut", 6, true)]
+#[case::one_way("one-way", 5, true)]
+#[case::stands_still("standstill", 5, false)]
+#[case::seven_in_ten_killed("herd", 10, false)]
+#[case::rolled("roll", 10, false)]
+#[case::grows_and_shrinks("growth", 12, false)]
+#[case::noise("noise", 4, false)]
+fn processes_agree_again(#[case] name: &str, #[case] members: usize, #[case] deaths: bool) {
+    let folder = tempfile::tempdir().unwrap();
+    let played = plays(name, members, folder.path());
+    assert_eq!(played.crashed, Vec::<usize>::new());
+    assert_eq!(played.wrong_at_the_end(members), []);
+    assert!(played.samples.len() > members * 5);
+    // A process that a death is said of lives on only where the script cuts it off.
+    if deaths {
+        assert!(!played.held_dead_while_running().is_empty());
+    }
+    assert!(name != "noise" || played.refused > 1000, "{} refused", played.refused);
+}
+
+struct Ended(std::process::Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a sidecar with these peers; its address.
+fn sidecar(file: &Path) -> (Ended, String) {
+    use std::io::BufRead;
+    let mut command = Command::new(env!("CARGO_BIN_EXE_limewing"));
+    let command = command.arg("sidecar").arg(file).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut child = command.spawn().unwrap();
+    let mut line = String::new();
+    std::io::BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    (Ended(child), line.trim().strip_prefix("listening ").unwrap().to_owned())
+}
+
+fn with_peers(folder: &Path, name: &str, join: &str, keys: &str) -> PathBuf {
+    let key_file = folder.join(format!("{name}.keys"));
+    std::fs::write(&key_file, keys).unwrap();
+    let text = std::fs::read_to_string(settings(folder, "127.0.0.1:0")).unwrap();
+    let peers = format!(
+        r#""name": "{name}", "peers": {{"listen": "127.0.0.1:0", "join": [{join}], "key_file": "{}", "period": 0.05}},"#,
+        key_file.display()
+    );
+    let file = folder.join(format!("{name}.json"));
+    std::fs::write(&file, text.replace(r#""name": "sidecar-0","#, &peers)).unwrap();
+    file
+}
+
+fn keys(ids: &[u8]) -> String {
+    let keys: Vec<String> = ids
+        .iter()
+        .map(|id| format!(r#"{{"id": {id}, "secret": "{}"}}"#, format!("{id:02x}").repeat(16)))
+        .collect();
+    format!(r#"{{"keys": [{}]}}"#, keys.join(","))
+}
+
+/// Waits until a sidecar's view of its fleet says so.
+fn until(at: &str, says: impl Fn(&str) -> bool) {
+    let from = Instant::now();
+    let mut last = String::new();
+    while from.elapsed() < Duration::from_secs(20) {
+        last = ask(at.parse().unwrap()).unwrap();
+        if says(&last) {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("{last}");
+}
+
+/// Where a sidecar takes datagrams.
+fn listens(at: &str) -> String {
+    let view: serde_json::Value = serde_json::from_str(&ask(at.parse().unwrap()).unwrap()).unwrap();
+    view["listens"].as_str().unwrap().to_owned()
+}
+
+/// A key takes the other's place by SIGHUP, one process after the other; a file that can't be used changes nothing.
+#[test]
+fn keys_are_changed_under_running_sidecars() {
+    let folder = tempfile::tempdir().unwrap();
+    let (a, at_a) = sidecar(&with_peers(folder.path(), "a", "", &keys(&[1])));
+    let join = format!(r#""{}""#, listens(&at_a));
+    let all = [(a, at_a), sidecar(&with_peers(folder.path(), "b", &join, &keys(&[1])))];
+    let alive = |text: &str| text.contains(r#""standing":"alive""#);
+    all.iter().for_each(|(_, at)| until(at, alive));
+    for step in [vec![1, 2], vec![2, 1], vec![2]] {
+        for (name, (process, _)) in ["a", "b"].iter().zip(&all) {
+            std::fs::write(folder.path().join(format!("{name}.keys")), "no keys").unwrap();
+            let hang_up = || {
+                rustix::process::kill_process(
+                    rustix::process::Pid::from_child(&process.0),
+                    rustix::process::Signal::HUP,
+                )
+            };
+            hang_up().unwrap();
+            std::thread::sleep(Duration::from_millis(50));
+            std::fs::write(folder.path().join(format!("{name}.keys")), keys(&step)).unwrap();
+            hang_up().unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(500));
+        all.iter().for_each(|(_, at)| until(at, alive));
+    }
+    let out = limewing(&["fleet", "show", &all[0].1]);
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert!(out.status.success() && text.contains("| b") && text.contains("| alive"), "{text}");
+}
+
+/// Of two processes with one name the later has it; the earlier goes on serving its clients.
+#[test]
+fn two_processes_with_one_name() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_a, at_a) = sidecar(&with_peers(folder.path(), "a", "", &keys(&[1])));
+    let join = format!(r#""{}""#, listens(&at_a));
+    let (_b, at_b) = sidecar(&with_peers(folder.path(), "b", &join, &keys(&[1])));
+    let b = listens(&at_b);
+    until(&at_a, |text| text.contains(&format!(r#""at":"{b}","standing":"alive""#)));
+    let (_c, at_c) = sidecar(&with_peers(folder.path(), "b", &join, &keys(&[1])));
+    let c = listens(&at_c);
+    until(&at_a, |text| text.contains(&format!(r#""at":"{c}","standing":"alive""#)));
+    assert!(status(&at_b).contains("\"open_hits\""));
+    until(&at_a, |text| !text.contains(&format!(r#""at":"{b}""#)));
+}
+
+/// With no peers in its settings a sidecar opens no socket for datagrams, and says that it knows of no others; nor does
+/// one on the platform.
+#[test]
+fn without_peers_there_is_no_socket_for_them() {
+    let folder = tempfile::tempdir().unwrap();
+    let (process, at) = sidecar(&settings(folder.path(), "127.0.0.1:0"));
+    let out = limewing(&["fleet", "show", &at]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("knows of no others"));
+    let config = limewing_standins::platform::Config::new(Vec::new());
+    let on_platform = crate::help::Platform::start(&config);
+    for id in [process.0.id(), on_platform.id()] {
+        let sockets = datagram_sockets(id);
+        assert_eq!(sockets, 0, "process {id}");
+    }
+}
+
+/// UDP sockets among a process's descriptors.
+fn datagram_sockets(id: u32) -> usize {
+    let table = std::fs::read_to_string(format!("/proc/{id}/net/udp")).unwrap();
+    let inodes: Vec<&str> = table.lines().skip(1).filter_map(|line| line.split_whitespace().nth(9)).collect();
+    let links = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap();
+    let links = links.filter_map(|entry| std::fs::read_link(entry.unwrap().path()).ok());
+    let of =
+        |link: &PathBuf| inodes.iter().any(|inode| link.to_string_lossy() == format!("socket:[{inode}]"));
+    links.filter(of).count()
+}
+
+fn limewing(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_limewing")).args(args).output().expect("the command starts")
+}
+
+#[rstest]
+#[case::keys_short(r#"{"keys": [{"id": 1, "secret": "aabb"}]}"#, "keys", "/keys/0/secret", "16 bytes")]
+#[case::keys_none(r#"{"keys": []}"#, "keys", "/keys", "one key")]
+#[case::keys_same(&keys(&[1, 1]), "keys", "/keys/1/id", "does not have")]
+#[case::part(
+    r#"{"name": "a", "seed": 1, "seconds": 9, "steps": [{"at": 1, "does": {"kill": {"part": [0.5, 0.2]}}}]}"#,
+    "faults",
+    "/steps/0/does",
+    "part of the fleet"
+)]
+#[case::late(
+    r#"{"name": "a", "seed": 1, "seconds": 9, "steps": [{"at": 10, "does": "mend"}]}"#,
+    "faults",
+    "/steps/0/at",
+    "a time"
+)]
+fn what_cannot_be_used_is_told(#[case] text: &str, #[case] of: &str, #[case] at: &str, #[case] says: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("file.json");
+    std::fs::write(&file, text).unwrap();
+    let out = limewing(&["settings", "check", file.to_str().unwrap(), "--of", of]);
+    let told = String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.code() == Some(2) && told.contains(at) && told.contains(says), "{told}");
+}
+
+#[test]
+fn a_script_plays_in_simulated_time() {
+    let script = in_repo("fleets/half-cut.json");
+    let out = limewing(&["fleet", "simulate", script.to_str().unwrap(), "--members", "20"]);
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert!(out.status.success() && text.contains("| held wrongly at the end"), "{text}");
+}
--- a/crates/cli/tests/command/help.rs
+++ b/crates/cli/tests/command/help.rs
@@ -110,6 +110,10 @@
         Self { child, at, folder }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Replaces its configuration.
     pub fn write(&self, config: &Config) {
         std::fs::write(self.folder.path().join("config.json"), config.json()).unwrap();
--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -1,6 +1,7 @@
 //! The command as its users call it.
 
 mod days;
+mod fleet;
 mod help;
 mod platform;
 mod wants;
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Buf, BytesMut};
 use mio::event::Event;
-use mio::net::{TcpListener, TcpStream};
+use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
@@ -43,6 +43,12 @@
         listener: SocketId,
         why: ErrorKind,
     },
+    /// A datagram came.
+    Datagram {
+        socket: SocketId,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
     Signal(i32),
 }
 
@@ -66,6 +72,7 @@
 enum Socket {
     Listener { listener: TcpListener, waiting: bool },
     Link(Box<Link>),
+    Datagrams(UdpSocket),
 }
 
 struct Slot {
@@ -75,6 +82,8 @@
 
 /// Input held for one connection at most, in bytes.
 pub const MOST_INPUT: usize = 32 * 1024;
+/// Datagrams read in a row before others have their turn.
+const DATAGRAM_BATCH: usize = 64;
 /// Connections accepted in a row before others have their turn.
 const ACCEPT_BATCH: usize = 64;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
@@ -95,6 +104,8 @@
     accept_at: Option<Instant>,
     signals: Option<Signals>,
     scratch: Box<[u8]>,
+    /// Where more datagrams wait than one turn reads.
+    unread: Vec<SocketId>,
 }
 
 impl Sockets {
@@ -113,6 +124,7 @@
             accept_at: None,
             signals: None,
             scratch: vec![0; 16 * 1024].into_boxed_slice(),
+            unread: Vec::new(),
         })
     }
 
@@ -136,6 +148,44 @@
         Ok((id, address))
     }
 
+    /// Takes and sends datagrams here; `Datagram` tells of each that comes.
+    ///
+    /// # Errors
+    /// The address is in use or not this machine's.
+    pub fn bind_datagrams(&mut self, at: SocketAddr) -> io::Result<(SocketId, SocketAddr)> {
+        let socket = UdpSocket::bind(at)?;
+        let address = socket.local_addr()?;
+        let id = self.insert(Socket::Datagrams(socket))?;
+        Ok((id, address))
+    }
+
+    /// Sends one datagram, or loses it: whoever speaks by datagrams bears that.
+    pub fn send_datagram(&mut self, id: SocketId, to: SocketAddr, bytes: &[u8]) {
+        let slot = self.slots.get(id.0 as u32 as usize).filter(|slot| u64::from(slot.mark) == id.0 >> 32);
+        if let Some(Slot { socket: Socket::Datagrams(socket), .. }) = slot {
+            let _ = socket.send_to(bytes, to);
+        }
+    }
+
+    fn read_datagrams(&mut self, id: SocketId) {
+        let Some(Slot { socket: Socket::Datagrams(socket), .. }) = self.slots.get(id.0 as u32 as usize)
+        else {
+            return;
+        };
+        for _ in 0..DATAGRAM_BATCH {
+            match socket.recv_from(&mut self.scratch) {
+                Ok((length, from)) => {
+                    let bytes = self.scratch[..length].to_vec();
+                    self.told.push_back(Happening::Datagram { socket: id, from, bytes });
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // What the system tells of an earlier datagram's fate is no matter of this one's.
+                Err(_) => {}
+            }
+        }
+        self.unread.push(id);
+    }
+
     /// Accepts no connection while so many accepted ones are open, or so many of any kind: what waits stays in the
     /// backlog.
     pub fn accept_up_to(&mut self, accepted: usize, all: usize) {
@@ -163,6 +213,7 @@
                 let _ = link.stream.set_nodelay(true);
                 registry.register(&mut link.stream, token, Interest::READABLE | Interest::WRITABLE)
             }
+            Socket::Datagrams(socket) => registry.register(socket, token, Interest::READABLE),
         };
         if let Err(trouble) = done {
             self.slots.remove(index);
@@ -176,7 +227,7 @@
             self.slots.get_mut(id.0 as u32 as usize).filter(|slot| u64::from(slot.mark) == id.0 >> 32)?;
         match &mut slot.socket {
             Socket::Link(link) => Some(link),
-            Socket::Listener { .. } => None,
+            Socket::Listener { .. } | Socket::Datagrams(_) => None,
         }
     }
 
@@ -212,7 +263,7 @@
     pub fn all_unsent(&self) -> usize {
         let waits = |slot: &Slot| match &slot.socket {
             Socket::Link(link) => link.output.len(),
-            Socket::Listener { .. } => 0,
+            Socket::Listener { .. } | Socket::Datagrams(_) => 0,
         };
         self.slots.iter().map(|(_, slot)| waits(slot)).sum()
     }
@@ -255,6 +306,7 @@
                     self.accepted -= usize::from(link.accepted);
                     self.poll.registry().deregister(&mut link.stream)
                 }
+                Socket::Datagrams(socket) => self.poll.registry().deregister(socket),
             };
             // What waits to be let in need not wait out its time: there is room now.
             if self.accept_at.is_some() {
@@ -308,7 +360,8 @@
     /// The poll itself failed.
     pub fn wait(&mut self, most: Option<Duration>) -> io::Result<Vec<Happening>> {
         let soon = self.accept_at.map(|at| at.saturating_duration_since(Instant::now()));
-        let most = if self.told.is_empty() { most } else { Some(Duration::ZERO) };
+        let at_once = !self.told.is_empty() || !self.unread.is_empty();
+        let most = if at_once { Some(Duration::ZERO) } else { most };
         let most = [most, soon, self.lingers()].into_iter().flatten().min();
         match self.poll.poll(&mut self.events, most) {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
@@ -326,6 +379,8 @@
             let waiting: Vec<SocketId> = self.slots.iter().filter_map(waits).collect();
             waiting.into_iter().for_each(|id| self.accept(id));
         }
+        let unread = std::mem::take(&mut self.unread);
+        unread.into_iter().for_each(|id| self.read_datagrams(id));
         let seen = |e: &Event| (e.token(), e.is_readable(), e.is_writable(), e.is_read_closed());
         let ready: Vec<_> = self.events.iter().map(seen).collect();
         for (token, readable, writable, closed) in ready {
@@ -363,8 +418,10 @@
         if u64::from(slot.mark) != id.0 >> 32 {
             return;
         }
-        if matches!(slot.socket, Socket::Listener { .. }) {
-            return self.accept(id);
+        match slot.socket {
+            Socket::Listener { .. } => return self.accept(id),
+            Socket::Datagrams(_) => return self.read_datagrams(id),
+            Socket::Link(_) => {}
         }
         let Some(link) = self.link(id) else { return };
         if link.connecting {
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,20 @@
+//! Who else is there: the membership of a fleet of sidecars, without I/O and without a clock (SWIM, with Lifeguard's care
+//! for one's own slowness).
+//!
+//! How data flows: the host gives a datagram (`Peers::hear`) or the time (`Peers::tick`, at `Peers::next`), takes the
+//! datagrams to send (`Peers::take`) and what is new (`Peers::news`). A datagram is opened by `seal` (keys, age, replays),
+//! its claims go to `roll` (who is held to be what, and which claim overrides which), what changed there goes into
+//! `gossip` (claims that still ride on datagrams), and `peers` probes, suspects and refutes.
+//!
+//! What a member is told may make it more careful, never less: nothing here widens a cap, a budget or a time.
+
+mod gossip;
+mod peers;
+mod roll;
+mod seal;
+mod words;
+
+pub use peers::{News, Peers, Terms, Trouble};
+pub use roll::Member;
+pub use seal::{Key, Refused};
+pub use words::{Claim, Name, Standing, MOST_DATAGRAM};
--- /dev/null
+++ b/crates/peers/tests/words.rs
@@ -0,0 +1,192 @@
+//! What goes into a datagram comes out of it, and nothing else does.
+
+use limewing_peers::{Claim, Key, Name, News, Peers, Refused, Standing, Terms, Trouble, MOST_DATAGRAM};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const START: u64 = 1_800_000_000_000;
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn at(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + number))
+}
+
+fn key(id: u8) -> Key {
+    Key { id, secret: vec![id; 32] }
+}
+
+fn terms(number: u16, start: u64, keys: Vec<Key>) -> Terms {
+    Terms {
+        name: Name::try_from(format!("s{number}")).unwrap(),
+        start,
+        since: Duration::ZERO,
+        at: at(number),
+        join: vec![at(0)],
+        keys,
+        period: s(1.0),
+        bytes_per_s: 16_384,
+        seed: u64::from(number) + 7,
+    }
+}
+
+fn member(number: u16) -> Peers {
+    Peers::new(Duration::ZERO, terms(number, START, vec![key(1)])).unwrap()
+}
+
+/// Lets two members speak until then, without faults.
+fn speak(a: &mut Peers, b: &mut Peers, from: f64, to: f64) {
+    let mut now = s(from);
+    while now < s(to) {
+        a.tick(now);
+        b.tick(now);
+        loop {
+            let (x, y) = (a.take(), b.take());
+            if x.is_none() && y.is_none() {
+                break;
+            }
+            if let Some((_, bytes)) = x {
+                let _ = b.hear(now, &bytes);
+            }
+            if let Some((_, bytes)) = y {
+                let _ = a.hear(now, &bytes);
+            }
+        }
+        now += Duration::from_millis(50);
+    }
+}
+
+fn knows(a: &Peers, b: &Peers) -> bool {
+    a.here().any(|member| member.claim.name == b.me().name && member.claim.standing == Standing::Alive)
+}
+
+fn joined() -> (Peers, Peers) {
+    let (mut a, mut b) = (member(0), member(1));
+    speak(&mut a, &mut b, 0.0, 5.0);
+    assert!(knows(&a, &b) && knows(&b, &a));
+    (a, b)
+}
+
+#[rstest]
+#[case::again(0.0, |_: &mut Vec<u8>| {}, Refused::Replayed)]
+#[case::late(31.0, |_: &mut Vec<u8>| {}, Refused::Stale)]
+#[case::an_hour_late(3600.0, |_: &mut Vec<u8>| {}, Refused::Stale)]
+#[case::a_bit_turned(0.0, |bytes: &mut Vec<u8>| *bytes.last_mut().unwrap() ^= 1, Refused::Forged)]
+#[case::the_count_changed(0.0, |bytes: &mut Vec<u8>| bytes[18] ^= 1, Refused::Forged)]
+#[case::cut_off(0.0, |bytes: &mut Vec<u8>| bytes.truncate(bytes.len() - 1), Refused::Forged)]
+#[case::short(0.0, |bytes: &mut Vec<u8>| bytes.truncate(20), Refused::Length)]
+#[case::long(0.0, |bytes: &mut Vec<u8>| bytes.resize(MOST_DATAGRAM + 1, 0), Refused::Length)]
+#[case::another_version(0.0, |bytes: &mut Vec<u8>| bytes[0] = 9, Refused::Version)]
+#[case::another_key(0.0, |bytes: &mut Vec<u8>| bytes[1] = 9, Refused::UnknownKey)]
+fn what_is_not_as_it_was_sent_is_refused(
+    #[case] later: f64,
+    #[case] spoil: fn(&mut Vec<u8>),
+    #[case] why: Refused,
+) {
+    let (mut a, mut b) = (member(0), member(1));
+    b.tick(s(3.0));
+    let (_, mut bytes) = b.take().unwrap();
+    a.hear(s(3.0), &bytes).unwrap();
+    spoil(&mut bytes);
+    assert_eq!(a.hear(s(3.0 + later), &bytes), Err(why));
+}
+
+/// A process of the same name that started later has the name: the earlier one says nothing any more, and what was
+/// recorded of it is refused.
+#[test]
+fn of_two_processes_with_one_name_the_later_has_it() {
+    let (mut a, mut old) = joined();
+    a.tick(s(6.0));
+    old.tick(s(6.5));
+    let recorded = std::iter::from_fn(|| old.take()).last();
+    let mut new = Peers::new(s(7.0), terms(1, START + 7000, vec![key(1)])).unwrap();
+    new.tick(s(8.0));
+    while let Some((_, bytes)) = new.take() {
+        let _ = a.hear(s(8.0), &bytes);
+        let _ = old.hear(s(8.0), &bytes);
+    }
+    assert!(std::iter::from_fn(|| old.news()).any(|news| news == News::Usurped));
+    old.tick(s(20.0));
+    assert!(old.take().is_none());
+    if let Some((_, bytes)) = recorded {
+        assert_eq!(a.hear(s(8.1), &bytes), Err(Refused::EarlierStart));
+    }
+    assert_eq!(a.all().find(|m| m.claim.name == new.me().name).unwrap().claim.start, START + 7000);
+}
+
+/// Keys are changed in turn: first all know the new one, then all seal with it, then the old one goes.
+#[test]
+fn keys_are_changed_without_a_gap() {
+    let (mut a, mut b) = joined();
+    let steps = [
+        [vec![key(1), key(2)], vec![key(1)]],
+        [vec![key(1), key(2)], vec![key(1), key(2)]],
+        [vec![key(2), key(1)], vec![key(1), key(2)]],
+        [vec![key(2), key(1)], vec![key(2), key(1)]],
+        [vec![key(2)], vec![key(2)]],
+    ];
+    for (step, [of_a, of_b]) in steps.into_iter().enumerate() {
+        a.change_keys(of_a).unwrap();
+        b.change_keys(of_b).unwrap();
+        speak(&mut a, &mut b, 5.0 + 20.0 * step as f64, 25.0 + 20.0 * step as f64);
+        assert!(knows(&a, &b) && knows(&b, &a), "after step {step}");
+    }
+    let refused = a.refused().values().chain(b.refused().values()).sum::<u64>();
+    assert_eq!(refused, 0);
+    // With a key that the other does not know nobody is heard.
+    b.change_keys(vec![key(3)]).unwrap();
+    speak(&mut a, &mut b, 105.0, 200.0);
+    assert!(!knows(&a, &b) && !knows(&b, &a));
+}
+
+#[rstest]
+#[case::none(vec![], Trouble::NoKey)]
+#[case::short(vec![Key { id: 1, secret: vec![1; 15] }], Trouble::ShortKey(1, 15))]
+#[case::same(vec![key(1), key(1)], Trouble::SameKey(1))]
+#[case::three(vec![key(1), key(2), key(3)], Trouble::ManyKeys)]
+fn keys_that_cannot_be_used_are_told(#[case] keys: Vec<Key>, #[case] why: Trouble) {
+    assert_eq!(Peers::new(Duration::ZERO, terms(0, START, keys)).err(), Some(why));
+}
+
+proptest! {
+    /// Any bytes, also under the seal's head of a true datagram, are refused without harm.
+    #[test]
+    fn any_bytes_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..1400), head in 0usize..40) {
+        let (mut a, mut b) = (member(0), member(1));
+        b.tick(s(3.0));
+        let (_, sent) = b.take().unwrap();
+        let mixed: Vec<u8> = sent.iter().take(head).chain(&bytes).copied().collect();
+        prop_assume!(mixed != sent);
+        prop_assert!(a.hear(s(3.0), &mixed).is_err());
+        prop_assert!(a.all().next().is_none());
+    }
+
+    /// Which of two claims holds does not go by the order in which they come.
+    #[test]
+    fn claims_come_in_any_order(
+        claims in prop::collection::vec((0u64..3, 0u32..3, 0usize..4), 1..8),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let standing = [Standing::Alive, Standing::Suspect, Standing::Dead, Standing::Left];
+        let claim = |(start, incarnation, of): (u64, u32, usize)| Claim {
+            name: Name::try_from("s9".to_owned()).unwrap(),
+            start,
+            incarnation,
+            standing: standing[of],
+            at: at(9),
+        };
+        let best = |claims: &[(u64, u32, usize)]| claims.iter().map(|c| claim(*c)).max_by_key(Claim::rank).unwrap();
+        let mut turned = claims.clone();
+        turned.rotate_left(order.index(claims.len()));
+        prop_assert_eq!(best(&claims).rank(), best(&turned).rank());
+        // What left stays gone for its start, whatever is said of it.
+        if let Some(left) = claims.iter().filter(|c| c.2 == 3).max() {
+            let same = claims.iter().filter(|c| c.0 == left.0).copied().collect::<Vec<_>>();
+            prop_assert_eq!(best(&same).standing, Standing::Left);
+        }
+    }
+}
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -287,6 +287,8 @@
                 tracing::debug!(%why, open = self.sockets.open(), "can't accept; tried again in 100 ms");
                 self.make_room_for_clients();
             }
+            // No socket for datagrams is ever opened here: the platform tells of no peers.
+            Happening::Datagram { .. } => {}
             Happening::Signal(HANG_UP) => self.told_anew(),
             Happening::Signal(signal) => self.leave(signal),
         }
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -59,6 +59,83 @@
     pub limits: Limits,
     pub rules: Rules,
     pub releases: Releases,
+    /// The other sidecars; none: this one knows of no other, and opens no socket for them.
+    #[serde(default)]
+    pub peers: Option<Peers>,
+}
+
+/// How the sidecars of a fleet know of each other: by datagrams, sealed with a key that they share.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    pub listen: SocketAddr,
+    /// Where the others reach this one, if not where it listens.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Where some of the others may be reached at the start.
+    pub join: Vec<SocketAddr>,
+    /// Read again on SIGHUP.
+    pub key_file: PathBuf,
+    /// Between two probes.
+    #[serde(default = "second")]
+    pub period: Seconds,
+    /// Sent by this sidecar to all others together, at most.
+    #[serde(default = "sixteen_kib")]
+    pub bytes_per_s: u32,
+}
+
+/// The keys of a fleet: the first seals, both open, so that one can take the other's place.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct KeyFile {
+    pub keys: Vec<FleetKey>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetKey {
+    pub id: u8,
+    /// 16 bytes or more, in hexadecimal.
+    pub secret: String,
+}
+
+impl FleetKey {
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        let digits = self.secret.as_bytes().chunks(2);
+        digits
+            .map(|two| u8::from_str_radix(std::str::from_utf8(two).ok().filter(|t| t.len() == 2)?, 16).ok())
+            .collect()
+    }
+}
+
+impl Checked for KeyFile {
+    fn misfits(&self) -> Vec<Misfit> {
+        let mut found = Vec::new();
+        if !(1..=2).contains(&self.keys.len()) {
+            found.push(Misfit::new("/keys", "expected one key, or two while one takes the other's place"));
+        }
+        for (place, key) in self.keys.iter().enumerate() {
+            if key.bytes().is_none_or(|bytes| bytes.len() < 16) {
+                let path = format!("/keys/{place}/secret");
+                found.push(Misfit::new(path, "expected 16 bytes or more in hexadecimal"));
+            }
+            if self.keys[..place].iter().any(|other| other.id == key.id) {
+                found.push(Misfit::new(
+                    format!("/keys/{place}/id"),
+                    "expected a number that the other key does not have",
+                ));
+            }
+        }
+        found
+    }
+}
+
+fn second() -> Seconds {
+    Seconds(1.0)
+}
+
+fn sixteen_kib() -> u32 {
+    16_384
 }
 
 /// The service that tells which pods there are: Consul's catalog-health API.
@@ -352,6 +429,16 @@
         need(self.releases.back_votes >= 1, "/releases/back_votes", "1 or more");
         let allowance = self.releases.vote_allowance.is_none_or(|calls| calls > 0.0);
         need(allowance, "/releases/vote_allowance", "more than 0 votes a second");
+        if let Some(peers) = &self.peers {
+            let period = f64::from(peers.period);
+            need((0.01..=60.0).contains(&period), "/peers/period", "0.01 to 60 seconds");
+            need(peers.bytes_per_s >= 2000, "/peers/bytes_per_s", "2000 bytes a second or more");
+            need(peers.join.len() <= 64, "/peers/join", "64 addresses at most");
+            need(self.name.len() <= 64, "/name", "64 letters at most where there are peers");
+            let reached = peers.advertise.unwrap_or(peers.listen);
+            let open = reached.ip().is_unspecified() || (peers.advertise.is_some() && reached.port() == 0);
+            need(!open, "/peers/advertise", "an address and port where the others reach this sidecar");
+        }
         found.extend(Router::new(&self.path_groups).err());
         found
     }
--- /dev/null
+++ b/crates/sidecar/src/service/fleet.rs
@@ -0,0 +1,142 @@
+//! The other sidecars: datagrams go between the sockets and `limewing_peers`, which decides.
+
+use super::StartTrouble;
+use limewing_net::sockets::{SocketId, Sockets};
+use limewing_peers::{Key, Name, Peers, Terms};
+use limewing_settings::{self as settings, KeyFile, Unusable};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+pub struct Fleet {
+    peers: Peers,
+    socket: SocketId,
+    listens: SocketAddr,
+    key_file: PathBuf,
+}
+
+/// One sidecar's view of its fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct View {
+    pub name: String,
+    pub at: SocketAddr,
+    /// Where it takes datagrams, if the others do not reach it there.
+    pub listens: SocketAddr,
+    pub start: u64,
+    pub incarnation: u32,
+    /// How much longer it waits for others, for being slow itself: 0 to 8.
+    pub slowness: u32,
+    pub bytes_sent: u64,
+    /// Datagrams that were refused, by cause.
+    pub refused: Vec<(String, u64)>,
+    pub members: Vec<Seen>,
+}
+
+/// Another member, as it is held.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Seen {
+    pub name: String,
+    pub at: SocketAddr,
+    pub standing: String,
+    pub start: u64,
+    pub incarnation: u32,
+    /// Seconds for which it has stood so.
+    pub for_s: f64,
+}
+
+fn read_keys(file: &Path) -> Result<Vec<Key>, Unusable> {
+    let read: KeyFile = settings::read(file)?;
+    Ok(read.keys.iter().map(|key| Key { id: key.id, secret: key.bytes().unwrap_or_default() }).collect())
+}
+
+impl Fleet {
+    pub(super) fn start(
+        name: &str,
+        told: &settings::Peers,
+        sockets: &mut Sockets,
+        now: Duration,
+        seed: u64,
+    ) -> Result<Self, StartTrouble> {
+        let keys = read_keys(&told.key_file).map_err(StartTrouble::Keys)?;
+        let at = told.listen;
+        let (socket, address) =
+            sockets.bind_datagrams(at).map_err(|why| StartTrouble::Datagrams { at, why })?;
+        let start = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let terms = Terms {
+            name: Name::try_from(name.to_owned())
+                .map_err(|expected| StartTrouble::Settings(settings::Misfit::new("/name", expected)))?,
+            start: start.as_millis() as u64,
+            since: now,
+            at: told.advertise.unwrap_or(address),
+            join: told.join.clone(),
+            keys,
+            period: told.period.into(),
+            bytes_per_s: told.bytes_per_s,
+            seed,
+        };
+        let peers = Peers::new(now, terms).map_err(StartTrouble::Peers)?;
+        tracing::info!(%address, "takes datagrams of other sidecars");
+        Ok(Self { peers, socket, listens: address, key_file: told.key_file.clone() })
+    }
+
+    pub(super) fn next(&self) -> Duration {
+        self.peers.next()
+    }
+
+    pub(super) fn hear(&mut self, now: Duration, bytes: &[u8]) {
+        if let Err(why) = self.peers.hear(now, bytes) {
+            tracing::debug!(%why, "a datagram is refused");
+        }
+    }
+
+    /// Does what is due, and sends what there is.
+    pub(super) fn turn(&mut self, now: Duration, sockets: &mut Sockets) {
+        if now >= self.peers.next() {
+            self.peers.tick(now);
+        }
+        while let Some((to, bytes)) = self.peers.take() {
+            sockets.send_datagram(self.socket, to, &bytes);
+        }
+        while let Some(news) = self.peers.news() {
+            tracing::info!(?news, "fleet");
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: Duration, sockets: &mut Sockets) {
+        self.peers.leave(now);
+        self.turn(now, sockets);
+    }
+
+    /// Keys that can't be used change nothing.
+    pub(super) fn read_keys(&mut self) {
+        let read = read_keys(&self.key_file).map_err(|trouble| trouble.to_string());
+        match read.and_then(|keys| self.peers.change_keys(keys).map_err(|trouble| trouble.to_string())) {
+            Ok(()) => tracing::info!("the keys of the fleet were read again"),
+            Err(trouble) => tracing::warn!(%trouble, "the new keys can't be used; the old ones stay"),
+        }
+    }
+
+    pub(super) fn view(&self, now: Duration) -> View {
+        let me = self.peers.me();
+        let members = self.peers.all().map(|member| Seen {
+            name: member.claim.name.to_string(),
+            at: member.claim.at,
+            standing: format!("{:?}", member.claim.standing).to_lowercase(),
+            start: member.claim.start,
+            incarnation: member.claim.incarnation,
+            for_s: now.saturating_sub(member.since).as_secs_f64(),
+        });
+        View {
+            name: me.name.to_string(),
+            at: me.at,
+            listens: self.listens,
+            start: me.start,
+            incarnation: me.incarnation,
+            slowness: self.peers.slowness(),
+            bytes_sent: self.peers.bytes_sent(),
+            refused: self.peers.refused().iter().map(|(why, count)| (why.to_string(), *count)).collect(),
+            members: members.collect(),
+        }
+    }
+}
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -19,6 +19,7 @@
 /// Where clients report wrong answers, and where operators look.
 const REPORTS: &str = "/limewing/reports";
 const STATUS: &str = "/limewing/status";
+const FLEET: &str = "/limewing/fleet";
 /// Output that may wait for a client before its pod is read no further, in bytes.
 pub const MOST_UNSENT: usize = 64 * 1024;
 
@@ -160,6 +161,7 @@
         match (head.method.as_str(), path_of(&head.target)) {
             ("POST", REPORTS) => return self.reported(id, &body),
             ("GET", STATUS) => return self.tell_status(id),
+            ("GET", FLEET) => return self.tell_fleet(id),
             _ => {}
         }
         if self.leaving {
@@ -420,6 +422,14 @@
         self.reply(id, 202, &[], b"");
     }
 
+    /// Who else is there, as this sidecar holds it.
+    fn tell_fleet(&mut self, id: SocketId) {
+        match self.fleet.as_ref().map(|fleet| serde_json::to_vec(&fleet.view(self.now))) {
+            Some(Ok(body)) => self.reply(id, 200, &[("content-type", "application/json")], &body),
+            _ => self.reply(id, 404, &[], b"this sidecar knows of no others: no peers in its settings\n"),
+        }
+    }
+
     fn tell_status(&mut self, id: SocketId) {
         let status = serde_json::json!({
             "name": self.terms.name,
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -6,6 +6,7 @@
 
 mod asks;
 mod back;
+mod fleet;
 mod front;
 
 use crate::memory;
@@ -14,6 +15,8 @@
 use crate::stages::Latest;
 use asks::{ListLink, NewsLink};
 use back::PodLink;
+use fleet::Fleet;
+pub use fleet::{Seen, View};
 use front::{Client, Reports, Request, MOST_UNSENT};
 use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, StartTerms, VoteAnswer};
 use limewing::sidecar::Sidecar;
@@ -34,6 +37,8 @@
 
 /// The signals on which a sidecar settles what it holds and leaves: SIGTERM and SIGINT.
 const LEAVE_ON: [i32; 2] = [15, 2];
+/// On this one the keys of the fleet are read again.
+const HANG_UP: i32 = 1;
 
 #[derive(Debug, Error)]
 pub enum StartTrouble {
@@ -43,6 +48,12 @@
     System(#[from] io::Error),
     #[error("at {}: {}", .0.path, .0.expected)]
     Settings(Misfit),
+    #[error("can't take datagrams at {at}: {why}")]
+    Datagrams { at: SocketAddr, why: io::Error },
+    #[error("at /peers/key_file: {0}")]
+    Keys(limewing_settings::Unusable),
+    #[error("at /peers: {0}")]
+    Peers(limewing_peers::Trouble),
 }
 
 /// A turn of the loop that takes longer is told: hits that came meanwhile have waited for it.
@@ -135,6 +146,8 @@
     unkept: Option<TimerKey>,
     room: Room,
     reports: Reports,
+    /// The other sidecars, where the settings tell of them.
+    fleet: Option<Fleet>,
     leaving: bool,
     left: bool,
 }
@@ -158,7 +171,7 @@
     ) -> Result<Self, StartTrouble> {
         let routes = Routes::new(settings).map_err(StartTrouble::Settings)?;
         let mut sockets = Sockets::new()?;
-        sockets.watch_signals(&LEAVE_ON)?;
+        sockets.watch_signals(&[HANG_UP, LEAVE_ON[0], LEAVE_ON[1]])?;
         let at = settings.listen;
         let (listener, address) = sockets.listen(at).map_err(|why| StartTrouble::Listen { at, why })?;
         let limits = &settings.limits;
@@ -169,6 +182,9 @@
         let clock = Clock::default();
         let now = clock.now();
         let seed = settings.seed.unwrap_or_else(rand::random);
+        let of_peers = settings.peers.as_ref();
+        let fleet =
+            of_peers.map(|peers| Fleet::start(&settings.name, peers, &mut sockets, now, seed)).transpose()?;
         let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
@@ -216,6 +232,7 @@
             unkept: None,
             room,
             reports: Reports::default(),
+            fleet,
             leaving: false,
             left: false,
         };
@@ -242,6 +259,7 @@
 
     fn turn(&mut self) -> io::Result<()> {
         let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
+        let next = self.fleet.as_ref().map_or(next, |fleet| fleet.next().min(next));
         let wait =
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
         let happened = self.sockets.wait(Some(wait))?;
@@ -250,6 +268,9 @@
         while let Some(due) = self.wheel.take(self.now) {
             self.is_due(due);
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.turn(self.now, &mut self.sockets);
+        }
         let read = self.clock.now();
         let mut decided = read;
         if !self.events.is_empty() || self.now >= self.wake {
@@ -326,6 +347,16 @@
                 tracing::warn!(%why, open = self.sockets.open(), "can't accept; tried again in 100 ms");
                 self.make_room_for_clients();
             }
+            Happening::Datagram { bytes, .. } => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.hear(self.now, &bytes);
+                }
+            }
+            Happening::Signal(HANG_UP) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.read_keys();
+                }
+            }
             Happening::Signal(signal) => self.leave(signal),
         }
     }
@@ -371,6 +402,9 @@
         }
         tracing::info!(signal, open_hits = self.hits.len(), "leaving: no new hits are taken");
         self.leaving = true;
+        if let Some(fleet) = &mut self.fleet {
+            fleet.leave(self.now, &mut self.sockets);
+        }
         self.sockets.close(self.listener);
         self.wheel.arm(self.now + self.terms.longest_hit + Duration::from_secs(1), Due::Leave);
         let clients = self.peers.iter().filter_map(|(id, peer)| match peer {
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -288,7 +288,10 @@
                 Some(End::Client(_)) => self.client_lost(socket, written),
                 _ => drop(self.ends.remove(&socket)),
             },
-            Happening::Flushed(_) | Happening::Pressed { .. } | Happening::Signal(_) => {}
+            Happening::Flushed(_)
+            | Happening::Pressed { .. }
+            | Happening::Datagram { .. }
+            | Happening::Signal(_) => {}
         }
         Ok(())
     }
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -77,6 +77,7 @@
             limits: script.limits.clone(),
             rules: script.rules.clone(),
             releases: script.releases.clone(),
+            peers: None,
         }
     }
 
--- /dev/null
+++ b/crates/standins/src/fleet/mod.rs
@@ -0,0 +1,125 @@
+//! A fleet of sidecars under a script of faults: as members in simulated time (`Member`), and as processes with a relay
+//! between them (`rig`). Both go by the same script.
+
+mod relay;
+mod rig;
+
+pub use rig::{ask, play, Plan, Played, RigTrouble, Sample};
+
+use limewing_links::{Core, World};
+use limewing_peers::{Key, Name, News, Peers, Standing, Terms};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const FIRST_PORT: u16 = 10_000;
+/// The simulated time of day at the start, in milliseconds.
+const TODAY: u64 = 1_800_000_000_000;
+pub const PERIOD: Duration = Duration::from_secs(1);
+
+fn at(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number as u16))
+}
+
+/// A member in simulated time, with what it was told.
+pub struct Member {
+    pub peers: Peers,
+    pub news: Vec<(Duration, News)>,
+}
+
+impl Member {
+    fn gather(&mut self, now: Duration) {
+        while let Some(news) = self.peers.news() {
+            self.news.push((now, news));
+        }
+    }
+
+    /// Whom it holds to be here, by number.
+    pub fn here(&self) -> Vec<usize> {
+        let alive = self.peers.here().filter(|member| member.claim.standing <= Standing::Suspect);
+        let mut numbers: Vec<usize> = alive.map(|m| usize::from(m.claim.at.port() - FIRST_PORT)).collect();
+        numbers.sort_unstable();
+        numbers
+    }
+}
+
+impl Core for Member {
+    fn start(number: usize, start: u32, now: Duration) -> Self {
+        // Clocks differ by up to a second and a half.
+        let skew = (number as u64 * 7919) % 1500;
+        let terms = Terms {
+            name: Name::try_from(format!("s{number}")).expect("a short name"),
+            start: TODAY + now.as_millis() as u64 + skew + u64::from(start),
+            since: now,
+            at: at(number),
+            join: (0..3).map(at).collect(),
+            keys: vec![Key { id: 1, secret: vec![7; 32] }],
+            period: PERIOD,
+            bytes_per_s: 16_384,
+            seed: (number as u64) << 32 | u64::from(start),
+        };
+        let peers = Peers::new(now, terms).expect("terms that can be used");
+        Self { peers, news: Vec::new() }
+    }
+
+    fn hear(&mut self, now: Duration, datagram: &[u8]) {
+        // What is refused is counted there.
+        let _ = self.peers.hear(now, datagram);
+        self.gather(now);
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.peers.tick(now);
+        self.gather(now);
+    }
+
+    fn next(&self) -> Duration {
+        self.peers.next()
+    }
+
+    fn take(&mut self) -> Option<(usize, Vec<u8>)> {
+        let (to, bytes) = self.peers.take()?;
+        Some((usize::from(to.port().wrapping_sub(FIRST_PORT)), bytes))
+    }
+
+    fn leave(&mut self, now: Duration) {
+        self.peers.leave(now);
+    }
+}
+
+/// How far the views of those that run are from the truth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Views {
+    /// Pairs of one that runs and another that it does not hold to be here.
+    pub missing: usize,
+    /// Pairs of one that runs and another that it holds to be here and that does not run.
+    pub ghosts: usize,
+    /// Members that were held to be dead while they ran, each time it was said.
+    pub false_deaths: usize,
+}
+
+pub fn views(world: &World<Member>) -> Views {
+    let mut found = Views::default();
+    let runs: Vec<usize> = (0..world.members()).filter(|n| world.core(*n).is_some()).collect();
+    for number in &runs {
+        let Some(member) = world.core(*number) else { continue };
+        let here = member.here();
+        found.missing +=
+            runs.iter().filter(|other| *other != number && here.binary_search(other).is_err()).count();
+        found.ghosts += here.iter().filter(|other| runs.binary_search(other).is_err()).count();
+    }
+    found
+}
+
+/// Times at which members were held to be dead, by number.
+pub fn deaths(world: &World<Member>) -> BTreeMap<String, Vec<(usize, Duration)>> {
+    let mut found: BTreeMap<String, Vec<(usize, Duration)>> = BTreeMap::new();
+    for number in 0..world.members() {
+        for (when, news) in world.core(number).into_iter().flat_map(|member| &member.news) {
+            if let News::Down(name) = news {
+                found.entry(name.to_string()).or_default().push((number, *when));
+            }
+        }
+    }
+    found
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! platform's parties, for tests.
 
 pub mod day;
+pub mod fleet;
 pub mod installer;
 pub mod marks;
 pub mod platform;
--- /dev/null
+++ b/crates/standins/tests/fleet.rs
@@ -0,0 +1,138 @@
+//! Who else is there, in simulated time under scripts of faults: who is held to be dead, by whom, and how soon all agree
+//! again.
+
+use limewing_links::{Fault, Line, Script, Step, Who, World};
+use limewing_standins::fleet::{deaths, views, Member, Views};
+use rstest::rstest;
+use std::time::Duration;
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn script(loss: f64, seconds: f64, steps: Vec<(f64, Fault)>) -> Script {
+    let line = Line { loss, delay_ms: 1.0, jitter_ms: 20.0, ..Line::default() };
+    let steps = steps.into_iter().map(|(at, does)| Step { at, does }).collect();
+    Script { name: "drawn".into(), seed: 11, seconds, line, steps }
+}
+
+fn cut(from: (f64, f64), to: (f64, f64), one_way: bool) -> Fault {
+    Fault::Cut { from: Who::Part(from.0, from.1), to: Who::Part(to.0, to.1), one_way }
+}
+
+fn world(members: usize, script: &Script) -> World<Member> {
+    assert_eq!(script.misfits(), []);
+    World::new(script, members)
+}
+
+const AGREED: Views = Views { missing: 0, ghosts: 0, false_deaths: 0 };
+
+/// How long it takes until all that run hold each other to be here and nobody else; at most so long.
+fn agrees(world: &mut World<Member>, most: f64) -> Duration {
+    let from = world.now();
+    while views(world) != AGREED {
+        assert!(world.now() < from + s(most), "{:?} after {most} s", views(world));
+        world.run_to(world.now() + s(0.5));
+    }
+    world.now() - from
+}
+
+#[rstest]
+#[case::two(2, 5.0)]
+#[case::twelve(12, 15.0)]
+#[case::hundred(100, 30.0)]
+fn a_fleet_that_starts_at_once_knows_itself(#[case] members: usize, #[case] most: f64) {
+    agrees(&mut world(members, &script(0.0, 100.0, vec![])), most);
+}
+
+/// One in twenty datagrams lost, in two directions, for ten minutes: nobody is held to be dead.
+#[rstest]
+#[case::twelve(12)]
+#[case::sixty(60)]
+fn loss_alone_kills_nobody(#[case] members: usize) {
+    let mut world = world(members, &script(0.05, 600.0, vec![]));
+    world.run_to(s(600.0));
+    assert_eq!(deaths(&world).len(), 0);
+    assert_eq!(views(&world), AGREED);
+}
+
+/// Faults, when the last of them is over, and how soon all agree again.
+#[rstest]
+#[case::a_half_cut_off(vec![(30.0, cut((0.0, 0.5), (0.5, 1.0), false)), (40.0, Fault::Mend)], 40.0)]
+#[case::a_half_cut_off_for_long(vec![(30.0, cut((0.0, 0.5), (0.5, 1.0), false)), (150.0, Fault::Mend)], 150.0)]
+#[case::one_way(vec![(30.0, cut((0.0, 0.2), (0.2, 1.0), true)), (60.0, Fault::Mend)], 60.0)]
+#[case::one_alone(vec![(30.0, cut((0.0, 0.05), (0.05, 1.0), false)), (150.0, Fault::Mend)], 150.0)]
+#[case::seven_in_ten_killed(vec![(30.0, Fault::Kill(Who::Part(0.3, 1.0)))], 30.0)]
+#[case::killed_and_back(
+    vec![(30.0, Fault::Kill(Who::Part(0.3, 1.0))), (33.0, Fault::Start(Who::Part(0.3, 1.0)))], 33.0
+)]
+#[case::rolled_by_tenths(
+    (0..10).flat_map(|n| {
+        let who = || Who::Part(n as f64 / 10.0, (n + 1) as f64 / 10.0);
+        [(30.0 + 3.0 * n as f64, Fault::Leave(who())), (32.0 + 3.0 * n as f64, Fault::Start(who()))]
+    }).collect(),
+    60.0
+)]
+#[case::noise(vec![(30.0, Fault::Noise { to: Who::All, datagrams: 500 })], 30.0)]
+#[case::corrupted_doubled_and_slow(
+    vec![
+        (10.0, Fault::Change {
+            from: Who::All, to: Who::All,
+            line: Line { loss: 0.05, delay_ms: 50.0, jitter_ms: 150.0, duplicate: 0.2, corrupt: 0.05, bytes_per_s: 0.0 },
+        }),
+        (60.0, Fault::Change { from: Who::All, to: Who::All, line: Line::default() }),
+    ],
+    60.0
+)]
+fn all_agree_again(#[case] steps: Vec<(f64, Fault)>, #[case] over: f64) {
+    for members in [6, 40] {
+        let mut world = world(members, &script(0.01, 400.0, steps.clone()));
+        world.run_to(s(over));
+        agrees(&mut world, 90.0);
+    }
+}
+
+/// One that stood still for three seconds goes on as if nothing had been: it accuses nobody, and is not held dead.
+#[test]
+fn one_that_stood_still_blames_nobody() {
+    let stands = vec![(30.0, Fault::Stop(Who::Numbers(vec![4]))), (33.0, Fault::GoOn(Who::Numbers(vec![4])))];
+    let mut world = world(12, &script(0.0, 100.0, stands));
+    world.run_to(s(80.0));
+    assert_eq!(deaths(&world).len(), 0);
+    let said = world.core(4).map(|member| member.news.iter().filter(|(at, _)| *at > s(30.0)).count());
+    assert_eq!(said, Some(0));
+}
+
+/// Growing from three to twelve and back, under loss.
+#[test]
+fn a_fleet_grows_and_shrinks() {
+    let late = || Who::Part(0.25, 1.0);
+    let steps = vec![(0.0, Fault::Kill(late())), (20.0, Fault::Start(late())), (60.0, Fault::Leave(late()))];
+    let mut world = world(12, &script(0.02, 200.0, steps));
+    world.run_to(s(19.0));
+    agrees(&mut world, 30.0);
+    world.run_to(s(59.0));
+    assert_eq!(views(&world), AGREED);
+    world.run_to(s(60.1));
+    agrees(&mut world, 30.0);
+}
+
+/// A script plays the same each time.
+#[test]
+fn a_run_is_the_same_each_time() {
+    let run = || {
+        let mut world = world(20, &script(0.2, 100.0, vec![(20.0, Fault::Kill(Who::Part(0.5, 1.0)))]));
+        world.run_to(s(60.0));
+        (world.sent, deaths(&world))
+    };
+    assert_eq!(run(), run());
+}
+
+/// Each half holds the other to be dead, all of it, and goes on.
+#[test]
+fn a_cut_that_stays_is_seen_as_deaths() {
+    let mut world = world(12, &script(0.0, 200.0, vec![(20.0, cut((0.0, 0.5), (0.5, 1.0), false))]));
+    world.run_to(s(120.0));
+    assert_eq!(deaths(&world).len(), 12);
+    assert_eq!(views(&world).missing, 2 * 6 * 6);
+}
