Time-outs of the earlier build count against a first sign on a new one

Cause: stands_out() was given the earlier build's errors alone, so that a sidecar whose earlier pods time out took its surroundings for sound. Ruled out: stale evidence (all votes are of the present stage), late news.

Change: the earlier build's time-outs count beside its errors.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -903,9 +903,9 @@
         let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, sigmas));
         let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, sigmas));
         let stands = |sign: fn(&Count) -> usize, margin| {
-            stands_out((sign(&new), new.seen), (sign(&old), old.seen), margin, figures)
+            stands_out((sign(&new), new.seen), (sign(&old).max(bad(&old).0), old.seen), margin, figures)
         };
-        // An error is a sign by itself; a time-out may be any trouble's.
+        // An error is a sign by itself; a time-out may be any trouble's, which makes errors likelier too.
         let first = (stands(|c| c.bad - c.timed_out, ERROR_MARGIN) && self.is_even(1, |p| p.bad))
             || (stands(|c| c.flagged, 0.01) && self.is_even(1, |p| p.flagged));
         let faulty = (errs && self.is_even(2, |p| p.bad)) || (wrong && self.is_even(2, |p| p.flagged));
