--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -1,6 +1,8 @@
-//! Claims that still ride on datagrams: each rides so many times, the least told first.
+//! Claims that still ride on datagrams: each rides so many times, the least told first, of these the newest: what is said of
+//! a suspect now must not wait behind all that a fleet tells at its start.
 
 use crate::words::{Claim, Name};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Claims that wait at most; beyond, the one that was told most often goes.
@@ -8,8 +10,8 @@
 
 #[derive(Default)]
 pub struct Gossip {
-    /// By how often it was told and by age, so that the least told come first.
-    order: BTreeSet<(u32, u64, Name)>,
+    /// By how often it was told and by age.
+    order: BTreeSet<(u32, Reverse<u64>, Name)>,
     claims: BTreeMap<Name, (u32, u64, Claim)>,
     next: u64,
 }
@@ -24,13 +26,13 @@
             most.into_iter().for_each(|name| self.drop(&name));
         }
         self.next += 1;
-        self.order.insert((0, self.next, name.clone()));
+        self.order.insert((0, Reverse(self.next), name.clone()));
         self.claims.insert(name, (0, self.next, claim));
     }
 
     fn drop(&mut self, name: &Name) {
         if let Some((told, age, _)) = self.claims.remove(name) {
-            self.order.remove(&(told, age, name.clone()));
+            self.order.remove(&(told, Reverse(age), name.clone()));
         }
     }
 
@@ -57,7 +59,7 @@
         let (told, age, claim) = self.claims.get(&name).cloned()?;
         self.drop(&name);
         if told + 1 < times {
-            self.order.insert((told + 1, age, name.clone()));
+            self.order.insert((told + 1, Reverse(age), name.clone()));
             self.claims.insert(name, (told + 1, age, claim.clone()));
         }
         Some(claim)
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -356,7 +356,11 @@
             self.probe = None;
             if let Some(member) = self.roll.get(&whom).filter(|m| m.claim.standing == Standing::Alive) {
                 let claim = Claim { standing: Standing::Suspect, ..member.claim.clone() };
+                let at = claim.at;
                 self.believe(now, claim, &self.me.name.clone());
+                // It hears of it first, and its answer clears it.
+                let no = self.number();
+                self.send(now, at, Kind::Probe { no, whom: whom.clone() }, Some(&whom));
             }
         } else if now >= probe.stead_at && probe.asked == 0 {
             let Some(at) = self.roll.get(&whom).map(|member| member.claim.at) else { return };
