A client with no time left is answered at once, not turned away

Cause: Names::read took d=0 for no number of milliseconds (statement.rs, the filter on ms), so the hit was turned away after a second, past its time. A probe that logged clients turned away showed as many as were lost, each with d=0.

Change: no time left is a time; the hit is taken and the module gives it up at once.

A test each on the statement and over sockets.

--- a/crates/platform/src/statement.rs
+++ b/crates/platform/src/statement.rs
@@ -96,7 +96,8 @@
         }
         let (told, waits_at) = waits.ok_or("the comment has no deadline")?;
         let digits = !told.is_empty() && told.bytes().all(|b| b.is_ascii_digit());
-        let ms = told.parse::<u32>().ok().filter(|ms| digits && *ms > 0);
+        // None left is a time too: such a hit is taken, and given up at once.
+        let ms = told.parse::<u32>().ok().filter(|_| digits);
         let ms = ms.ok_or("the deadline is not a number of milliseconds")?;
         let waits = Duration::from_millis(ms.into());
         let (id, text) = (id.to_owned(), text.to_owned());
--- a/crates/platform/tests/sockets/pods.rs
+++ b/crates/platform/tests/sockets/pods.rs
@@ -149,6 +149,18 @@
     assert_eq!(pod.hears(), "gone");
 }
 
+/// A hit whose client has no time left has its answer at once, and its connection stays.
+#[test]
+fn a_hit_with_no_time_left_is_refused_at_once() {
+    let (pod, at) = with_pod(vec![Does::Serves("red")]);
+    let mut client = Client::new(at);
+    client.asks(&ask("pay", 0));
+    assert_eq!(client.hears(), Answer::Error("53300".into(), Some("500".into())));
+    assert!(pod.heard_nothing());
+    client.asks(&ask("pay", 2000));
+    assert_eq!(client.hears(), Answer::Row("red".into()));
+}
+
 #[test]
 fn a_hit_that_no_pod_answers_has_its_answer_in_time() {
     let (answer, ..) = one_hit(vec![Does::Waits], "pay");
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -17,6 +17,13 @@
     Names::new(&named(&["basket", "order"]), &[false, true], &named(&["acme", "other"]))
 }
 
+/// A client whose time is up is none that can't be understood.
+#[test]
+fn no_time_left_is_a_time() {
+    let read = names().read(&INSERT.replace("d=480", "d=0")).unwrap();
+    assert_eq!(read.waits, Duration::ZERO);
+}
+
 const INSERT: &str = "INSERT INTO rows (handle, blob) VALUES ('7f3a', '\\x9f03') RETURNING blob /* id=9b1f,c=order,t=other,d=480,k=5c0f */";
 
 /// A pod that left long ago gives its number back; one that returns soon has it still.
