The test of changed keys fails if they are changed in a wrong order

Seen: with keys changed straight to one that the other does not know the test passed, as nobody had spoken meanwhile.

Change: after each change it waits until both have sent 400 bytes more.

--- a/crates/cli/tests/command/fleet.rs
+++ b/crates/cli/tests/command/fleet.rs
@@ -105,6 +105,10 @@
     panic!("{last}");
 }
 
+fn bytes_sent(view: &str) -> u64 {
+    serde_json::from_str::<serde_json::Value>(view).unwrap()["bytes_sent"].as_u64().unwrap()
+}
+
 /// Where a sidecar takes datagrams.
 fn listens(at: &str) -> String {
     let view: serde_json::Value = serde_json::from_str(&ask(at.parse().unwrap()).unwrap()).unwrap();
@@ -135,6 +139,11 @@
             hang_up().unwrap();
             let known = format!(r#""keys":{}"#, serde_json::to_string(&step).unwrap());
             until(at, |text| text.contains(&known));
+            // Each has spoken while the keys of the two differ, and while they are the same.
+            for (_, at) in &all {
+                let before = bytes_sent(&ask(at.parse().unwrap()).unwrap());
+                until(at, |text| bytes_sent(text) > before + 400);
+            }
         }
         all.iter().for_each(|(_, at)| until(at, alive));
     }
