Subsets, turns and hints of a fleet; the module takes a fleet's view

Cause: each of hundreds of sidecars chose its pods by hash alone, and learned by own hits that a pod is gone.

crates/fleet (no I/O, no clock): share_out (rendezvous hashing with bounded loads), turns that pass by themselves, hints that count only when three of two zones say so of few pods. crates/peers: posters of 256 bytes that ride with the claims. It never uses fewer pods than by itself, so no cold budget grows. In settings as peers.choices, off unless told.

--- /dev/null
+++ b/crates/fleet/src/health.rs
@@ -0,0 +1,90 @@
+//! What a member holds its pods to be, by its own outcomes: what it hints to others.
+
+use crate::says::Hint;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How a forward ended, as far as it tells of the pod. Errors tell of builds, and are not told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Sign {
+    /// It took so many target latencies.
+    Answered(f64),
+    /// Reset, or silent until its time was out.
+    Unanswered,
+    Unreached,
+    TurnedAway,
+}
+
+/// Unanswered hits in a row that make a pod shut, and hits turned away that make it full.
+const ROW: u32 = 3;
+/// Slow is so many times the mean of all, over as many answers.
+const SLOW: f64 = 4.0;
+const SLOW_OVER: u32 = 8;
+/// For so long after an answer a member believes nobody else on a pod, and tells that it opened.
+pub const FRESH: Duration = Duration::from_secs(5);
+/// What came of a pod so long ago is forgotten.
+const KEPT: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    row: u32,
+    away: u32,
+    pace: f64,
+    of: u32,
+    answered: Option<Duration>,
+    opened: Option<Duration>,
+    shut: bool,
+    last: Duration,
+}
+
+#[derive(Default)]
+pub struct Health {
+    pods: BTreeMap<u64, Seen>,
+    /// Of all pods.
+    pace: f64,
+}
+
+impl Health {
+    pub fn note(&mut self, now: Duration, pod: u64, sign: Sign) {
+        let seen = self.pods.entry(pod).or_default();
+        seen.last = now;
+        match sign {
+            Sign::Answered(took) => {
+                (seen.row, seen.away, seen.answered) = (0, 0, Some(now));
+                seen.opened = if seen.shut { Some(now) } else { seen.opened };
+                seen.shut = false;
+                seen.of = (seen.of + 1).min(SLOW_OVER);
+                seen.pace += (took - seen.pace) / f64::from(seen.of);
+                self.pace += (took - self.pace) / 50.0;
+            }
+            Sign::Unreached => seen.shut = true,
+            Sign::Unanswered => {
+                seen.row += 1;
+                seen.shut |= seen.row >= ROW;
+            }
+            Sign::TurnedAway => seen.away += 1,
+        }
+    }
+
+    pub fn forget(&mut self, now: Duration) {
+        self.pods.retain(|_, seen| now < seen.last + KEPT);
+    }
+
+    /// Whether it answered this member lately: then no hint counts.
+    pub fn answered_lately(&self, pod: u64, now: Duration) -> bool {
+        let lately = |seen: &Seen| !seen.shut && seen.answered.is_some_and(|at| now < at + FRESH);
+        self.pods.get(&pod).is_some_and(lately)
+    }
+
+    pub fn hints(&self, now: Duration) -> Vec<(u64, Hint)> {
+        let slow = |seen: &Seen| seen.of >= SLOW_OVER && seen.pace > SLOW * self.pace.max(0.01);
+        let hint = |seen: &Seen| match () {
+            _ if seen.shut => Some(Hint::Shut),
+            _ if seen.away >= ROW => Some(Hint::Full),
+            _ if seen.opened.is_some_and(|at| now < at + FRESH) => Some(Hint::Open),
+            _ if slow(seen) => Some(Hint::Slow),
+            _ => None,
+        };
+        self.pods.iter().filter_map(|(pod, seen)| Some((*pod, hint(seen)?))).collect()
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/explore.rs
@@ -0,0 +1,116 @@
+//! A bounded model check of turns: three members, one topic; every order of crashes, of views that are late or wrong, and of
+//! hearing late of the topic. A planted fault of each kind is found.
+
+use limewing_fleet::{holds_one_of, TURN};
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+const MEMBERS: [u64; 3] = [11, 22, 33];
+const TICKS: u8 = 6;
+/// Turns by which a member may hear of the topic later than another.
+const LATE: u8 = 1;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+struct State {
+    tick: u8,
+    alive: [bool; 3],
+    /// Whom each holds to be here; itself always.
+    sees: [[bool; 3]; 3],
+    heard: [Option<u8>; 3],
+}
+
+type Rule = fn(u64, u64, &[u64], u8) -> bool;
+
+fn sound(topic: u64, own: u64, members: &[u64], ago: u8) -> bool {
+    holds_one_of(1, topic, own, members.iter().copied(), TURN * u32::from(ago))
+}
+
+fn never_passes(topic: u64, own: u64, members: &[u64], _: u8) -> bool {
+    sound(topic, own, members, 0)
+}
+
+fn all_are_first(topic: u64, own: u64, _: &[u64], ago: u8) -> bool {
+    sound(topic, own, &[own], ago)
+}
+
+/// Passes on by who is seen at each time alone: two with other views may pass it round between them.
+fn skips_the_last(topic: u64, own: u64, members: &[u64], ago: u8) -> bool {
+    members.len() < 3 && sound(topic, own, members, ago) || sound(topic, own, members, ago / 4)
+}
+
+fn holders(state: &State, rule: Rule) -> usize {
+    let holds = |n: usize| {
+        let seen: Vec<u64> = (0..3).filter(|m| state.sees[n][*m]).map(|m| MEMBERS[m]).collect();
+        let ago = state.heard[n].filter(|_| state.alive[n]).map(|at| state.tick - at);
+        ago.is_some_and(|ago| rule(7, MEMBERS[n], &seen, ago))
+    };
+    (0..3).filter(|n| holds(*n)).count()
+}
+
+fn next(state: &State) -> Vec<State> {
+    let mut out = vec![*state];
+    for n in 0..3 {
+        if state.alive[n] && state.alive.iter().filter(|a| **a).count() > 1 {
+            out.push(State { alive: std::array::from_fn(|m| state.alive[m] && m != n), ..*state });
+        }
+        for m in (0..3).filter(|m| *m != n) {
+            let mut turned = *state;
+            turned.sees[n][m] = !turned.sees[n][m];
+            out.push(turned);
+        }
+    }
+    let late = |state: State| {
+        let waits: Vec<usize> = (0..3).filter(|n| state.heard[*n].is_none()).collect();
+        // Each that has not heard yet hears now, or later while it may.
+        (0..1u8 << waits.len()).map(move |hears| {
+            let mut state = State { tick: state.tick + 1, ..state };
+            for (bit, n) in waits.iter().enumerate() {
+                if hears >> bit & 1 == 1 || state.tick > LATE {
+                    state.heard[*n] = Some(state.tick - 1);
+                }
+            }
+            state
+        })
+    };
+    out.into_iter().flat_map(late).collect()
+}
+
+/// What is broken in a state, if anything is.
+fn broken(state: &State, rule: Rule) -> Option<&'static str> {
+    let (all, agreed) = ([true; 3], state.heard.iter().all(|at| *at == state.heard[0] && at.is_some()));
+    let views = state.sees.iter().all(|sees| *sees == all);
+    if agreed && views && holders(state, rule) > 1 {
+        return Some("two hold a turn though all see and have heard the same");
+    }
+    // Nothing more happens, and nobody notices who died: the turn reaches one that lives.
+    let reaches =
+        |state: State| (0..3).any(|on| holders(&State { tick: state.tick + on, ..state }, rule) > 0);
+    let heard = (0..3).all(|n| !state.alive[n] || state.heard[n].is_some());
+    (heard && views && !reaches(*state)).then_some("the turn passes to nobody that lives")
+}
+
+fn explore(rule: Rule) -> (usize, Option<(State, &'static str)>) {
+    let start = State { tick: 0, alive: [true; 3], sees: [[true; 3]; 3], heard: [Some(0), None, None] };
+    let mut seen = BTreeSet::from([start]);
+    let mut open = vec![start];
+    while let Some(state) = open.pop() {
+        if let Some(what) = broken(&state, rule) {
+            return (seen.len(), Some((state, what)));
+        }
+        if state.tick < TICKS {
+            open.extend(next(&state).into_iter().filter(|state| seen.insert(*state)));
+        }
+    }
+    (seen.len(), None)
+}
+
+#[rstest]
+#[case::sound(sound, true)]
+#[case::never_passes(never_passes, false)]
+#[case::all_are_first(all_are_first, false)]
+#[case::skips_the_last(skips_the_last, false)]
+fn turns_in_every_order(#[case] rule: Rule, #[case] holds: bool) {
+    let (states, found) = explore(rule);
+    println!("{states} states, {found:?}");
+    assert_eq!(found.is_none(), holds, "{found:?} in {states} states");
+}
--- /dev/null
+++ b/crates/fleet/tests/subsets.rs
@@ -0,0 +1,92 @@
+//! Whose pods are whose: coverage, balance, least movement.
+
+mod helpers;
+
+use helpers::{balance, held, members, moved, pods};
+use limewing_fleet::{share_out, Member, Pod};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// What hashing alone gives today: five and three for each open hit at 0.1 s each.
+fn drawn(members: &[Member], pods: &[Pod]) -> Vec<Vec<usize>> {
+    let many = |m: &Member| (5.0 + 3.0 * m.traffic * 0.1).round() as usize;
+    let alike: Vec<Pod> = pods.iter().map(|pod| Pod { strength: 1.0, zone: 0, ..*pod }).collect();
+    let one = |m: &Member| {
+        let plain = Member { zone: 0, ..*m };
+        limewing_fleet::order(&plain, &alike).into_iter().take(many(m)).collect()
+    };
+    members.iter().map(one).collect()
+}
+
+#[rstest]
+#[case::few(12, 24, 1.15)]
+#[case::sixty(60, 150, 1.15)]
+#[case::three_hundred(300, 150, 1.15)]
+#[case::thousand(1000, 500, 1.15)]
+fn each_pod_gets_about_as_much(#[case] many: usize, #[case] of: usize, #[case] most: f64) {
+    let (members, pods) = (members(many, 3), pods(of, 3));
+    let began = std::time::Instant::now();
+    let shares = share_out(&members, &pods);
+    let took = began.elapsed();
+    let (load, users, unused, mean) = balance(&members, &pods, &shares);
+    let (plain, plain_users, plain_unused, plain_mean) = balance(&members, &pods, &drawn(&members, &pods));
+    println!(
+        "{many} x {of}: load {load:.2} (drawn {plain:.2}), users {users:.2} ({plain_users:.2}) of {mean:.1} \
+         ({plain_mean:.1}), unused {unused} ({plain_unused}), {took:?}"
+    );
+    assert!(load <= most, "{load}");
+    assert_eq!(unused, 0);
+}
+
+#[rstest]
+#[case::few(12, 24)]
+#[case::sixty(60, 150)]
+#[case::three_hundred(300, 150)]
+fn little_moves_when_one_comes_or_goes(#[case] many: usize, #[case] of: usize) {
+    let (members, pods) = (members(many, 3), pods(of, 3));
+    let whole = held(&members, &pods);
+    let without = |n: usize| held(&[&members[..n], &members[n + 1..]].concat(), &pods);
+    let fewer = |n: usize| held(&members, &[&pods[..n], &pods[n + 1..]].concat());
+    let figures = |moves: Vec<f64>| {
+        let mean = moves.iter().sum::<f64>() / moves.len() as f64;
+        (mean, moves.iter().copied().fold(0.0, f64::max))
+    };
+    let by_member = figures((0..many).step_by(many / 12).map(|n| moved(&whole, &without(n))).collect());
+    let by_pod = figures((0..of).step_by(of / 12).map(|n| moved(&whole, &fewer(n))).collect());
+    let times = |(mean, most): (f64, f64), n: usize| (mean * n as f64, most * n as f64);
+    let (by_member, by_pod) = (times(by_member, many), times(by_pod, of));
+    println!("{many} x {of}: moved, in parts of one in n: member {by_member:.2?}, pod {by_pod:.2?}");
+    assert!(by_member.0 <= 4.0 && by_pod.0 <= 4.0, "{by_member:?} {by_pod:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
+    /// Whatever the fleet: no pod unused, none twice with one member, each member served, and the order in which
+    /// members and pods are told changes nothing.
+    #[test]
+    fn all_are_covered(
+        traffics in prop::collection::vec(0.01f64..500.0, 1..40),
+        strengths in prop::collection::vec(0.1f64..8.0, 1..60),
+    ) {
+        let members: Vec<Member> = (0u64..).zip(&traffics)
+            .map(|(n, t)| Member { key: n * 77 + 5, zone: n as u16 % 3, traffic: *t }).collect();
+        let pods: Vec<Pod> = (0u64..).zip(&strengths)
+            .map(|(n, s)| Pod { key: n * 31 + 9, zone: n as u16 % 3, strength: *s }).collect();
+        let shares = share_out(&members, &pods);
+        for share in &shares {
+            let mut once = share.clone();
+            once.sort_unstable();
+            once.dedup();
+            prop_assert_eq!(once.len(), share.len());
+            prop_assert!(share.len() >= pods.len().min(6));
+        }
+        prop_assert_eq!(balance(&members, &pods, &shares).2, 0);
+        let (mut back, mut pods_back) = (members.clone(), pods.clone());
+        back.reverse();
+        pods_back.reverse();
+        let sorted = |held: helpers::Held| -> helpers::Held {
+            held.into_iter().map(|(m, mut p)| { p.sort_unstable(); (m, p) }).collect()
+        };
+        prop_assert_eq!(sorted(held(&members, &pods)), sorted(held(&back, &pods_back)));
+    }
+}
--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -1,25 +1,57 @@
-//! Claims that still ride on datagrams: each rides so many times, the least told first, of these the newest: what is said of
+//! Claims, and posters, that still ride on datagrams: each rides so many times, the least told first, of these the newest: what is said of
 //! a suspect now must not wait behind all that a fleet tells at its start.
 
-use crate::words::{Claim, Name};
+use crate::words::{Claim, Name, Poster};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Claims that wait at most; beyond, the one that was told most often goes.
 const MOST_WAITING: usize = 1024;
 
-#[derive(Default)]
-pub struct Gossip {
+/// What rides: one of each name.
+pub trait Rides: Clone {
+    fn name(&self) -> &Name;
+    /// Bytes in a frame, at most.
+    fn size(&self) -> usize;
+}
+
+impl Rides for Claim {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn size(&self) -> usize {
+        size(self)
+    }
+}
+
+impl Rides for Poster {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn size(&self) -> usize {
+        self.name.len() + 1 + 10 + 5 + 2 + self.bytes.len()
+    }
+}
+
+pub struct Gossip<T> {
     /// By how often it was told and by age.
     order: BTreeSet<(u32, Reverse<u64>, Name)>,
-    claims: BTreeMap<Name, (u32, u64, Claim)>,
+    claims: BTreeMap<Name, (u32, u64, T)>,
     next: u64,
 }
 
-impl Gossip {
-    /// A newer claim of one name takes the place of the older.
-    pub fn put(&mut self, claim: Claim) {
-        let name = claim.name.clone();
+impl<T> Default for Gossip<T> {
+    fn default() -> Self {
+        Self { order: BTreeSet::new(), claims: BTreeMap::new(), next: 0 }
+    }
+}
+
+impl<T: Rides> Gossip<T> {
+    /// A newer one of one name takes the place of the older.
+    pub fn put(&mut self, claim: T) {
+        let name = claim.name().clone();
         self.drop(&name);
         if self.claims.len() >= MOST_WAITING {
             let most = self.order.last().map(|(.., name)| name.clone());
@@ -38,14 +70,14 @@
 
     /// Claims that fit into so many bytes; one that has ridden `times` is dropped. `first` goes before all others, if
     /// there is a claim of it.
-    pub fn take(&mut self, room: usize, times: u32, first: Option<&Name>) -> Vec<Claim> {
+    pub fn take(&mut self, room: usize, times: u32, first: Option<&Name>) -> Vec<T> {
         let mut left = room;
         let mut chosen: Vec<Name> = Vec::new();
         let ahead = first.filter(|name| self.claims.contains_key(*name)).cloned();
         let rest =
             self.order.iter().map(|(.., name)| name.clone()).filter(|name| ahead.as_ref() != Some(name));
         for name in ahead.clone().into_iter().chain(rest) {
-            let size = size(&self.claims[&name].2);
+            let size = self.claims[&name].2.size();
             if size > left {
                 break;
             }
@@ -55,7 +87,7 @@
         chosen.into_iter().filter_map(|name| self.ride(name, times)).collect()
     }
 
-    fn ride(&mut self, name: Name, times: u32) -> Option<Claim> {
+    fn ride(&mut self, name: Name, times: u32) -> Option<T> {
         let (told, age, claim) = self.claims.get(&name).cloned()?;
         self.drop(&name);
         if told + 1 < times {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,6 +6,8 @@
 //! its claims go to `roll` (who is held to be what, and which claim overrides which), what changed there goes into
 //! `gossip` (claims that still ride on datagrams), and `peers` probes, suspects and refutes.
 //!
+//! Beside that each member may put something up for all to read (`Peers::put_up`): bytes that are not looked at here.
+//!
 //! What a member is told may make it more careful, never less: nothing here widens a cap, a budget or a time.
 
 mod gossip;
@@ -17,4 +19,4 @@
 pub use peers::{News, Peers, Terms, Trouble};
 pub use roll::Member;
 pub use seal::{Key, Refused};
-pub use words::{Claim, Name, Standing, MOST_DATAGRAM};
+pub use words::{Claim, Name, Standing, MOST_DATAGRAM, MOST_POSTER};
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,9 +1,9 @@
 //! Probes, suspicions and refutations: who asks whom when, and what an answer or none is held to mean.
 
-use crate::gossip::{size, Gossip};
+use crate::gossip::{size, Gossip, Rides};
 use crate::roll::{Effect, Member, Roll};
 use crate::seal::{Key, Refused, Seal};
-use crate::words::{Claim, Frame, Kind, Name, Standing};
+use crate::words::{Claim, Frame, Kind, Name, Poster, Standing, MOST_POSTER};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -101,7 +101,10 @@
     terms: Terms,
     me: Claim,
     roll: Roll,
-    gossip: Gossip,
+    gossip: Gossip<Claim>,
+    /// What members have put up, each with the time at which it was heard, and what of it still rides.
+    posters: BTreeMap<Name, (Poster, Duration)>,
+    posting: Gossip<Poster>,
     seal: Seal,
     chance: WyRand,
     probe: Option<Probe>,
@@ -150,6 +153,8 @@
             me,
             roll: Roll::default(),
             gossip: Gossip::default(),
+            posters: BTreeMap::new(),
+            posting: Gossip::default(),
             probe: None,
             ring: Vec::new(),
             steads: BTreeMap::new(),
@@ -182,6 +187,36 @@
         &self.me
     }
 
+    /// Puts something up for all members to read, in the place of what was there; false if it is too long.
+    pub fn put_up(&mut self, now: Duration, bytes: Vec<u8>) -> bool {
+        let fits = bytes.len() <= MOST_POSTER;
+        if fits {
+            let no = self.posters.get(&self.me.name).map_or(0, |(old, _)| old.no.wrapping_add(1));
+            let poster = Poster { name: self.me.name.clone(), start: self.me.start, no, bytes };
+            self.posting.put(poster.clone());
+            self.posters.insert(self.me.name.clone(), (poster, now));
+        }
+        fits
+    }
+
+    /// What another member that is here has put up, and when it was heard.
+    pub fn put_up_by(&self, name: &Name) -> Option<(&[u8], Duration)> {
+        let (poster, at) = self.posters.get(name)?;
+        let here = |member: &&Member| member.is_here() && member.claim.start == poster.start;
+        self.roll.get(name).filter(here).map(|_| (poster.bytes.as_slice(), *at))
+    }
+
+    /// Only of members that are here: so there are no more of them.
+    fn read_poster(&mut self, now: Duration, poster: Poster) {
+        let here = |member: &&Member| member.is_here() && member.claim.start == poster.start;
+        let known = poster.name != self.me.name && self.roll.get(&poster.name).filter(here).is_some();
+        let old = self.posters.get(&poster.name).map(|(old, _)| (old.start, old.no));
+        if known && poster.bytes.len() <= MOST_POSTER && old < Some((poster.start, poster.no)) {
+            self.posting.put(poster.clone());
+            self.posters.insert(poster.name.clone(), (poster, now));
+        }
+    }
+
     /// 0 to 8: how much longer it waits for others, for being slow itself.
     pub fn slowness(&self) -> u32 {
         self.slow
@@ -268,6 +303,8 @@
             self.next_exchange = now + self.terms.period * EXCHANGES_EVERY;
             self.exchange(now);
             self.roll.forget(now);
+            let (roll, me) = (&self.roll, &self.me.name);
+            self.posters.retain(|name, _| name == me || roll.get(name).is_some_and(Member::is_here));
         }
     }
 
@@ -304,7 +341,7 @@
         self.send(now, at, Kind::Probe { no, whom: whom.clone() }, Some(&whom));
         let (stead_at, until) = (now + longer / 2, now + longer);
         self.probe = Some(Probe { no, whom, stead_at, until, asked: 0, silent: 0 });
-        if self.gossip.len() > 0 {
+        if self.gossip.len() + self.posting.len() > 0 {
             for at in self.some(TOLD, None) {
                 self.send(now, at, Kind::Tell, None);
             }
@@ -410,7 +447,9 @@
         self.chance.shuffle(&mut claims);
         claims.truncate(EXCHANGED);
         for to in self.some(1, None) {
-            self.post(now, to, Kind::Roll { back: false }, claims.clone());
+            let left = Seal::room() - size(&self.me) - 12 - claims.iter().map(size).sum::<usize>();
+            let posters = self.posters_of(&claims, left);
+            self.post(now, to, Kind::Roll { back: false }, claims.clone(), posters);
         }
     }
 
@@ -421,15 +460,34 @@
         let mut first = true;
         while (first || !claims.is_empty()) && self.may_send(now) {
             let (mut some, mut left) = (Vec::new(), Seal::room() - size(&self.me) - 8);
-            while let Some(claim) = claims.pop_if(|claim| size(claim) <= left) {
-                left -= size(&claim);
+            let own = if first { self.posters_of(std::slice::from_ref(&self.me), left) } else { Vec::new() };
+            left -= own.iter().map(Rides::size).sum::<usize>();
+            let with = |claim: &Claim| size(claim) + self.poster_size(&claim.name);
+            while let Some(claim) = claims.pop_if(|claim| with(claim) <= left) {
+                left -= with(&claim);
                 some.push(claim);
             }
-            self.post(now, to, Kind::Roll { back: back && first }, some);
+            let posters = self.posters_of(&some, Seal::room()).into_iter().chain(own).collect();
+            self.post(now, to, Kind::Roll { back: back && first }, some, posters);
             first = false;
         }
     }
 
+    fn poster_size(&self, name: &Name) -> usize {
+        self.posters.get(name).map_or(0, |(poster, _)| poster.size())
+    }
+
+    /// What those of the claims have put up, as far as it fits.
+    fn posters_of(&self, claims: &[Claim], mut left: usize) -> Vec<Poster> {
+        let held = claims.iter().filter_map(|claim| self.posters.get(&claim.name));
+        let fits = |poster: &&Poster| {
+            let fits = poster.size() <= left;
+            left -= if fits { poster.size() } else { 0 };
+            fits
+        };
+        held.map(|(poster, _)| poster).filter(fits).cloned().collect()
+    }
+
     fn may_send(&mut self, now: Duration) -> bool {
         let (left, at) = self.budget;
         let rate = f64::from(self.terms.bytes_per_s);
@@ -445,15 +503,20 @@
         };
         let room = Seal::room().saturating_sub(size(&self.me) + words);
         let rides = (RIDES * (self.members() as f64 + 1.0).log10().ceil()) as u32;
-        let claims = if self.may_send(now) { self.gossip.take(room, rides, first) } else { Vec::new() };
-        self.post(now, to, kind, claims);
+        if !self.may_send(now) {
+            return self.post(now, to, kind, Vec::new(), Vec::new());
+        }
+        let claims = self.gossip.take(room, rides, first);
+        let left = room.saturating_sub(claims.iter().map(size).sum());
+        let posters = self.posting.take(left, rides, None);
+        self.post(now, to, kind, claims, posters);
     }
 
-    fn post(&mut self, now: Duration, to: SocketAddr, kind: Kind, claims: Vec<Claim>) {
+    fn post(&mut self, now: Duration, to: SocketAddr, kind: Kind, claims: Vec<Claim>, posters: Vec<Poster>) {
         if self.quiet || self.out.len() >= MOST_WAITING {
             return;
         }
-        let frame = Frame { from: self.me.clone(), kind, claims };
+        let frame = Frame { from: self.me.clone(), kind, claims, posters };
         let Some(datagram) = self.seal.close(&frame, self.today_ms(now)) else { return };
         self.budget.0 -= datagram.len() as f64;
         self.sent += datagram.len() as u64;
@@ -499,7 +562,7 @@
         if self.quiet {
             return;
         }
-        let Frame { from, kind, claims } = frame;
+        let Frame { from, kind, claims, posters } = frame;
         let (name, at) = (from.name.clone(), from.at);
         // Of itself a member says that it is here or leaves; nothing else.
         if matches!(from.standing, Standing::Alive | Standing::Left) {
@@ -516,6 +579,7 @@
                 self.believe(now, claim, &name);
             }
         }
+        posters.into_iter().for_each(|poster| self.read_poster(now, poster));
         // One that is not held to be alive is told so, to clear itself.
         let doubted = self.roll.get(&name).filter(|member| member.claim.standing != Standing::Alive);
         let doubted = doubted.map(|member| member.claim.clone());
@@ -606,7 +670,7 @@
     pub fn leave(&mut self, now: Duration) {
         self.me.standing = Standing::Left;
         for at in self.some(BIDDEN_FAREWELL, None) {
-            self.post(now, at, Kind::Tell, Vec::new());
+            self.post(now, at, Kind::Tell, Vec::new(), Vec::new());
         }
         self.quiet = true;
         self.park(now);
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -7,6 +7,8 @@
 /// Bytes of a datagram, at most: it goes through common networks in one piece.
 pub const MOST_DATAGRAM: usize = 1200;
 const LONGEST_NAME: usize = 64;
+/// Bytes of a poster, at most.
+pub const MOST_POSTER: usize = 256;
 
 /// A member's name, the same over its starts: 1 to 64 bytes.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -112,9 +114,21 @@
     Tell,
 }
 
+/// What a member has put up for all to read; the later number takes the place of the earlier. What it says is not looked at
+/// here.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Poster {
+    pub name: Name,
+    /// The start of the process that put it up.
+    pub start: u64,
+    pub no: u32,
+    pub bytes: Vec<u8>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Frame {
     pub from: Claim,
     pub kind: Kind,
     pub claims: Vec<Claim>,
+    pub posters: Vec<Poster>,
 }
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -82,6 +82,9 @@
     /// Sent by this sidecar to all others together, at most.
     #[serde(default = "sixteen_kib")]
     pub bytes_per_s: u32,
+    /// Whether what is known of the others moves this one's choice among pods, and which shut pods it proves.
+    #[serde(default)]
+    pub choices: bool,
 }
 
 /// The keys of a fleet: the first seals, both open, so that one can take the other's place.
--- a/crates/sidecar/src/service/fleet.rs
+++ b/crates/sidecar/src/service/fleet.rs
@@ -1,10 +1,14 @@
-//! The other sidecars: datagrams go between the sockets and `limewing_peers`, which decides.
+//! The other sidecars: datagrams go between the sockets and `limewing_peers`, which decides who is there; events of the
+//! decision module are shown to `limewing_fleet`, and its view goes to the module.
 
 use super::StartTrouble;
+use limewing::interface::{Event, Fate, FleetView, ListNews, PodEntry, PodId, PodState};
+use limewing_fleet::{key, Choices, Pod, Says, Sign};
 use limewing_net::sockets::{SocketId, Sockets};
 use limewing_peers::{Key, Name, Peers, Terms};
 use limewing_settings::{self as settings, KeyFile, Unusable};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
@@ -16,6 +20,15 @@
     key_file: PathBuf,
     keys: Vec<u8>,
     keys_unusable: u64,
+    choices: Option<Chooser>,
+}
+
+/// The choices, and the pods by their keys.
+struct Chooser {
+    choices: Choices,
+    pods: BTreeMap<PodId, (PodEntry, u64)>,
+    changed: bool,
+    view: Option<FleetView>,
 }
 
 /// One sidecar's view of its fleet.
@@ -36,6 +49,18 @@
     /// Datagrams that were refused, by cause.
     pub refused: Vec<(String, u64)>,
     pub members: Vec<Seen>,
+    /// What of the fleet moves its choices; none: nothing does.
+    #[serde(default)]
+    pub chosen: Option<Chosen>,
+}
+
+/// Pods as this sidecar is to use them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Chosen {
+    /// The pods to use, the first one first.
+    pub uses: Vec<String>,
+    /// Shut pods whose proof is others' turn.
+    pub held: Vec<String>,
 }
 
 /// Another member, as it is held.
@@ -59,6 +84,7 @@
     pub(super) fn start(
         name: &str,
         told: &settings::Peers,
+        zone: u16,
         sockets: &mut Sockets,
         now: Duration,
         seed: u64,
@@ -84,11 +110,31 @@
         let peers = Peers::new(now, terms).map_err(StartTrouble::Peers)?;
         tracing::info!(%address, "takes datagrams of other sidecars");
         let key_file = told.key_file.clone();
-        Ok(Self { peers, socket, listens: address, key_file, keys: ids, keys_unusable: 0 })
+        let chooser = || Chooser {
+            choices: Choices::new(now, key(name), zone),
+            pods: BTreeMap::new(),
+            changed: false,
+            view: None,
+        };
+        let choices = told.choices.then(chooser);
+        Ok(Self { peers, socket, listens: address, key_file, keys: ids, keys_unusable: 0, choices })
     }
 
     pub(super) fn next(&self) -> Duration {
-        self.peers.next()
+        let choices = self.choices.as_ref().map(|chooser| chooser.choices.next());
+        choices.map_or(self.peers.next(), |next| next.min(self.peers.next()))
+    }
+
+    /// Shows it what the decision module is about to be told; what of the fleet is news to the module comes back.
+    pub(super) fn watch(
+        &mut self,
+        now: Duration,
+        events: &[Event],
+        address: impl Fn(PodId) -> Option<SocketAddr>,
+    ) -> Option<Event> {
+        let Some(chooser) = &mut self.choices else { return None };
+        events.iter().for_each(|event| chooser.see(now, event, &address));
+        chooser.look(now, &mut self.peers).map(Event::Fleet)
     }
 
     pub(super) fn hear(&mut self, now: Duration, bytes: &[u8]) {
@@ -135,7 +181,7 @@
         }
     }
 
-    pub(super) fn view(&self, now: Duration) -> View {
+    pub(super) fn view(&self, now: Duration, address: impl Fn(PodId) -> Option<SocketAddr>) -> View {
         let me = self.peers.me();
         let members = self.peers.all().map(|member| Seen {
             name: member.claim.name.to_string(),
@@ -157,6 +203,81 @@
             keys_unusable: self.keys_unusable,
             refused: self.peers.refused().iter().map(|(why, count)| (why.to_string(), *count)).collect(),
             members: members.collect(),
+            chosen: self.choices.as_ref().and_then(|chooser| chooser.chosen(address)),
         }
     }
 }
+
+impl Chooser {
+    fn see(&mut self, now: Duration, event: &Event, address: &impl Fn(PodId) -> Option<SocketAddr>) {
+        match event {
+            Event::Hit(_) => self.choices.took(),
+            Event::Outcome(outcome) => {
+                let sign = match outcome.fate {
+                    Fate::Delivered | Fate::Errored => Some(Sign::Answered(outcome.took.as_secs_f64())),
+                    Fate::TimedOut | Fate::Broken => Some(Sign::Unanswered),
+                    Fate::Unreached => Some(Sign::Unreached),
+                    Fate::TurnedAway => Some(Sign::TurnedAway),
+                    Fate::Cancelled | Fate::Void => None,
+                };
+                let known = self.pods.get(&outcome.pod).zip(sign);
+                known.into_iter().for_each(|((_, key), sign)| self.choices.ended(now, *key, sign));
+            }
+            Event::List(news) => {
+                let (whole, rows) = match news {
+                    ListNews::Whole(rows) | ListNews::Remembered(rows) => (true, rows.as_slice()),
+                    ListNews::Change(rows) => (false, rows.as_slice()),
+                    ListNews::Failed => (false, [].as_slice()),
+                };
+                if whole {
+                    self.pods.clear();
+                }
+                for row in rows {
+                    let key = address(row.pod).map(|at| key(&at.to_string()));
+                    match key.filter(|_| row.state == PodState::Ready) {
+                        Some(key) => drop(self.pods.insert(row.pod, (row.clone(), key))),
+                        None => drop(self.pods.remove(&row.pod)),
+                    }
+                }
+                self.changed |= whole || !rows.is_empty();
+            }
+            _ => {}
+        }
+    }
+
+    /// The view for the module, if it changed; what is to be said is put up.
+    fn look(&mut self, now: Duration, peers: &mut Peers) -> Option<Option<FleetView>> {
+        if now < self.choices.next() {
+            return None;
+        }
+        if std::mem::take(&mut self.changed) {
+            let pod = |(row, key): &(PodEntry, u64)| Pod { key: *key, zone: row.zone.0, strength: row.size };
+            self.choices.pods(self.pods.values().map(pod).collect());
+        }
+        if let Some(says) = self.choices.says(now) {
+            peers.put_up(now, says.write());
+        }
+        let says = |name| peers.put_up_by(name).and_then(|(bytes, at)| Some((Says::read(bytes).ok()?, at)));
+        let others =
+            peers.here().map(|member| (key(&member.claim.name.to_string()), says(&member.claim.name)));
+        self.choices.others(others);
+        let view = self.choices.view(now)?;
+        let by_key: BTreeMap<u64, PodId> = self.pods.iter().map(|(pod, (_, key))| (*key, *pod)).collect();
+        let pod = |key: &u64| by_key.get(key).copied();
+        self.view = view.map(|view| FleetView {
+            order: view.order.iter().filter_map(pod).collect(),
+            uses: view.uses,
+            held: view.held.iter().filter_map(pod).collect(),
+        });
+        Some(self.view.clone())
+    }
+
+    fn chosen(&self, address: impl Fn(PodId) -> Option<SocketAddr>) -> Option<Chosen> {
+        let view = self.view.as_ref()?;
+        let name = |pod: &PodId| address(*pod).map(|at| at.to_string());
+        Some(Chosen {
+            uses: view.order.iter().take(view.uses).filter_map(name).collect(),
+            held: view.held.iter().filter_map(name).collect(),
+        })
+    }
+}
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -424,7 +424,11 @@
 
     /// Who else is there, as this sidecar holds it.
     fn tell_fleet(&mut self, id: SocketId) {
-        match self.fleet.as_ref().map(|fleet| serde_json::to_vec(&fleet.view(self.now))) {
+        match self
+            .fleet
+            .as_ref()
+            .map(|fleet| serde_json::to_vec(&fleet.view(self.now, |pod| self.book.address(pod))))
+        {
             Some(Ok(body)) => self.reply(id, 200, &[("content-type", "application/json")], &body),
             _ => self.reply(id, 404, &[], b"this sidecar knows of no others: no peers in its settings\n"),
         }
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -183,8 +183,10 @@
         let now = clock.now();
         let seed = settings.seed.unwrap_or_else(rand::random);
         let of_peers = settings.peers.as_ref();
-        let fleet =
-            of_peers.map(|peers| Fleet::start(&settings.name, peers, &mut sockets, now, seed)).transpose()?;
+        let zone = settings.start_terms(seed).zone.0;
+        let fleet = of_peers
+            .map(|peers| Fleet::start(&settings.name, peers, zone, &mut sockets, now, seed))
+            .transpose()?;
         let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
@@ -269,6 +271,8 @@
             self.is_due(due);
         }
         if let Some(fleet) = &mut self.fleet {
+            let news = fleet.watch(self.now, &self.events, |pod| self.book.address(pod));
+            self.events.extend(news);
             fleet.turn(self.now, &mut self.sockets);
         }
         let read = self.clock.now();
--- a/crates/standins/src/fleet/rig.rs
+++ b/crates/standins/src/fleet/rig.rs
@@ -192,6 +192,7 @@
             key_file: self.keys.clone(),
             period,
             bytes_per_s: 65_536,
+            choices: told.peers.as_ref().is_some_and(|peers| peers.choices),
         });
         let file = self.plan.folder.join(format!("s{number}.json"));
         std::fs::write(&file, serde_json::to_string_pretty(&told).map_err(|e| trouble(e.to_string()))?)?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 
 use crate::figures::Figures;
 use crate::interface::*;
-use crate::ledger::{drawn, excess, median, part, rank, tail, unevenness, Fading, Mean, Rate, Window};
+use crate::ledger::{drawn, excess, median, part, tail, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -170,17 +170,17 @@
         !self.open.is_empty() || !self.health.shut_until.is_zero()
     }
 
-    pub fn post_card(&mut self, round: &mut Round) {
+    pub fn post_card(&self, round: &mut Round) {
         let (now, ready) = (round.now, self.entry.state == PodState::Ready);
         let shut = !self.health.shut_until.is_zero();
         let card = Card {
             entry: self.entry.clone(),
-            rank: rank(u64::from(round.figures.own_number), self.entry.pod.0),
+            rank: round.rank(self.entry.pod),
             ready,
             open: self.open.len(),
             pace: self.health.pace,
             usable: ready && !shut,
-            wants_proof: ready && shut && now >= self.health.shut_until,
+            wants_proof: ready && shut && now >= self.health.shut_until && !round.is_held(self.entry.pod),
         };
         round.mail.put(To::Desk, Note::Card(card));
     }
@@ -569,7 +569,7 @@
         // A light sidecar has few hits: most must not go to prove that what is shut still fails.
         let proves = harmless && open.tried.is_empty() && round.chance() < PROOFS;
         let want_trial = !open.no_trial && draw < share;
-        let used = self.used();
+        let used = self.used(round);
         let among = |c: &Card| used[usize::from(on_trial(c))];
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
@@ -607,12 +607,12 @@
     /// them that is. It uses those that rank highest in a hash of its own number and theirs, a few more than
     /// its open hits need. With few hits it can't learn what hundreds of pods are like, nor keep connections
     /// to them. A pod that is shut makes room for the next in rank.
-    fn used(&self) -> [((u64, PodId), f64); 2] {
+    fn used(&self, round: &Round) -> [((u64, PodId), f64); 2] {
         let ranks = &self.overview.ranks;
         let all = ranks[0].len() + ranks[1].len();
         [0, 1].map(|side| {
             let here = ranks[side].len();
-            let most = (FEW_PODS + 3 * self.cards.open()) as f64 * here as f64 / all.max(1) as f64;
+            let most = round.uses(FEW_PODS + 3 * self.cards.open()) as f64 * here as f64 / all.max(1) as f64;
             let most = (most.ceil() as usize).max(2);
             match here.checked_sub(most) {
                 Some(last @ 1..) => (ranks[side][last], most as f64 / here as f64),
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -1,6 +1,7 @@
 //! Each test builds the state that it needs and calls one function.
 
 use super::*;
+use crate::ledger::rank;
 use crate::sidecar::in_order;
 use rstest::rstest;
 
@@ -454,7 +455,7 @@
     let mut desk = desk(40);
     let in_use = |desk: &mut Desk| {
         desk.overview.look_over(&mut desk.cards);
-        let [(last, part), _] = desk.used();
+        let [(last, part), _] = desk.used(&round(1.0));
         let cards: Vec<Card> =
             desk.cards.iter().filter(|c| c.usable && c.ranked() >= last).cloned().collect();
         (cards, part)
@@ -476,7 +477,7 @@
         desk.cards.put(Card { usable: false, ..card });
     }
     desk.overview.look_over(&mut desk.cards);
-    assert_eq!(desk.used().map(|(_, part)| part), [1.0, 1.0]);
+    assert_eq!(desk.used(&round(1.0)).map(|(_, part)| part), [1.0, 1.0]);
 }
 
 #[test]
@@ -725,3 +726,36 @@
     judge.vote(&mut round);
     assert!(round.out.iter().any(|a| matches!(a, Action::Vote { verdict: Verdict::Back, .. })));
 }
+
+/// The fleet's order and number of pods take the place of its own; never fewer.
+#[rstest]
+#[case::as_told(3, vec![4, 9, 2], 5)]
+#[case::more(8, vec![4, 9, 2], 8)]
+fn a_fleets_view_moves_the_choice(#[case] uses: usize, #[case] order: Vec<u64>, #[case] used: usize) {
+    let (mut desk, mut round) = (desk(40), round(1.0));
+    let order: Vec<PodId> = order.into_iter().map(PodId).collect();
+    round.look_at(Some(FleetView { order: order.clone(), uses, held: BTreeSet::new() }));
+    let cards: Vec<Card> = desk.cards.iter().cloned().collect();
+    cards.into_iter().for_each(|card| desk.cards.put(Card { rank: round.rank(card.entry.pod), ..card }));
+    desk.overview.look_over(&mut desk.cards);
+    let [((last, _), part), _] = desk.used(&round);
+    let mut first: Vec<&Card> = desk.cards.iter().filter(|card| card.rank >= last).collect();
+    first.sort_by_key(|card| std::cmp::Reverse(card.rank));
+    assert_eq!(first.len(), used);
+    assert!(first.iter().map(|card| card.entry.pod).take(3).eq(order));
+    assert!((part - used as f64 / 40.0).abs() < 1e-9);
+}
+
+/// A shut pod that others are to prove does not ask for a proof here; own outcomes still open it.
+#[rstest]
+#[case::own_turn(vec![], true)]
+#[case::others_turn(vec![0], false)]
+fn a_proof_that_is_others_turn_waits(#[case] held: Vec<u64>, #[case] proves: bool) {
+    let mut round = round(9.0);
+    round.look_at(Some(FleetView { held: held.into_iter().map(PodId).collect(), ..FleetView::default() }));
+    let mut shut = Pod::new(pod(0, 1));
+    shut.health.shut_until = at(1.0);
+    shut.post_card(&mut round);
+    let Some((_, Note::Card(card))) = round.mail.take() else { panic!("no card") };
+    assert_eq!((card.usable, card.wants_proof), (false, proves));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,7 @@
 //! What the decision module and its host say to each other, free of any wire. Times are spans since the start
 //! of the host's clock.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 macro_rules! ids {
@@ -222,10 +223,31 @@
     List(ListNews),
     Hit(Hit),
     Outcome(Outcome),
-    StreamStarted { hit: HitId },
+    StreamStarted {
+        hit: HitId,
+    },
     Left(HitId),
-    Stage { news: Option<StageNews>, answer: Option<VoteAnswer> },
-    Flagged { pod: PodId, group: GroupId },
+    Stage {
+        news: Option<StageNews>,
+        answer: Option<VoteAnswer>,
+    },
+    Flagged {
+        pod: PodId,
+        group: GroupId,
+    },
+    /// What is known of the other sidecars changed; none: nobody else is known.
+    Fleet(Option<FleetView>),
+}
+
+/// What the other sidecars make of this one's choices. It widens nothing: no cap, budget or time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetView {
+    /// Pods, the one to use first at the front.
+    pub order: Vec<PodId>,
+    /// How many of them to use at the least.
+    pub uses: usize,
+    /// Shut pods that others are to prove.
+    pub held: BTreeSet<PodId>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -3,7 +3,7 @@
 use crate::figures::Figures;
 use crate::inbox::Inboxes;
 use crate::interface::*;
-use crate::ledger::{median, DueTimes, Mean, Window};
+use crate::ledger::{median, rank, DueTimes, Mean, Window};
 use nanorand::{Rng, WyRand};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -95,6 +95,8 @@
     pub due: DueTimes<(To, Note)>,
     pub chance: WyRand,
     pub out: Vec<Action>,
+    /// What the other sidecars make of its choices, and each pod's place in their order.
+    pub fleet: Option<(FleetView, BTreeMap<PodId, usize>)>,
 }
 
 impl Round {
@@ -107,9 +109,34 @@
             due: DueTimes::default(),
             chance: WyRand::new_seed(terms.seed),
             out: Vec::new(),
+            fleet: None,
         }
     }
 
+    pub fn look_at(&mut self, fleet: Option<FleetView>) {
+        let places = |view: &FleetView| view.order.iter().enumerate().map(|(n, pod)| (*pod, n)).collect();
+        self.fleet = fleet.map(|view| (places(&view), view)).map(|(places, view)| (view, places));
+    }
+
+    /// A pod's place in this sidecar's order, the greatest first: the fleet's, or else by hash.
+    pub fn rank(&self, pod: PodId) -> u64 {
+        let told = self.fleet.as_ref().and_then(|(_, places)| places.get(&pod));
+        told.map_or_else(
+            || rank(u64::from(self.figures.own_number), pod.0) >> u32::from(self.fleet.is_some()),
+            |place| u64::MAX - *place as u64,
+        )
+    }
+
+    /// How many pods it uses: never fewer than by itself, which would widen a cold pod's budget.
+    pub fn uses(&self, by_itself: usize) -> usize {
+        self.fleet.as_ref().map_or(by_itself, |(view, _)| view.uses.max(by_itself))
+    }
+
+    /// Whether others are to prove a pod that is shut.
+    pub fn is_held(&self, pod: PodId) -> bool {
+        self.fleet.as_ref().is_some_and(|(view, _)| view.held.contains(&pod))
+    }
+
     pub fn tell<const N: usize>(&mut self, parts: [To; N], note: &Note) {
         parts.into_iter().for_each(|to| self.mail.put(to, note.clone()));
     }
@@ -140,6 +167,7 @@
                     self.mail.put(To::Judge, Note::VoteAnswered(answer));
                 }
             }
+            Event::Fleet(view) => self.look_at(view),
             Event::Flagged { pod, group } => self.mail.put(To::Judge, Note::Flagged { pod, group }),
         }
     }
@@ -232,8 +260,8 @@
         match self.place(card.entry.pod) {
             Ok(place) => {
                 let old = &mut self.cards[place];
-                let same =
-                    (old.ready, old.usable, old.entry.build) == (card.ready, card.usable, card.entry.build);
+                let same = (old.ready, old.usable, old.rank) == (card.ready, card.usable, card.rank)
+                    && old.entry.build == card.entry.build;
                 (self.open, self.changed) = (self.open - counts(old), self.changed || !same);
                 *old = card;
             }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -11,7 +11,7 @@
 /// cap that has been replaced. Hurts by nothing: both speak of the same moment.
 pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
     events.sort_by_key(|event| match event {
-        Event::List(_) | Event::Stage { .. } => 0,
+        Event::List(_) | Event::Stage { .. } | Event::Fleet(_) => 0,
         Event::Outcome(_) => 1,
         _ => 2,
     });
@@ -46,7 +46,10 @@
         self.round.now = now;
         self.round.late = now.saturating_sub(self.next_beat);
         for event in in_order(events) {
+            let fleet = matches!(event, Event::Fleet(_));
             self.round.deliver(event);
+            // Each pod's place in the order may be another.
+            self.pods.values().filter(|_| fleet).for_each(|pod| pod.post_card(&mut self.round));
             self.empty();
         }
         while let Some((to, note)) = self.round.due.take(now) {
