--- /dev/null
+++ b/crates/account/src/balance.rs
@@ -0,0 +1,66 @@
+//! How a day's load was spread over its pods, from the record alone.
+
+use crate::record::{Entry, Line, PodNo, SidecarNo};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Sidecars of a pod are counted over such spans.
+const SPAN: Duration = Duration::from_secs(2);
+/// A pod that ran for less is left out: it may have been cold throughout.
+const LEAST: Duration = Duration::from_secs(4);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Balance {
+    /// Forwards per strength and second of a pod, most over mean.
+    pub most: f64,
+    /// Sidecars that sent a pod anything in a span: the mean, and the most.
+    pub users: (f64, usize),
+    /// Pods that got nothing.
+    pub unused: usize,
+}
+
+#[derive(Default)]
+struct Pod {
+    capacity: f64,
+    since: Duration,
+    ran: Duration,
+    came: usize,
+    users: BTreeMap<u128, BTreeSet<SidecarNo>>,
+}
+
+pub fn balance(lines: &[Line]) -> Balance {
+    let mut pods: BTreeMap<PodNo, Pod> = BTreeMap::new();
+    let end = lines.last().map_or(Duration::ZERO, |line| line.at);
+    for line in lines {
+        match &line.entry {
+            Entry::PodUp { pod, capacity, .. } => {
+                pods.insert(*pod, Pod { capacity: *capacity, since: line.at, ..Pod::default() });
+            }
+            Entry::PodDown { pod } => {
+                pods.entry(*pod).and_modify(|pod| pod.ran = line.at.saturating_sub(pod.since));
+            }
+            Entry::Arrived { pod, sidecar, .. } => {
+                if let Some(pod) = pods.get_mut(pod) {
+                    pod.came += 1;
+                    let span = line.at.as_millis() / SPAN.as_millis();
+                    pod.users.entry(span).or_default().insert(*sidecar);
+                }
+            }
+            _ => {}
+        }
+    }
+    let ran = |pod: &Pod| if pod.ran.is_zero() { end.saturating_sub(pod.since) } else { pod.ran };
+    let long: Vec<&Pod> = pods.values().filter(|pod| ran(pod) >= LEAST).collect();
+    let could = |pod: &Pod| (pod.capacity * ran(pod).as_secs_f64()).max(1e-9);
+    let (came, whole) = long.iter().fold((0, 0.0), |(came, whole), p| (came + p.came, whole + could(p)));
+    let mean = (came as f64 / whole.max(1e-9)).max(1e-9);
+    let spans: Vec<usize> = long.iter().flat_map(|pod| pod.users.values().map(BTreeSet::len)).collect();
+    Balance {
+        most: long.iter().map(|pod| pod.came as f64 / could(pod) / mean).fold(0.0, f64::max),
+        users: (
+            spans.iter().sum::<usize>() as f64 / spans.len().max(1) as f64,
+            spans.iter().max().copied().unwrap_or(0),
+        ),
+        unused: long.iter().filter(|pod| pod.came == 0).count(),
+    }
+}
--- a/crates/account/src/rules.rs
+++ b/crates/account/src/rules.rs
@@ -4,6 +4,7 @@
 //! takes it), a forward when the pod has read it (after the sidecar sent it). Each check grants what these
 //! ways round may take (`Stalls::blur`), and no more.
 
+use crate::balance::{balance, Balance};
 use crate::record::*;
 use crate::stalls::Stalls;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -71,6 +72,7 @@
     pub day: String,
     pub findings: Vec<Finding>,
     pub service: Service,
+    pub balance: Balance,
 }
 
 impl Account {
@@ -90,7 +92,7 @@
         cold(lines, terms, &stalls),
         exposure(lines, terms, &stalls),
     ];
-    Some(Account { day: day.clone(), findings, service: service(lines, terms) })
+    Some(Account { day: day.clone(), findings, service: service(lines, terms), balance: balance(lines) })
 }
 
 fn ms(span: Duration) -> String {
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -53,6 +53,11 @@
         "{table}\n{}: service {:.3}: {} hits, {} delivered, {} bounced, {} errored in the end",
         account.day, of.figure, of.orders, of.delivered, of.bounced, of.errored
     );
+    let spread = &account.balance;
+    text += &format!(
+        "\nload per pod {:.2} of the mean at most, {:.1} sidecars a pod (most {}), {} pods unused",
+        spread.most, spread.users.0, spread.users.1, spread.unused
+    );
     for finding in account.findings.iter().filter(|finding| !finding.breaches.is_empty()) {
         text += &format!("\n{}:", finding.rule);
         for breach in finding.breaches.iter().take(SHOWN) {
--- a/crates/standins/src/day/clients.rs
+++ b/crates/standins/src/day/clients.rs
@@ -115,7 +115,10 @@
 
     /// Sends the next try of a hit to one of the sidecars.
     pub(super) fn ask(&mut self, id: OrderId) {
-        let sidecar = SidecarNo(self.chance.random_range(0..self.script.sidecars.len() as u32));
+        let sidecar = match WeightedIndex::new(&self.script.traffic) {
+            Ok(places) => SidecarNo(places.sample(&mut self.chance) as u32),
+            Err(_) => SidecarNo(self.chance.random_range(0..self.script.sidecars.len() as u32)),
+        };
         let patience = self.chance.random_range(self.script.clients.patience_from..=1.0);
         let leaves = self.chance.random_bool(self.script.clients.leaves);
         let Some(order) = self.clients.orders.get_mut(&id) else { return };
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -5,11 +5,13 @@
 mod processes;
 mod services;
 
+use crate::fleet::{write_keys, Relay};
 use crate::installer::{Installer, PlaceNo};
 use crate::marks::Marks;
 use crate::script::{DayScript, Trouble, FIRST_BUILD};
 use clients::{ClientLink, Clients};
 use limewing_account::record::{Entry, OrderId, PodNo, Recorder, SidecarNo};
+use limewing_links::Links;
 use limewing_net::sockets::{Happening, SocketId, Sockets};
 use limewing_net::wheel::Wheel;
 use limewing_settings::Seconds;
@@ -116,6 +118,8 @@
     present: BTreeMap<usize, Trouble>,
     clients: Clients,
     processes: Vec<Process>,
+    /// Between the sidecars, if they know of each other.
+    relay: Option<Relay>,
     on: bool,
     over: bool,
 }
@@ -172,10 +176,16 @@
             present: BTreeMap::new(),
             clients: Clients::default(),
             processes: Vec::new(),
+            relay: None,
             on: false,
             over: false,
         };
         day.note(Entry::Begin { day: script.name.clone(), terms: script.terms() });
+        if let Some(peers) = &script.peers {
+            write_keys(&day.folder.join(processes::KEYS))?;
+            let members = script.sidecars.len();
+            day.relay = Some(Relay::start(Links::new(&peers.faults, members), members)?);
+        }
         for place in 0..script.fleet.pods {
             day.start_pod(PlaceNo(place), FIRST_BUILD, false)?;
         }
@@ -216,6 +226,7 @@
 
     fn begin(&mut self) {
         self.on = true;
+        self.relay.iter().for_each(Relay::begin);
         let (now, script) = (self.now, self.script);
         self.wheel.arm(now, Due::Hit);
         self.wheel.arm(now, Due::Tick);
@@ -314,7 +325,10 @@
             Due::PodDown(pod) => self.pod_down(pod),
             Due::Publish(published) => self.publish(*published),
             Due::ListAnswer(link, asked) => self.list_wait_over(link, asked),
-            Due::Tick => self.tick()?,
+            Due::Tick => {
+                self.faults()?;
+                self.tick()?
+            }
             Due::TellAll => self.tell_all_again(),
             Due::TellNow => self.tell_now(),
             Due::PodRead(link) => self.pod_ready(link),
@@ -349,12 +363,10 @@
             Trouble::PodsSlow { places, factor } => self.set_slow(places, *factor),
             Trouble::SidecarKilled(number) => self.kill_sidecar(*number),
             Trouble::SidecarLeaves(number) => {
-                self.note(Entry::SidecarLeaves { sidecar: SidecarNo(*number as u32) });
-                self.processes[*number].leave();
+                self.bid_leave(*number);
             }
             Trouble::SidecarStopped(number) => {
-                self.processes[*number].stop(true);
-                self.note(Entry::SidecarStopped { sidecar: SidecarNo(*number as u32) });
+                self.stop_sidecar(*number);
             }
             Trouble::ListDown => self.list_down(),
             Trouble::InstallerDown => self.installer_down(),
@@ -378,8 +390,7 @@
             Trouble::PodsSlow { places, .. } => self.set_slow(places, 1.0),
             Trouble::SidecarKilled(number) | Trouble::SidecarLeaves(number) => self.start_again(*number)?,
             Trouble::SidecarStopped(number) => {
-                self.note(Entry::SidecarGoesOn { sidecar: SidecarNo(*number as u32) });
-                self.processes[*number].stop(false);
+                self.let_go_on(*number);
             }
             Trouble::ListDown => self.list_up()?,
             Trouble::InstallerDown => self.installer_up()?,
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -2,7 +2,9 @@
 
 use super::services::SERVICE;
 use super::{Day, DayTrouble};
+use crate::fleet::{listens, Relay};
 use limewing_account::record::{Entry, SidecarNo};
+use limewing_links::Act;
 use limewing_settings::{Customer, Fleet, Headers, Installer, ListService, Seconds, SidecarSettings};
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs::File;
@@ -10,6 +12,9 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+/// The key file of a day's sidecars.
+pub const KEYS: &str = "keys.json";
+
 pub struct Process {
     child: Child,
     pub address: SocketAddr,
@@ -77,10 +82,56 @@
             limits: script.limits.clone(),
             rules: script.rules.clone(),
             releases: script.releases.clone(),
-            peers: None,
+            peers: self.peers(number),
         }
     }
 
+    fn peers(&self, number: usize) -> Option<limewing_settings::Peers> {
+        let (told, relay) = (self.script.peers.as_ref()?, self.relay.as_ref()?);
+        Some(limewing_settings::Peers {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            advertise: Some(relay.fronts[number]),
+            join: relay.fronts.iter().take(3).copied().collect(),
+            key_file: self.folder.join(KEYS),
+            period: told.period,
+            bytes_per_s: 65_536,
+            choices: told.choices,
+        })
+    }
+
+    /// What the script of faults does to links and sidecars by now.
+    pub(super) fn faults(&mut self) -> Result<(), DayTrouble> {
+        for act in self.relay.as_ref().map(Relay::turn).unwrap_or_default() {
+            self.note(Entry::Trouble { text: format!("{act:?}") });
+            match act {
+                Act::Kill(number) => self.kill_sidecar(number),
+                Act::Start(number) => self.start_again(number)?,
+                Act::Leave(number) => self.bid_leave(number),
+                Act::Stop(number) => self.stop_sidecar(number),
+                Act::GoOn(number) => self.let_go_on(number),
+                Act::Noise { to, datagrams } => {
+                    self.relay.iter().try_for_each(|relay| relay.noise(to, datagrams))?
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn bid_leave(&mut self, number: usize) {
+        self.note(Entry::SidecarLeaves { sidecar: SidecarNo(number as u32) });
+        self.processes[number].leave();
+    }
+
+    pub(super) fn stop_sidecar(&mut self, number: usize) {
+        self.processes[number].stop(true);
+        self.note(Entry::SidecarStopped { sidecar: SidecarNo(number as u32) });
+    }
+
+    pub(super) fn let_go_on(&mut self, number: usize) {
+        self.note(Entry::SidecarGoesOn { sidecar: SidecarNo(number as u32) });
+        self.processes[number].stop(false);
+    }
+
     /// Starts a sidecar, at the address it had before if it had one; waits until it listens.
     pub(super) fn spawn(&mut self, number: usize, at: Option<SocketAddr>) -> Result<Process, DayTrouble> {
         let trouble = |why: String| DayTrouble::Sidecar { number, why };
@@ -117,7 +168,12 @@
         let told = line.trim().strip_prefix("listening ").and_then(|address| address.parse().ok());
         let mut process = Process { child, address: listen, gone: false };
         match told {
-            Some(address) => process.address = address,
+            Some(address) => {
+                process.address = address;
+                if let Some(relay) = &self.relay {
+                    relay.stands(number, Some(listens(address)?));
+                }
+            }
             None => return Err(trouble(format!("it does not listen; see sidecar-{number}.log"))),
         }
         Ok(process)
@@ -127,6 +183,7 @@
         let sidecar = SidecarNo(number as u32);
         // Told first: what its end cuts off is seen afterwards.
         self.note(Entry::SidecarDown { sidecar });
+        self.relay.iter().for_each(|relay| relay.stands(number, None));
         self.processes[number].end();
     }
 
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -4,7 +4,8 @@
 mod relay;
 mod rig;
 
-pub use rig::{ask, play, Plan, Played, RigTrouble, Sample};
+pub use relay::Relay;
+pub use rig::{ask, listens, play, write_keys, Plan, Played, RigTrouble, Sample};
 
 use limewing_links::{Core, World};
 use limewing_peers::{Key, Name, News, Peers, Standing, Terms};
--- a/crates/standins/src/fleet/relay.rs
+++ b/crates/standins/src/fleet/relay.rs
@@ -29,6 +29,8 @@
     /// Where each member that runs takes datagrams, and sends them from.
     members: Mutex<Vec<Option<SocketAddr>>>,
     passed: Mutex<(u64, u64)>,
+    /// When the script's time began.
+    began: Mutex<Duration>,
 }
 
 pub struct Relay {
@@ -53,6 +55,7 @@
             over: AtomicBool::new(false),
             members: Mutex::new(vec![None; members]),
             passed: Mutex::default(),
+            began: Mutex::default(),
         });
         let mut threads = Vec::new();
         let out = sockets.iter().map(UdpSocket::try_clone).collect::<io::Result<Vec<_>>>()?;
@@ -75,9 +78,14 @@
         self.shared.start.elapsed()
     }
 
+    /// The script's time begins now.
+    pub fn begin(&self) {
+        *self.shared.began.lock().unwrap() = self.now();
+    }
+
     /// Takes the steps of the script that are due.
     pub fn turn(&self) -> Vec<Act> {
-        let now = self.now();
+        let now = self.now().saturating_sub(*self.shared.began.lock().unwrap());
         self.shared.links.lock().unwrap().turn(now)
     }
 
--- a/crates/standins/src/fleet/rig.rs
+++ b/crates/standins/src/fleet/rig.rs
@@ -72,7 +72,7 @@
 pub fn play(plan: &Plan) -> Result<Played, RigTrouble> {
     std::fs::create_dir_all(plan.folder)?;
     let keys = plan.folder.join("keys.json");
-    std::fs::write(&keys, format!(r#"{{"keys": [{{"id": 1, "secret": "{}"}}]}}"#, "5a".repeat(32)))?;
+    write_keys(&keys)?;
     let relay = Relay::start(Links::new(plan.script, plan.members), plan.members)?;
     let mut rig = Rig {
         plan,
@@ -95,6 +95,11 @@
     Ok(std::mem::take(&mut rig.played))
 }
 
+/// A key file for a fleet that is played.
+pub fn write_keys(file: &Path) -> io::Result<()> {
+    std::fs::write(file, format!(r#"{{"keys": [{{"id": 1, "secret": "{}"}}]}}"#, "5a".repeat(32)))
+}
+
 struct Rig<'a> {
     plan: &'a Plan<'a>,
     keys: PathBuf,
@@ -213,8 +218,7 @@
             let _ = child.wait();
             return Err(trouble(format!("it does not listen; see s{number}.log")));
         };
-        let view: View = serde_json::from_str(&ask(address)?).map_err(|e| trouble(e.to_string()))?;
-        self.relay.stands(number, Some(view.listens));
+        self.relay.stands(number, Some(listens(address)?));
         let since = self.relay.now();
         self.processes[number] = Some(Process { child, address, stopped: false, since });
         Ok(())
@@ -266,6 +270,12 @@
     let _ = kill_process(Pid::from_child(child), signal);
 }
 
+/// Where a sidecar takes datagrams.
+pub fn listens(at: SocketAddr) -> io::Result<SocketAddr> {
+    let view: View = serde_json::from_str(&ask(at)?)?;
+    Ok(view.listens)
+}
+
 /// The body of a sidecar's page on its fleet.
 pub fn ask(at: SocketAddr) -> io::Result<String> {
     let mut link = TcpStream::connect_timeout(&at, ANSWERS_WITHIN)?;
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -1,6 +1,7 @@
 //! A day as its file says: the fleet, the hits, the releases, and what goes wrong when. JSON; spans in seconds.
 
 use limewing_account::record;
+use limewing_links::Script;
 use limewing_settings::{Checked, Limits, Misfit, PathGroup, Reach, Releases, Repeat, Rules, Seconds};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,23 @@
     pub offers: Vec<Offer>,
     #[serde(default)]
     pub troubles: Vec<TroubleAt>,
+    /// The parts of the hits that the sidecars get; alike if absent.
+    #[serde(default)]
+    pub traffic: Vec<f64>,
+    /// The sidecars know of each other, through links of this script; none: they don't.
+    #[serde(default)]
+    pub peers: Option<PeersScript>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PeersScript {
+    /// Whether what they know of each other moves their choices.
+    pub choices: bool,
+    /// Between two probes.
+    pub period: Seconds,
+    /// Faults of the links between them and of the sidecars; its members are the day's sidecars.
+    pub faults: Script,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -269,6 +287,14 @@
         for (place, zone) in self.sidecars.iter().enumerate() {
             need(self.fleet.zones.contains(zone), format!("/sidecars/{place}"), "one of /fleet/zones");
         }
+        let traffic = self.traffic.is_empty()
+            || (self.traffic.len() == self.sidecars.len()
+                && self.traffic.iter().all(|part| (0.0..=1e6).contains(part))
+                && self.traffic.iter().sum::<f64>() > 0.0);
+        need(traffic, "/traffic".into(), "a part from 0 for each sidecar, one of them over 0");
+        for misfit in self.peers.iter().flat_map(|peers| peers.faults.misfits()) {
+            need(false, format!("/peers/faults{}", misfit.path), misfit.expected);
+        }
         let shares: f64 = self.groups.iter().map(|group| group.share).sum();
         need((shares - 1.0).abs() < 1e-6, "/groups".into(), "shares that sum to 1");
         for (place, group) in self.groups.iter().enumerate() {
