Hundreds of decision modules in simulated time; subsets count load by strength

Checked by that simulation: (1) a module spreads its hits over its pods by strength, so drawing strong pods more often counted strength twice (subsets.rs, score and brings); (2) turns went round all members, most of which have nothing to prove (choices.rs, look).

Change: pods are drawn alike, load counted by strength, as many pods as make the strength of so many mean ones; turns go among those that hold the pod shut. limewing fleet choices plays it.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -6,7 +6,7 @@
 use limewing_links::{Script, World};
 use limewing_settings::{Checked, Misfit, SidecarSettings};
 use limewing_sidecar::service::View;
-use limewing_standins::fleet::{self, Member, Plan};
+use limewing_standins::fleet::{self, Crowd, CrowdPlan, Member, Plan};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -150,3 +150,37 @@
     println!("{rows}");
     Ok(())
 }
+
+/// Plays many decision modules with and without the fleet's word: a pod starts cold at half of the time, another is gone
+/// from a fifth of it to four fifths.
+pub fn choices(sidecars: usize, pods: usize, parts: usize, seconds: u64, seed: u64) -> Result<(), Stop> {
+    let lasts = Duration::from_secs(seconds);
+    let plan = |choices| CrowdPlan {
+        sidecars,
+        pods,
+        seed,
+        lasts,
+        choices,
+        parts: (lasts.mul_f64(0.45), parts),
+        cold: Some((0, lasts / 2)),
+        dead: Some((1, lasts / 5, lasts.mul_f64(0.8))),
+    };
+    let [with, without] = [true, false].map(|choices| fleet::crowd(&plan(choices)));
+    let mut rows = table(&["what", "with the fleet's word", "each alone"]);
+    let mut row = |what: &str, figure: &dyn Fn(&Crowd) -> String| {
+        rows.add_row([what.to_owned(), figure(&with), figure(&without)]);
+    };
+    row("load per pod, most over mean", &|played| format!("{:.2}", played.most()));
+    row("a cold pod's load over its strength's share, most", &|played| format!("{:.2}", played.cold));
+    row("forwards to a pod that is gone, a second, after 5 s", &|played| {
+        let late = played.to_dead.iter().skip(5);
+        format!("{:.1}", late.clone().sum::<usize>() as f64 / late.count().max(1) as f64)
+    });
+    row("from its return to its first answer, s", &|played| {
+        played.back_after.map_or("none".into(), |wait| format!("{:.1}", wait.as_secs_f64()))
+    });
+    row("delivered", &|played| played.delivered.to_string());
+    row("given up", &|played| played.given_up.to_string());
+    println!("{rows}");
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -85,6 +85,20 @@
         #[arg(long)]
         folder: PathBuf,
     },
+    /// What the choices of many decision modules add up to, in simulated time, with and without the fleet's word
+    Choices {
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u16).range(2..=1000))]
+        sidecars: u16,
+        #[arg(long, default_value_t = 150, value_parser = clap::value_parser!(u16).range(2..=1000))]
+        pods: u16,
+        /// From half of the time on they are so many parts that know nothing of each other
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=100))]
+        parts: u16,
+        #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u16).range(10..=600))]
+        seconds: u16,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Play a script of faults in simulated time
     Simulate {
         script: PathBuf,
@@ -259,6 +273,9 @@
             let period = std::time::Duration::from_millis(period_ms);
             fleet::play(&script.0, &settings, members.into(), period, &folder)
         }
+        Command::Fleet(FleetCommand::Choices { sidecars, pods, parts, seconds, seed }) => {
+            fleet::choices(sidecars.into(), pods.into(), parts.into(), seconds.into(), seed)
+        }
         Command::Fleet(FleetCommand::Simulate { script, members }) => {
             let script: fleet::ScriptFile = limewing_settings::read(&script).map_err(Stop::input)?;
             fleet::simulate(&script.0, members.into())
--- a/crates/fleet/src/choices.rs
+++ b/crates/fleet/src/choices.rs
@@ -1,7 +1,7 @@
 //! One member's choices, from what it knows of the others.
 
 use crate::health::{Health, Sign};
-use crate::hints::{doubted, Said};
+use crate::hints::{doubted, Said, LIFE};
 use crate::says::{Hint, Says, MOST_HINTS};
 use crate::subsets::{order, share_out, Member, Pod};
 use crate::turns::{holds, TURN};
@@ -159,8 +159,13 @@
         for pod in doubted.keys() {
             self.doubts.entry(*pod).or_insert(now);
         }
-        let members = || self.others.keys().copied().chain([self.key]);
-        let others_turn = |pod: &u64| !holds(*pod, self.key, members(), now.saturating_sub(self.doubts[pod]));
+        // Among those that hold it shut themselves: the others have nothing to prove.
+        let shut_by = |pod: u64| {
+            let says = move |s: &&Said| now < s.at + LIFE && s.hints.contains(&(pod, Hint::Shut));
+            self.others.values().filter(says).map(|said| said.member).chain([self.key])
+        };
+        let others_turn =
+            |pod: &u64| !holds(*pod, self.key, shut_by(*pod), now.saturating_sub(self.doubts[pod]));
         let shut = doubted.iter().filter(|(_, hint)| **hint == Hint::Shut).map(|(pod, _)| *pod);
         let held = shut.filter(others_turn).collect();
         let (last, first): (Vec<u64>, Vec<u64>) =
--- a/crates/fleet/src/subsets.rs
+++ b/crates/fleet/src/subsets.rs
@@ -4,8 +4,10 @@
 
 use crate::rank;
 
-/// Pods that a member uses at the least, while there are so many.
+/// Pods that a member uses at the least, while there are so many, counted as of mean strength.
 const FEW: usize = 6;
+/// However strong they are: as many that one may die.
+const LEAST: usize = 4;
 /// Members that use each pod, in the mean, at the least.
 const USERS: usize = 8;
 /// A pod gets so much over its fair load at most, and up to a step of the grid more. What is derived from sums moves by
@@ -32,7 +34,7 @@
 fn score(member: &Member, pod: &Pod) -> f64 {
     let draw = ((rank(pod.key, member.key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
     let near = if pod.zone == member.zone { NEAR } else { 1.0 };
-    -draw.ln() / (pod.strength.max(1e-6) * near)
+    -draw.ln() / near
 }
 
 /// The places of all pods in a member's own order, the one it would use first at the front.
@@ -48,7 +50,8 @@
 }
 
 /// The places of the pods that each member uses, in its own order. A member uses the more pods the more traffic it has,
-/// so that each brings a pod about as much; it takes the first of its order that have room for that.
+/// so that each brings a pod about as much; it takes the first of its order that have room for that. Among its pods a
+/// member spreads its hits by strength: so loads are counted by strength, and the strong are not drawn more often.
 pub fn share_out(members: &[Member], pods: &[Pod]) -> Vec<Vec<usize>> {
     let traffic = |member: &Member| member.traffic.max(1e-6);
     let (whole, strength) =
@@ -60,10 +63,11 @@
     let each = 2f64.powf(((whole / uses).log2() * 2.0).floor() / 2.0);
     let many = |member: &Member| ((traffic(member) / each).round() as usize).max(FEW).min(pods.len());
     let room = step_up(BOUND * whole / strength);
+    let mean = strength / pods.len() as f64;
     let mut loads = vec![0.0; pods.len()];
     // The heaviest first: the light ones fill what is left.
     let mut turns: Vec<usize> = (0..members.len()).collect();
-    let brings = |place: usize| traffic(&members[place]) / many(&members[place]) as f64;
+    let brings = |place: usize| traffic(&members[place]) / (many(&members[place]) as f64 * mean);
     turns.sort_unstable_by(|a, b| {
         brings(*b).total_cmp(&brings(*a)).then(members[*a].key.cmp(&members[*b].key))
     });
@@ -71,13 +75,17 @@
     for place in turns {
         let (member, brings) = (&members[place], brings(place));
         let order = order(member, pods);
-        let fits = |pod: &usize| loads[*pod] + brings <= room * pods[*pod].strength.max(1e-6);
-        let mut share: Vec<usize> = order.iter().copied().filter(fits).take(many(member)).collect();
-        if share.len() < many(member) {
-            let mut rest: Vec<usize> = order.into_iter().filter(|pod| !share.contains(pod)).collect();
-            let full = |pod: &usize| loads[*pod] / pods[*pod].strength.max(1e-6);
-            rest.sort_by(|a, b| full(a).total_cmp(&full(b)));
-            share.extend(rest.into_iter().take(many(member) - share.len()));
+        let fits = |pod: &usize| loads[*pod] + brings <= room;
+        let (room_for_it, mut rest): (Vec<usize>, Vec<usize>) = order.into_iter().partition(fits);
+        rest.sort_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+        // So many that their strength is that of as many mean pods.
+        let (enough, mut share, mut has) = (many(member) as f64 * mean, Vec::new(), 0.0);
+        for pod in room_for_it.into_iter().chain(rest) {
+            if share.len() >= LEAST && has >= enough - 0.5 * mean {
+                break;
+            }
+            share.push(pod);
+            has += pods[pod].strength.max(1e-6);
         }
         share.iter().for_each(|pod| loads[*pod] += brings);
         shares[place] = share;
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -1,9 +1,11 @@
 //! A fleet of sidecars under a script of faults: as members in simulated time (`Member`), and as processes with a relay
 //! between them (`rig`). Both go by the same script.
 
+mod crowd;
 mod relay;
 mod rig;
 
+pub use crowd::{crowd, Crowd, CrowdPlan};
 pub use relay::Relay;
 pub use rig::{ask, listens, play, write_keys, Plan, Played, RigTrouble, Sample};
 
