--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::Stop;
 use comfy_table::presets::ASCII_MARKDOWN;
 use comfy_table::Table;
-use limewing_links::{Script, World};
+use limewing_links::{Fault, Script, World};
 use limewing_settings::{Checked, Misfit, SidecarSettings};
 use limewing_sidecar::service::View;
 use limewing_standins::fleet::{self, Crowd, CrowdPlan, Member, Plan};
@@ -54,6 +54,10 @@
         ]);
     }
     println!("{rows}");
+    if let Some(chosen) = &view.chosen {
+        println!("uses {}", chosen.uses.join(", "));
+        println!("leaves to others to prove: {}", chosen.held.join(", "));
+    }
     println!(
         "{} bytes sent; keys {:?}, {} key files could not be used",
         view.bytes_sent, view.keys, view.keys_unusable
@@ -128,6 +132,21 @@
         "of them, that run at the end".to_owned(),
         deaths.keys().filter(|name| runs(name)).count().to_string(),
     ]);
+    // Of those killed for good: from then until all that run hold them to be dead.
+    let mut known: Vec<f64> = Vec::new();
+    for step in &script.steps {
+        let Fault::Kill(who) = &step.does else { continue };
+        for number in who.numbers(members).into_iter().filter(|number| world.core(*number).is_none()) {
+            let said = deaths.get(&format!("s{number}")).into_iter().flatten();
+            let here = said.filter(|(by, _)| world.core(*by).is_some()).map(|(_, at)| at.as_secs_f64());
+            known.push(here.fold(f64::NAN, f64::max) - step.at);
+        }
+    }
+    known.sort_by(f64::total_cmp);
+    if let Some(last) = known.last() {
+        let figures = format!("{:.1}, {last:.1}", known[known.len() / 2]);
+        rows.add_row(["from a death until all know it, s (median, worst)".to_owned(), figures]);
+    }
     // Of those that do not run: from the first that said so to the last.
     let mut spread: Vec<f64> = deaths
         .iter()
--- a/crates/cli/tests/command/days.rs
+++ b/crates/cli/tests/command/days.rs
@@ -14,6 +14,7 @@
 #[case("short-quiet")]
 #[case("short-troubled")]
 #[case("fleet-faults")]
+#[case("fleet-herd")]
 fn a_short_day_keeps_the_five_rules(#[case] name: &str) {
     let folder = tempfile::tempdir().unwrap();
     let script = in_repo(&format!("days/{name}.json"));
@@ -65,6 +66,7 @@
 #[case::streams("streams")]
 #[case::demo("demo")]
 #[case::fleet_faults("fleet-faults")]
+#[case::fleet_herd("fleet-herd")]
 fn the_shipped_days_can_be_read(#[case] name: &str) {
     let script = in_repo(&format!("days/{name}.json"));
     let out = limewing(&["settings", "check", script.to_str().unwrap(), "--of", "day"]);
