--- a/crates/fleet/tests/explore.rs
+++ b/crates/fleet/tests/explore.rs
@@ -1,7 +1,7 @@
 //! A bounded model check of turns: three members, one topic; every order of crashes, of views that are late or wrong, and of
 //! hearing late of the topic. A planted fault of each kind is found.
 
-use limewing_fleet::{holds_one_of, TURN};
+use limewing_fleet::{holds_one_of, share_out, Member, Pod, TURN};
 use rstest::rstest;
 use std::collections::BTreeSet;
 
@@ -114,3 +114,38 @@
     println!("{states} states, {found:?}");
     assert_eq!(found.is_none(), holds, "{found:?} in {states} states");
 }
+
+/// Cold budgets of three in sum: whoever sees whom, whoever is dead, whatever of their traffic is told late. By each one's
+/// own share of the pods, 1.4 times what its traffic puts on warm strength; the multiple is 2.
+#[rstest]
+#[case::sound(|share: f64| share, true)]
+#[case::as_if_it_used_half_as_many(|share: f64| share / 2.0, false)]
+#[case::as_if_it_used_three(|share: f64| share.min(3.0 / 24.0), false)]
+fn cold_budgets_in_every_view(#[case] part: fn(f64) -> f64, #[case] holds: bool) {
+    const PODS: usize = 24;
+    let pods: Vec<Pod> = (0..PODS as u64).map(|key| Pod { key, zone: 0, strength: 1.0 }).collect();
+    let (mut worst, mut states) = (0.0f64, 0);
+    // For each of three: alive, sees one other, sees the other other, its new traffic is told.
+    for bits in 0..1u32 << 12 {
+        let bit = |n: usize, of: usize| bits >> (n * 4 + of) & 1 == 1;
+        let traffic = |n: usize, told: bool| if n == 0 && told { 25.0 } else { 5.0 };
+        let alive: Vec<usize> = (0..3).filter(|n| bit(*n, 0)).collect();
+        let mut load = [0.0; PODS];
+        for &own in &alive {
+            let sees = |other: usize| other == own || bit(own, 1 + usize::from((other + 3 - own) % 3 == 2));
+            let told = |other: usize| other == own || bit(other, 3);
+            let view: Vec<usize> = (0..3).filter(|n| sees(*n)).collect();
+            let member = |n: &usize| Member { key: MEMBERS[*n], zone: 0, traffic: traffic(*n, told(*n)) };
+            let members: Vec<Member> = view.iter().map(member).collect();
+            let place = view.iter().position(|n| *n == own).expect("it sees itself");
+            let share = share_out(&members, &pods).swap_remove(place);
+            let budget = 1.4 * traffic(own, true) / (PODS as f64 * part(share.len() as f64 / PODS as f64));
+            share.iter().for_each(|pod| load[*pod] += budget);
+        }
+        let fair = alive.iter().map(|n| traffic(*n, true)).sum::<f64>() / PODS as f64;
+        worst = worst.max(load.iter().copied().fold(0.0, f64::max) / fair.max(1e-9));
+        states += 1;
+    }
+    println!("{states} states, {worst:.2} of the fair share at most");
+    assert_eq!(worst <= 2.0, holds, "{worst}");
+}
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -19,6 +19,7 @@
 }
 
 #[rstest]
+#[case::three(3, 24, 1.15)]
 #[case::few(12, 24, 1.15)]
 #[case::sixty(60, 150, 1.15)]
 #[case::three_hundred(300, 150, 1.15)]
