--- a/crates/account/src/balance.rs
+++ b/crates/account/src/balance.rs
@@ -64,3 +64,27 @@
         unused: long.iter().filter(|pod| pod.came == 0).count(),
     }
 }
+
+/// Forwards that each pod got in each second of its life, over its strength: (second, forwards).
+pub fn by_second(lines: &[Line]) -> BTreeMap<PodNo, Vec<(f64, f64)>> {
+    let mut pods: BTreeMap<PodNo, (f64, Vec<(f64, f64)>)> = BTreeMap::new();
+    for line in lines {
+        let second = line.at.as_secs() as f64;
+        match &line.entry {
+            Entry::PodUp { pod, capacity, .. } => {
+                pods.insert(*pod, (*capacity, vec![(second, 0.0)]));
+            }
+            Entry::Arrived { pod, .. } => {
+                let Some((capacity, course)) = pods.get_mut(pod) else { continue };
+                let mut last = course.last().map_or(second, |point| point.0);
+                while last < second {
+                    last += 1.0;
+                    course.push((last, 0.0));
+                }
+                course.iter_mut().last().into_iter().for_each(|point| point.1 += 1.0 / capacity.max(1e-9));
+            }
+            _ => {}
+        }
+    }
+    pods.into_iter().map(|(pod, (_, course))| (pod, course)).collect()
+}
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -1,9 +1,9 @@
 //! Days from the command line: played, checked, shown.
 
-use crate::show;
 use crate::Stop;
-use limewing_account::record;
+use crate::{plot, show};
 use limewing_account::rules::{self, Account};
+use limewing_account::{balance, record};
 use limewing_standins::day;
 use limewing_standins::script::DayScript;
 use std::fs::File;
@@ -16,7 +16,8 @@
 pub fn play(script: &DayScript, folder: &Path) -> Result<(), Stop> {
     let record = record_of(script, folder)?;
     println!("record: {}", record.display());
-    check(&record)
+    let drawn = plot_load(&record, &folder.join("load.svg"));
+    check(&record).and(drawn)
 }
 
 fn record_of(script: &DayScript, folder: &Path) -> Result<PathBuf, Stop> {
@@ -27,6 +28,13 @@
     record.map_err(Stop::failed)
 }
 
+/// Draws what each pod got over time.
+fn plot_load(record: &Path, to: &Path) -> Result<(), Stop> {
+    let lines = lines(record)?;
+    let courses: Vec<plot::Course> = balance::by_second(&lines).into_values().collect();
+    plot::draw(to, "forwards a second and strength, by pod", "forwards", &courses)
+}
+
 pub fn check(file: &Path) -> Result<(), Stop> {
     let account = account(file)?;
     println!("{}", show::table(&account));
@@ -38,10 +46,13 @@
 }
 
 fn account(file: &Path) -> Result<Account, Stop> {
+    rules::check(&lines(file)?).ok_or_else(|| Stop::input(format!("{}: no day's terms", file.display())))
+}
+
+fn lines(file: &Path) -> Result<Vec<record::Line>, Stop> {
     let name = file.display();
     let open = File::open(file).map_err(|e| Stop::input(format!("{name}: {e}")))?;
-    let lines = record::read(BufReader::new(open)).map_err(|e| Stop::input(format!("{name}: {e}")))?;
-    rules::check(&lines).ok_or_else(|| Stop::input(format!("{name}: no day's terms")))
+    record::read(BufReader::new(open)).map_err(|e| Stop::input(format!("{name}: {e}")))
 }
 
 pub fn demo(folder: Option<PathBuf>) -> Result<(), Stop> {
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What a sidecar holds of its fleet, and fleets played under scripts of faults.
 
-use crate::Stop;
+use crate::{plot, Stop};
 use comfy_table::presets::ASCII_MARKDOWN;
 use comfy_table::Table;
 use limewing_links::{Fault, Script, World};
@@ -95,6 +95,16 @@
     rows.add_row(["views that held one that ran to be dead".to_owned(), dead.len().to_string()]);
     rows.add_row(["held wrongly at the end".to_owned(), wrong.len().to_string()]);
     println!("{rows}");
+    // How many others each holds to be alive.
+    let alive = |sample: &fleet::Sample| {
+        sample.members.iter().filter(|(_, standing)| standing == "alive").count() as f64
+    };
+    let course = |of: usize| {
+        let own = played.samples.iter().filter(|sample| sample.of == of);
+        own.map(|sample| (sample.at.as_secs_f64(), alive(sample))).collect()
+    };
+    let courses: Vec<plot::Course> = (0..members).map(course).collect();
+    plot::draw(&folder.join("members.svg"), "others held to be alive, by sidecar", "members", &courses)?;
     for (of, whom, held) in wrong.iter().take(20) {
         println!("s{of} holds s{whom} to be {held}");
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod day;
 mod fleet;
+mod plot;
 mod show;
 
 use clap::{Parser, Subcommand, ValueEnum};
--- a/crates/cli/tests/command/days.rs
+++ b/crates/cli/tests/command/days.rs
@@ -23,6 +23,8 @@
     let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
     assert!(out.status.success(), "{text}");
     assert_eq!(text.matches("| kept").count(), 5, "{text}");
+    let drawn = std::fs::read_to_string(folder.path().join("load.svg")).unwrap();
+    assert!(drawn.ends_with("</svg>\n") && drawn.contains("polyline"), "{drawn}");
 }
 
 #[rstest]
