A silent pod is hinted at where its forwards are called off for copies

Checked by the logs of twelve sidecars, with the new line on each view. At fault: crates/sidecar service/fleet.rs, see: with second copies a silent pod's forwards end as Cancelled, which told nothing; only time-outs did.

Change: three forwards in a row called off after twice the mean time or more count as unanswered.

--- a/crates/cli/tests/command/days.rs
+++ b/crates/cli/tests/command/days.rs
@@ -145,3 +145,27 @@
     assert_eq!(out.status.code(), Some(2), "{text}");
     assert!(text.contains("can't listen"), "{text}");
 }
+
+/// What the fleet knows moves each sidecar's choices, and some leave the proof of silent pods to others.
+#[test]
+fn a_fleets_word_reaches_every_process() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut day: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(in_repo("days/fleet-faults.json")).unwrap()).unwrap();
+    day["lasts"] = 9.into();
+    day["offers"] = serde_json::json!([]);
+    day["peers"]["faults"]["steps"] = serde_json::json!([]);
+    day["troubles"] = serde_json::json!([{ "at": 1, "for": 7, "what": { "pods_silent": [5, 17] } }]);
+    let script = folder.path().join("day.json");
+    std::fs::write(&script, day.to_string()).unwrap();
+    let out =
+        limewing(&["day", "play", script.to_str().unwrap(), "--folder", folder.path().to_str().unwrap()]);
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stdout));
+    let logs: Vec<String> = (0..12)
+        .map(|n| std::fs::read_to_string(folder.path().join(format!("sidecar-{n}.log"))).unwrap())
+        .collect();
+    let words = |log: &String| log.lines().filter(|line| line.contains("the fleet's word")).count();
+    assert!(logs.iter().all(|log| words(log) > 0), "{:?}", logs.iter().map(words).collect::<Vec<_>>());
+    let leaves = |log: &&String| log.contains("\"held\":1") || log.contains("\"held\":2");
+    assert!(logs.iter().filter(leaves).count() >= 3, "{}", logs.concat());
+}
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -13,6 +13,8 @@
     Unanswered,
     Unreached,
     TurnedAway,
+    /// Called off after so long, as a copy of it was answered first or its client went.
+    CalledOff(f64),
 }
 
 /// Unanswered hits in a row that make a pod shut, and hits turned away that make it full.
@@ -20,6 +22,8 @@
 /// Slow is so many times the mean of all, over as many answers.
 const SLOW: f64 = 4.0;
 const SLOW_OVER: u32 = 8;
+/// A forward that was called off tells something if it had waited for so many times the mean of all.
+const LONG: f64 = 2.0;
 /// For so long after an answer a member believes nobody else on a pod, and tells that it opened.
 pub const FRESH: Duration = Duration::from_secs(5);
 /// What came of a pod so long ago is forgotten.
@@ -58,7 +62,9 @@
                 self.pace += (took - self.pace) / 50.0;
             }
             Sign::Unreached => seen.shut = true,
-            Sign::Unanswered => {
+            // Where copies are sent to others a silent pod's forwards end so, not by their time.
+            Sign::CalledOff(took) if took <= LONG * self.pace => {}
+            Sign::Unanswered | Sign::CalledOff(_) => {
                 seen.row += 1;
                 seen.shut |= seen.row >= ROW;
             }
--- a/crates/fleet/tests/hints.rs
+++ b/crates/fleet/tests/hints.rs
@@ -99,6 +99,10 @@
     assert_eq!(hints(7.0, &[Sign::Answered(0.1)]), Some(vec![(5, Hint::Open)]));
     assert_eq!(hints(12.5, &[]), Some(vec![]));
     assert_eq!(hints(13.0, &[Sign::Unreached]), Some(vec![(5, Hint::Shut)]));
+    assert_eq!(hints(14.0, &[Sign::Answered(0.1)]), Some(vec![(5, Hint::Open)]));
+    // Called off early it tells nothing; late, as often as unanswered.
+    assert_eq!(hints(20.0, &[Sign::CalledOff(0.0); 3]), Some(vec![]));
+    assert_eq!(hints(21.0, &[Sign::CalledOff(0.9); 3]), Some(vec![(5, Hint::Shut)]));
 }
 
 proptest! {
--- a/crates/sidecar/src/service/fleet.rs
+++ b/crates/sidecar/src/service/fleet.rs
@@ -218,7 +218,8 @@
                     Fate::TimedOut | Fate::Broken => Some(Sign::Unanswered),
                     Fate::Unreached => Some(Sign::Unreached),
                     Fate::TurnedAway => Some(Sign::TurnedAway),
-                    Fate::Cancelled | Fate::Void => None,
+                    Fate::Cancelled => Some(Sign::CalledOff(outcome.took.as_secs_f64())),
+                    Fate::Void => None,
                 };
                 let known = self.pods.get(&outcome.pod).zip(sign);
                 known.into_iter().for_each(|((_, key), sign)| self.choices.ended(now, *key, sign));
@@ -269,6 +270,8 @@
             uses: view.uses,
             held: view.held.iter().filter_map(pod).collect(),
         });
+        let (uses, held) = self.view.as_ref().map_or((0, 0), |view| (view.uses, view.held.len()));
+        tracing::info!(uses, held, "the fleet's word on the choices changed");
         Some(self.view.clone())
     }
 
