--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,8 +1,9 @@
 //! The sidecar: sockets become events of the decision module, its actions become bytes on sockets.
 //!
 //! `routes`, `pods`, `stages` and `memory` turn bytes into the module's words and back and are free of
-//! sockets; `service` drives them. Which pod gets a hit, and when one is given up, is the module's alone.
+//! sockets; `service` drives them, `keeper` has a thread of its own for the disk. Which pod gets a hit, and when one is given up, is the module's alone.
 
+pub mod keeper;
 pub mod memory;
 pub mod pods;
 pub mod routes;
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -2,7 +2,6 @@
 //! Either may be absent for long: the sidecar goes on with what it knows and asks again.
 
 use super::{Due, Peer, Service};
-use crate::memory;
 use crate::pods;
 use crate::stages::{vote_answer, EventReader, Latest, StageMessage, VoteMessage};
 use bytes::BytesMut;
@@ -20,8 +19,6 @@
 const MOST_VOTE: usize = 16 * 1024;
 /// Queries are no closer together than this, whatever the service answers.
 const LIST_EVERY: Duration = Duration::from_millis(20);
-/// Between two tries to keep a list on a disk that takes nothing.
-const KEEP_AGAIN: Duration = Duration::from_secs(1);
 
 pub struct ListLink {
     answers: Responses,
@@ -135,17 +132,7 @@
         if rows != self.rows {
             self.rows = rows;
             tracing::info!(pods = self.rows.len(), index = self.list_index, "a new list");
-            self.keep_list();
-        }
-    }
-
-    /// Puts the list on disk; what can't be put there now is tried again, or a restart would begin with an older one.
-    pub(super) fn keep_list(&mut self) {
-        let Some(file) = self.terms.state_file.as_deref() else { return };
-        self.unkept.take().map(|timer| self.wheel.cancel(timer));
-        if let Err(trouble) = memory::keep(file, &self.rows) {
-            tracing::warn!(%trouble, "the list could not be kept; tried again");
-            self.unkept = Some(self.wheel.arm(self.now + KEEP_AGAIN, Due::KeepList));
+            self.keeper.iter().for_each(|keeper| keeper.put(self.rows.clone()));
         }
     }
 
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod front;
 
+use crate::keeper::Keeper;
 use crate::memory;
 use crate::pods::{PodBook, Row};
 use crate::routes::Routes;
@@ -27,16 +28,19 @@
 use limewing_hosting::room::Room;
 use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
-use limewing_net::wheel::{TimerKey, Wheel};
+use limewing_net::wheel::Wheel;
 use limewing_settings::{Misfit, SidecarSettings};
 use rustc_hash::FxHashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 use thiserror::Error;
 
 /// The signals on which a sidecar settles what it holds and leaves: SIGTERM and SIGINT.
 const LEAVE_ON: [i32; 2] = [15, 2];
+/// A sidecar that leaves waits so long at most until its list is on disk.
+const KEPT_WITHIN: Duration = Duration::from_secs(2);
 /// On this one the keys of the fleet are read again.
 const HANG_UP: i32 = 1;
 
@@ -90,7 +94,6 @@
     AskNews,
     NewsQuiet(SocketId),
     VoteLate(SocketId),
-    KeepList,
     Leave,
 }
 
@@ -112,7 +115,6 @@
     vote_answer_within: Duration,
     longest_hit: Duration,
     streamed: Vec<bool>,
-    state_file: Option<std::path::PathBuf>,
 }
 
 pub struct Service {
@@ -143,7 +145,7 @@
     list_link: Option<SocketId>,
     list_asked: Duration,
     /// The list is not on disk as it is: when that is tried again.
-    unkept: Option<TimerKey>,
+    keeper: Option<Keeper<Vec<Row>>>,
     room: Room,
     reports: Reports,
     /// The other sidecars, where the settings tell of them.
@@ -187,6 +189,8 @@
         let fleet = of_peers
             .map(|peers| Fleet::start(&settings.name, peers, zone, &mut sockets, now, seed))
             .transpose()?;
+        let keep = |file: PathBuf| Keeper::start(move |rows: &Vec<Row>| memory::keep(&file, rows));
+        let keeper = settings.state_file.clone().map(keep).transpose()?;
         let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
@@ -204,7 +208,6 @@
             vote_answer_within: settings.releases.vote_answer_within.into(),
             longest_hit: longest.unwrap_or_default(),
             streamed: settings.path_groups.iter().map(|group| group.streamed).collect(),
-            state_file: settings.state_file.clone(),
         };
         let mut service = Self {
             sockets,
@@ -231,14 +234,14 @@
             list_known: false,
             list_link: None,
             list_asked: Duration::ZERO,
-            unkept: None,
+            keeper,
             room,
             reports: Reports::default(),
             fleet,
             leaving: false,
             left: false,
         };
-        service.recall();
+        service.recall(settings.state_file.as_deref());
         service.ask_news();
         Ok(service)
     }
@@ -256,6 +259,9 @@
         while !self.left {
             self.turn()?;
         }
+        if self.keeper.as_ref().is_some_and(|keeper| !keeper.settle(KEPT_WITHIN)) {
+            tracing::warn!("the newest list is not on disk; a start begins with an older one");
+        }
         Ok(())
     }
 
@@ -300,8 +306,8 @@
         Ok(())
     }
 
-    fn recall(&mut self) {
-        let kept = match self.terms.state_file.as_deref().map(memory::recall) {
+    fn recall(&mut self, state_file: Option<&Path>) {
+        let kept = match state_file.map(memory::recall) {
             Some(Ok(Some(rows))) => rows,
             Some(Err(trouble)) => {
                 tracing::warn!(%trouble, "the state file is of no use; started without a list");
@@ -378,10 +384,6 @@
             Due::AskNews => self.ask_news(),
             Due::NewsQuiet(id) => self.news_quiet(id),
             Due::VoteLate(id) => self.vote_over(id, VoteAnswer::Unanswered, None),
-            Due::KeepList => {
-                self.unkept = None;
-                self.keep_list();
-            }
             Due::Leave => self.left = true,
         }
     }
