--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -75,6 +75,7 @@
                 Fault::Stop(who) => acts.extend(who.numbers(all).into_iter().map(Act::Stop)),
                 Fault::GoOn(who) => acts.extend(who.numbers(all).into_iter().map(Act::GoOn)),
                 Fault::Start(who) => acts.extend(who.numbers(all).into_iter().map(Act::Start)),
+                Fault::LoseDisk(who) => acts.extend(who.numbers(all).into_iter().map(Act::LoseDisk)),
                 Fault::Keys { who, ids } => {
                     let keys = |to| Act::Keys { to, ids: ids.clone() };
                     acts.extend(who.numbers(all).into_iter().map(keys))
--- a/crates/links/src/script.rs
+++ b/crates/links/src/script.rs
@@ -90,6 +90,8 @@
     GoOn(Who),
     /// Started, anew if it had run.
     Start(Who),
+    /// What they keep on disk is gone; of those that do not run then.
+    LoseDisk(Who),
     /// Their key file has these keys from now on, the first one seals; they are told to read it.
     Keys {
         who: Who,
@@ -110,6 +112,7 @@
     Stop(usize),
     GoOn(usize),
     Start(usize),
+    LoseDisk(usize),
     Keys { to: usize, ids: Vec<u8> },
     Noise { to: usize, datagrams: u32 },
 }
@@ -186,6 +189,7 @@
                 | Fault::Leave(who)
                 | Fault::Stop(who)
                 | Fault::GoOn(who)
+                | Fault::LoseDisk(who)
                 | Fault::Start(who) => (vec![who], None),
                 Fault::Keys { who, ids } => {
                     let one_or_two = matches!(ids[..], [a, b] if a != b) || ids.len() == 1;
--- a/crates/links/src/world.rs
+++ b/crates/links/src/world.rs
@@ -144,6 +144,8 @@
                     self.places[number].core = None;
                 }
             }
+            // These keep nothing.
+            Act::LoseDisk(_) => {}
             Act::Keys { to, ids } => {
                 if let Some(core) = self.places[to].core.as_mut() {
                     core.keys(&ids);
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -106,6 +106,12 @@
                 Act::Leave(number) => self.bid_leave(number),
                 Act::Stop(number) => self.stop_sidecar(number),
                 Act::GoOn(number) => self.let_go_on(number),
+                Act::LoseDisk(number) if self.processes[number].gone => {
+                    let file = self.folder.join(format!("sidecar-{number}.state.json"));
+                    // There may be none yet.
+                    let _ = std::fs::remove_file(file);
+                }
+                Act::LoseDisk(_) => {}
                 Act::Keys { to, ids } => {
                     write_keys(&key_file(&self.folder, to), &ids)?;
                     self.processes[to].signal(Signal::HUP);
--- a/crates/standins/src/fleet/rig.rs
+++ b/crates/standins/src/fleet/rig.rs
@@ -174,6 +174,8 @@
                     signal(&process.child, if stop { Signal::STOP } else { Signal::CONT });
                 }
             }
+            // These are started without a state file.
+            Act::LoseDisk(_) => {}
             Act::Keys { to, ids } => {
                 write_keys(&key_file(self.plan.folder, to), &ids)?;
                 if let Some(process) = &self.processes[to] {
