Agreement among a few sidecars, and the order of machines from what is settled

Cause: machines out for work and the release controller need one order that outlives leaders, cuts and disks.

Change: `crates/agree`, Raft without I/O and clock: trial votes, a leader that steps down without its majority, state in pieces, one member changed at a time; packets leave only after what they promise is on disk; a lost disk is a new life that gets its vote back after it has caught up; a group is made once, when all named voters say they have none; all others follow by asking. Records with checksums: a torn tail is cut off, damage before sound records is told with its place. `crates/turns`: grants, limits and ways of machines as a pure function of the log. Neither is driven yet.

--- /dev/null
+++ b/crates/agree/src/follow.rs
@@ -0,0 +1,123 @@
+//! All other sidecars: they ask one voter after the other for what is settled.
+
+use crate::agree::Settled;
+use crate::words::{Id, Packet, Place, Say, What};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// State that is taken in, at most, in bytes.
+const MOST_STATE: usize = 4 * 1024 * 1024;
+
+/// One that has no vote, and no disk: it begins with nothing and learns all.
+pub struct Follow {
+    me: Id,
+    voters: Vec<String>,
+    asked: usize,
+    every: Duration,
+    next: Duration,
+    /// When something was heard last.
+    heard: Duration,
+    group: u64,
+    /// All up to here is handed out.
+    upto: u64,
+    /// The state that is being taken in, and up to which entry it goes.
+    state: (u64, Vec<u8>),
+    settled: VecDeque<Settled>,
+    out: VecDeque<(String, Packet)>,
+}
+
+impl Follow {
+    pub fn new(now: Duration, me: Id, mut voters: Vec<String>, every: Duration) -> Self {
+        voters.sort();
+        // Who follows is spread over the voters.
+        let asked = me.disk as usize % voters.len().max(1);
+        let (state, settled, out) = ((0, Vec::new()), VecDeque::new(), VecDeque::new());
+        Self { me, voters, asked, every, next: now, heard: now, group: 0, upto: 0, state, settled, out }
+    }
+
+    pub fn next(&self) -> Duration {
+        self.next
+    }
+
+    /// When it last heard what is settled: how old its knowledge may be.
+    pub fn heard(&self) -> Duration {
+        self.heard
+    }
+
+    pub fn upto(&self) -> u64 {
+        self.upto
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        if now < self.next {
+            return;
+        }
+        if now >= self.heard + self.every * 4 {
+            self.asked = (self.asked + 1) % self.voters.len().max(1);
+        }
+        self.next = now + self.every;
+        self.ask();
+    }
+
+    fn ask(&mut self) {
+        let Some(voter) = self.voters.get(self.asked) else { return };
+        let say = Say::Ask { next: self.upto + 1, of: self.state.0, from: self.state.1.len() as u32 };
+        let packet = Packet { group: self.group, from: self.me.clone(), to: 0, term: 0, say };
+        self.out.push_back((voter.clone(), packet));
+    }
+
+    pub fn hear(&mut self, now: Duration, packet: Packet) {
+        let known = self.voters.contains(&packet.from.name) && packet.group != 0;
+        if !known || (packet.to != 0 && packet.to != self.me.disk) {
+            return;
+        }
+        if self.group == 0 {
+            self.group = packet.group;
+        }
+        // Another group than the one it follows: an operator made it anew, and starts this one again.
+        if packet.group != self.group {
+            return;
+        }
+        match packet.say {
+            Say::Told { first, entries, .. } if first <= self.upto + 1 => {
+                self.heard = now;
+                let (skip, many) = ((self.upto + 1 - first) as usize, entries.len());
+                for entry in entries.into_iter().skip(skip) {
+                    self.upto += 1;
+                    if let What::Word(bytes) = entry.what {
+                        let at = Place { index: self.upto, term: entry.term };
+                        self.settled.push_back(Settled::Word { at, bytes });
+                    }
+                }
+                if many > skip {
+                    self.ask();
+                }
+            }
+            Say::ToldPiece { index, from, whole, bytes } if index > self.upto => {
+                self.heard = now;
+                if index != self.state.0 {
+                    self.state = (index, Vec::new());
+                }
+                let whole = whole as usize;
+                if from as usize == self.state.1.len() && whole <= MOST_STATE {
+                    self.state.1.extend_from_slice(&bytes);
+                }
+                if self.state.1.len() >= whole {
+                    self.upto = index;
+                    let state = std::mem::take(&mut self.state).1;
+                    self.settled.push_back(Settled::Whole { upto: index, state });
+                }
+                self.ask();
+            }
+            _ => {}
+        }
+    }
+
+    pub fn take(&mut self) -> Option<(String, Packet)> {
+        self.out.pop_front()
+    }
+
+    pub fn settled(&mut self) -> Option<Settled> {
+        self.settled.pop_front()
+    }
+}
--- /dev/null
+++ b/crates/agree/tests/helpers/mod.rs
@@ -0,0 +1,552 @@
+//! Voters and followers in simulated time, with disks that write late, tear and get lost, under the scripts of faults.
+
+use limewing_agree::{read, Agree, Follow, NotNow, Packet, Record, Settled, Standing, Terms};
+use limewing_links::{Act, Fault, Line, Links, Script, Step, Who};
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+pub const BEAT: Duration = Duration::from_millis(50);
+pub const PATIENCE: Duration = Duration::from_millis(300);
+/// Entries beyond the state at which a host makes its state anew.
+const COMPACT_OVER: u64 = 40;
+const WORDS_EVERY: Duration = Duration::from_millis(40);
+
+pub fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Faults that nobody should survive unseen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    None,
+    /// The disk says that it has what it has not written yet.
+    SaysTooEarly,
+    /// One that lost its disk comes back as the same life.
+    SameLife,
+}
+
+enum Due {
+    Tick,
+    Arrives(Packet),
+    Written(u64),
+    Words,
+}
+
+#[derive(Default)]
+struct Node {
+    core: Option<Agree>,
+    follow: Option<Follow>,
+    /// What is on disk for good, and writes on their way there.
+    disk: Vec<u8>,
+    writing: VecDeque<(u64, Vec<u8>)>,
+    life: Option<limewing_agree::Id>,
+    starts: u64,
+    stopped: bool,
+    held: Vec<Packet>,
+    tick: Duration,
+    /// The host's state: a sum over all words, in order.
+    sum: u64,
+    upto: u64,
+}
+
+pub struct World {
+    pub now: Duration,
+    voters: usize,
+    links: Links,
+    nodes: Vec<Node>,
+    due: BTreeMap<(Duration, u64), (usize, Due)>,
+    marks: u64,
+    chance: WyRand,
+    plant: Plant,
+    next_word: u64,
+    /// What is settled, by index: term and word; and the sum of all words up to it.
+    truth: BTreeMap<u64, (u64, Vec<u8>)>,
+    sums: BTreeMap<u64, u64>,
+    leaders: BTreeMap<u64, (u64, String)>,
+    pub events: u64,
+    pub broken: Vec<String>,
+    pub elected: Vec<Duration>,
+    /// Crashes at writes: node, which of its writes, before or after it is there.
+    pub crash_at: Option<(usize, u64, bool)>,
+    writes: u64,
+}
+
+fn name(number: usize) -> String {
+    format!("s{number}")
+}
+
+fn mixed(a: u64, b: u64) -> u64 {
+    let mut z = (a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z ^ (z >> 27)
+}
+
+fn sum_of(sum: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(mixed(sum, 1), |sum, byte| mixed(sum, u64::from(*byte)))
+}
+
+impl World {
+    pub fn new(script: &Script, voters: usize, followers: usize, seed: u64, plant: Plant) -> Self {
+        assert_eq!(script.misfits(), []);
+        let mut world = Self {
+            now: Duration::ZERO,
+            voters,
+            links: Links::new(script, voters + followers),
+            nodes: (0..voters + followers).map(|_| Node::default()).collect(),
+            due: BTreeMap::new(),
+            marks: 0,
+            chance: WyRand::new_seed(seed),
+            plant,
+            next_word: 0,
+            truth: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            events: 0,
+            broken: Vec::new(),
+            elected: Vec::new(),
+            crash_at: None,
+            writes: 0,
+        };
+        (0..voters + followers).for_each(|number| world.start(number));
+        world.mark(WORDS_EVERY, 0, Due::Words);
+        world
+    }
+
+    fn mark(&mut self, at: Duration, node: usize, due: Due) {
+        self.marks += 1;
+        self.due.insert((at, self.marks), (node, due));
+    }
+
+    fn start(&mut self, number: usize) {
+        let seed = self.chance.generate::<u64>();
+        let (now, voters) = (self.now, (0..self.voters).map(name).collect::<Vec<_>>());
+        let node = &mut self.nodes[number];
+        node.starts += 1;
+        (node.stopped, node.sum, node.upto) = (false, 0, 0);
+        node.held.clear();
+        node.writing.clear();
+        let disk = mixed(number as u64 + 1, node.starts) | 1;
+        if number >= self.voters {
+            let me = limewing_agree::Id { name: name(number), disk };
+            node.follow = Some(Follow::new(now, me, voters, BEAT * 4));
+        } else {
+            let mut records = match read(&node.disk) {
+                Ok(read) => {
+                    node.disk.truncate(read.sound);
+                    read.records
+                }
+                Err(_) => {
+                    node.disk.clear();
+                    Vec::new()
+                }
+            };
+            if let (Plant::SameLife, true, Some(life)) = (self.plant, records.is_empty(), &node.life) {
+                records = vec![Record::Life(life.clone())];
+            }
+            let terms = Terms { voters, beat: BEAT, patience: PATIENCE, seed };
+            let core = Agree::new(now, &name(number), disk, &records, terms);
+            node.life = Some(core.me().clone());
+            node.core = Some(core);
+        }
+        self.after(number);
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        let tear = self.chance.generate::<u64>();
+        let node = &mut self.nodes[number];
+        (node.core, node.follow) = (None, None);
+        // What was being written is there up to some byte.
+        if let Some((_, bytes)) = node.writing.pop_front() {
+            node.disk.extend_from_slice(&bytes[..tear as usize % (bytes.len() + 1)]);
+        }
+        node.writing.clear();
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Kill(number) | Act::Leave(number) => self.kill(number),
+            Act::Start(number) => {
+                self.kill(number);
+                self.start(number);
+            }
+            Act::LoseDisk(number) => {
+                if self.nodes[number].core.is_none() {
+                    self.nodes[number].disk.clear();
+                }
+            }
+            Act::Stop(number) => self.nodes[number].stopped = true,
+            Act::GoOn(number) => {
+                self.nodes[number].stopped = false;
+                for packet in std::mem::take(&mut self.nodes[number].held) {
+                    self.hear(number, packet);
+                }
+                // Writes that were under way ended meanwhile.
+                let no = self.nodes[number].writing.back().map(|(no, _)| *no);
+                no.into_iter().for_each(|no| self.written(number, no));
+                self.tick(number);
+            }
+            Act::Keys { .. } | Act::Noise { .. } => {}
+        }
+    }
+
+    fn hear(&mut self, number: usize, packet: Packet) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        if node.stopped {
+            if node.held.len() < 256 {
+                node.held.push(packet);
+            }
+            return;
+        }
+        if let Some(core) = &mut node.core {
+            core.hear(now, packet);
+        } else if let Some(follow) = &mut node.follow {
+            follow.hear(now, packet);
+        }
+        self.after(number);
+    }
+
+    fn tick(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        if let Some(core) = &mut node.core {
+            core.tick(now);
+        } else if let Some(follow) = &mut node.follow {
+            follow.tick(now);
+        }
+        self.after(number);
+    }
+
+    fn written(&mut self, number: usize, upto: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        if node.core.is_none() || node.stopped {
+            return;
+        }
+        while let Some((no, bytes)) = node.writing.pop_front() {
+            if no > upto {
+                node.writing.push_front((no, bytes));
+                break;
+            }
+            node.disk.extend_from_slice(&bytes);
+        }
+        if let Some(core) = node.core.as_mut() {
+            core.wrote(now, upto);
+        }
+        self.after(number);
+    }
+
+    /// Writes, sends, hands out, and looks at what must hold.
+    fn after(&mut self, number: usize) {
+        let now = self.now;
+        if self.nodes[number].core.is_none() && self.nodes[number].follow.is_none() {
+            return;
+        }
+        self.events += 1;
+        let mut out: Vec<(String, Packet)> = Vec::new();
+        let mut settled: Vec<Settled> = Vec::new();
+        let mut next = now + s(3600.0);
+        let mut crash = false;
+        let node = &mut self.nodes[number];
+        if let Some(core) = &mut node.core {
+            while let Some(write) = core.write() {
+                let mut bytes = Vec::new();
+                write.records.iter().for_each(|record| record.write(&mut bytes));
+                node.writing.push_back((write.no, bytes));
+                self.writes += 1;
+                if let Some((of, nth, after)) = self.crash_at {
+                    if of == number && nth == self.writes {
+                        (crash, self.crash_at) = (true, None);
+                        if after {
+                            let (_, bytes) = node.writing.pop_back().expect("it was put there");
+                            node.disk.extend_from_slice(&bytes);
+                        }
+                    }
+                }
+                let slow = if self.plant == Plant::SaysTooEarly { 20 } else { 1 };
+                let late = Duration::from_micros(500 + slow * self.chance.generate_range(0..8000u64));
+                self.marks += 1;
+                self.due.insert((now + late, self.marks), (number, Due::Written(write.no)));
+                if self.plant == Plant::SaysTooEarly {
+                    core.wrote(now, write.no);
+                }
+            }
+            while let Some(packet) = core.take() {
+                out.push(packet);
+            }
+            while let Some(one) = core.settled() {
+                settled.push(one);
+            }
+            if core.standing() == Standing::Leads {
+                let of = self.leaders.entry(core.term()).or_insert_with(|| {
+                    self.elected.push(now);
+                    (core.me().disk, core.me().name.clone())
+                });
+                if *of != (core.me().disk, core.me().name.clone()) {
+                    self.broken.push(format!("two led term {}", core.term()));
+                }
+            }
+            next = core.next();
+        } else if let Some(follow) = &mut node.follow {
+            while let Some(packet) = follow.take() {
+                out.push(packet);
+            }
+            while let Some(one) = follow.settled() {
+                settled.push(one);
+            }
+            next = follow.next();
+        }
+        settled.into_iter().for_each(|one| self.check(number, one));
+        if crash {
+            self.kill(number);
+            self.mark(now + s(0.4), number, Due::Tick);
+            self.nodes[number].tick = now + s(0.4);
+            return;
+        }
+        self.make_whole(number);
+        let next = next.max(now + Duration::from_micros(10));
+        self.nodes[number].tick = next;
+        self.mark(next, number, Due::Tick);
+        for (to, packet) in out {
+            let Some(to) = to.strip_prefix('s').and_then(|n| n.parse::<usize>().ok()) else { continue };
+            let bytes = packet.write();
+            assert!(bytes.len() <= limewing_agree::MOST_PACKET, "{} bytes: {packet:?}", bytes.len());
+            for arrival in self.links.pass(now, number, to, &bytes) {
+                if let Ok(packet) = Packet::read(&arrival.bytes) {
+                    self.mark(arrival.at.max(now), to, Due::Arrives(packet));
+                }
+            }
+        }
+    }
+
+    fn check(&mut self, number: usize, one: Settled) {
+        let node = &mut self.nodes[number];
+        match one {
+            Settled::Word { at, bytes } => {
+                if at.index <= node.upto {
+                    self.broken.push(format!("s{number} was handed {} after {}", at.index, node.upto));
+                }
+                (node.sum, node.upto) = (sum_of(node.sum, &bytes), at.index);
+                let (term, word) = self.truth.entry(at.index).or_insert((at.term, bytes.clone()));
+                if (*term, &*word) != (at.term, &bytes) {
+                    self.broken.push(format!("two words are settled at {}: s{number}", at.index));
+                }
+                if *self.sums.entry(at.index).or_insert(node.sum) != node.sum {
+                    self.broken.push(format!("another order up to {}: s{number}", at.index));
+                }
+            }
+            Settled::Whole { upto, state } => {
+                let number_of = |range: std::ops::Range<usize>| {
+                    u64::from_le_bytes(state[range].try_into().expect("eight bytes"))
+                };
+                (node.sum, node.upto) = (number_of(0..8), upto);
+                let known = self.sums.range(..=upto).next_back().map(|(_, sum)| *sum);
+                if known.is_some_and(|sum| sum != node.sum) {
+                    self.broken.push(format!("a state that nobody had, up to {upto}: s{number}"));
+                }
+            }
+        }
+    }
+
+    /// A host makes its state anew when many entries are held, and its disk short.
+    fn make_whole(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let Some(core) = &mut node.core else { return };
+        if core.held() > COMPACT_OVER && node.writing.is_empty() {
+            // Padded, so that it takes several pieces.
+            let state = [node.sum.to_le_bytes().as_slice(), &[7; 1500]].concat();
+            core.compact(node.upto, state);
+            let mut bytes = Vec::new();
+            core.records().iter().for_each(|record| record.write(&mut bytes));
+            if let Some(write) = core.write() {
+                node.disk = bytes;
+                core.wrote(self.now, write.no);
+            }
+        }
+    }
+
+    fn words(&mut self) {
+        self.mark(self.now + WORDS_EVERY, 0, Due::Words);
+        let to = self.chance.generate_range(0..self.voters);
+        self.next_word += 1;
+        let length = 8 + self.chance.generate_range(0..60usize);
+        let word = [self.next_word.to_le_bytes().as_slice(), &vec![self.next_word as u8; length]].concat();
+        let now = self.now;
+        let node = &mut self.nodes[to];
+        if let Some(core) = node.core.as_mut().filter(|_| !node.stopped) {
+            if core.propose(now, word.clone()).is_err() {
+                core.pass_on(word);
+            }
+            self.after(to);
+        }
+    }
+
+    pub fn run_to(&mut self, until: Duration) {
+        loop {
+            let next = self.due.first_key_value().map(|((at, _), _)| *at);
+            let step = self.links.due();
+            let Some(at) = [next, step].into_iter().flatten().min().filter(|at| *at <= until) else { break };
+            self.now = self.now.max(at);
+            if step.is_some_and(|step| step <= self.now) {
+                for act in self.links.turn(self.now) {
+                    self.act(act);
+                }
+                continue;
+            }
+            let Some((_, (number, due))) = self.due.pop_first() else { break };
+            match due {
+                Due::Arrives(packet) => self.hear(number, packet),
+                Due::Written(no) => self.written(number, no),
+                Due::Words => self.words(),
+                Due::Tick if self.nodes[number].tick <= self.now && !self.nodes[number].stopped => {
+                    let down = self.nodes[number].core.is_none() && self.nodes[number].follow.is_none();
+                    if down
+                        && self.nodes[number].tick == self.now
+                        && self.crash_at.is_none()
+                        && self.restarts(number)
+                    {
+                        self.start(number);
+                    } else {
+                        self.tick(number);
+                    }
+                }
+                Due::Tick => {}
+            }
+            if !self.broken.is_empty() {
+                return;
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// One that crashed at a write comes back by itself.
+    fn restarts(&self, number: usize) -> bool {
+        self.writes > 0 && number < self.voters && self.nodes[number].starts == 1
+    }
+
+    pub fn core(&self, number: usize) -> Option<&Agree> {
+        self.nodes[number].core.as_ref()
+    }
+
+    pub fn change(&mut self, number: usize, members: limewing_agree::Members) -> Result<(), NotNow> {
+        let now = self.now;
+        let core = self.nodes[number].core.as_mut().expect("it runs");
+        let changed = core.change(now, members).map(drop);
+        self.after(number);
+        changed
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &usize| self.nodes[*n].core.as_ref().is_some_and(|c| c.standing() == Standing::Leads);
+        (0..self.voters).filter(leads).max_by_key(|n| self.nodes[*n].core.as_ref().map(Agree::term))
+    }
+
+    pub fn settled(&self) -> usize {
+        self.truth.len()
+    }
+
+    /// How long until all that run have the same and a new word is settled; none if not within `most`.
+    pub fn agrees(&mut self, most: Duration) -> Option<Duration> {
+        let (from, had) = (self.now, self.truth.last_key_value().map_or(0, |(index, _)| *index));
+        loop {
+            let runs: Vec<&Node> =
+                self.nodes.iter().filter(|node| node.core.is_some() || node.follow.is_some()).collect();
+            let least = runs.iter().map(|node| node.upto).min().unwrap_or(0);
+            if least > had {
+                return Some(self.now - from);
+            }
+            if self.now >= from + most || !self.broken.is_empty() {
+                return None;
+            }
+            self.run_to(self.now + s(0.02));
+        }
+    }
+}
+
+pub fn script(seconds: f64, loss: f64, steps: Vec<Step>) -> Script {
+    let line = Line { loss, delay_ms: 1.0, jitter_ms: 8.0, duplicate: 0.02, ..Line::default() };
+    Script { name: "drawn".into(), seed: 5, seconds, line, steps, clocks: Vec::new() }
+}
+
+/// Faults drawn by a seed: kills and starts, cuts of all kinds, standstills, bad lines, and now and then a lost disk, which
+/// is given time. The last seconds are without faults, and all run.
+pub fn drawn(seed: u64, voters: usize, seconds: f64) -> Script {
+    let mut chance = WyRand::new_seed(seed);
+    let mut share = move || (chance.generate::<u64>() >> 11) as f64 / (1u64 << 53) as f64;
+    let mut steps = Vec::new();
+    let (mut at, mut lost_at, mut may_lose) = (2.0, 0.0, (voters - 1) / 2);
+    while at < seconds - 4.0 {
+        let one = |share: f64| Who::Numbers(vec![(share * voters as f64) as usize]);
+        let some = |share: f64| Who::Part(0.0, (share * voters as f64).round() / voters as f64);
+        let mut does = |at: f64, does: Fault| steps.push(Step { at, does });
+        match (share() * 9.0) as usize {
+            0 | 1 => {
+                let who = one(share());
+                does(at, Fault::Kill(who.clone()));
+                if share() < 0.2 && at > lost_at + 12.0 && may_lose > 0 {
+                    (lost_at, may_lose) = (at, may_lose - 1);
+                    does(at, Fault::LoseDisk(who.clone()));
+                }
+                does(at + share() * 1.5, Fault::Start(who));
+            }
+            2 => does(at, Fault::Cut { from: some(share()), to: Who::All, one_way: share() < 0.4 }),
+            3 => does(at, Fault::Mend),
+            4 => {
+                let who = one(share());
+                does(at, Fault::Stop(who.clone()));
+                does(at + share() * 1.5, Fault::GoOn(who));
+            }
+            5 => {
+                let bad = Line {
+                    loss: 0.3,
+                    delay_ms: 1.0,
+                    jitter_ms: 80.0 * share(),
+                    duplicate: 0.2,
+                    ..Line::default()
+                };
+                does(at, Fault::Change { from: one(share()), to: Who::All, line: bad });
+            }
+            6 => does(at, Fault::Cut { from: one(share()), to: one(share()), one_way: false }),
+            7 => {
+                let who = one(share());
+                does(at, Fault::Kill(who.clone()));
+                does(at + 0.02 + 0.1 * share(), Fault::Start(who));
+            }
+            _ => {
+                does(at, Fault::Kill(Who::All));
+                does(at + 0.3, Fault::Start(Who::All));
+            }
+        }
+        at += 0.2 + share() * 1.2;
+    }
+    let end = seconds - 1.5;
+    steps.push(Step { at: end, does: Fault::Mend });
+    let sound = Line { delay_ms: 1.0, jitter_ms: 8.0, ..Line::default() };
+    steps.push(Step { at: end, does: Fault::Change { from: Who::All, to: Who::All, line: sound } });
+    steps.push(Step { at: end, does: Fault::GoOn(Who::All) });
+    steps.push(Step { at: end + 0.2, does: Fault::Start(Who::All) });
+    script(seconds, 0.02, steps)
+}
+
+/// The script with all steps taken away without which it still shows the same.
+pub fn smallest(script: &Script, shows: impl Fn(&Script) -> bool) -> Script {
+    let mut least = script.clone();
+    let mut many = (least.steps.len() / 2).max(1);
+    loop {
+        let mut at = 0;
+        while at < least.steps.len() {
+            let mut fewer = least.clone();
+            fewer.steps.drain(at..(at + many).min(fewer.steps.len()));
+            if shows(&fewer) {
+                least = fewer;
+            } else {
+                at += many;
+            }
+        }
+        if many == 1 {
+            return least;
+        }
+        many /= 2;
+    }
+}
--- /dev/null
+++ b/crates/turns/src/lib.rs
@@ -0,0 +1,18 @@
+//! The order in which machines go out for work: a pure function of a settled log, so that all who read the log know the same.
+//! Without I/O and without a clock: time is what the log says it is.
+//!
+//! How data flows: settled words (`Word`) go into `Turns::apply`, one after the other, each with its place in the log; those that
+//! can't hold there are refused, at every reader alike. So two that both believe they lead harm nothing: what decides is the
+//! place in the log, not who asked. `Turns::next` tells whoever leads which words to put up now; `limits` tells whether one
+//! more machine may be out. A grant's number is its word's place in the log: numbers only grow, and each is given once.
+//!
+//! A machine's way: `Waits` -> `Granted` (all sidecars are to send nothing more there) -> `Out` (all have said so, or may not
+//! send any more: it may be worked on) -> `Back` (it was worked on; cold) -> `Done`. Or `Failed`: not worked on again for this list.
+
+mod limits;
+mod turns;
+mod words;
+
+pub use limits::{Seen, Why};
+pub use turns::{List, Refused, Step, Turns, Way};
+pub use words::{Limits, Machine, Number, Terms, Unreadable, Window, Word, MOST_LISTS, MOST_MACHINES};
--- /dev/null
+++ b/crates/turns/src/words.rs
@@ -0,0 +1,157 @@
+//! What is settled about work, as bytes.
+
+use serde::{Deserialize, Serialize};
+
+pub const MOST_LISTS: usize = 16;
+/// Machines of one list, at most.
+pub const MOST_MACHINES: usize = 1000;
+const MOST_NAME: usize = 40;
+const MOST_PAIRS: usize = 64;
+const VERSION: u8 = 1;
+
+/// A list's or a grant's number: the place in the log of the word that made it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Number(pub u64);
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Machine {
+    pub name: String,
+    pub zone: String,
+    pub kind: String,
+    pub strength: f64,
+}
+
+/// How much may be out at once; strength counts machines that are ready and warm.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    pub out: u16,
+    pub out_in_zone: u16,
+    pub out_of_kind: u16,
+    /// The part of all strength that stays ready and warm, at the least.
+    pub ready_part: f64,
+    /// Pairs of machines, by name, that may not be out together.
+    pub apart: Vec<(String, String)>,
+}
+
+/// From and to, in milliseconds of the log's time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    pub from: u64,
+    pub to: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    pub name: String,
+    pub limits: Limits,
+    /// How long the work takes, and when it counts as stalled, in milliseconds.
+    pub takes: u64,
+    pub stalls_after: u64,
+    /// None: at any time.
+    pub windows: Vec<Window>,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Whether work goes on beside a release on trial.
+    pub beside_trials: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// A list with so many machines, which follow in parts.
+    Ask {
+        terms: Terms,
+        machines: u16,
+    },
+    Machines {
+        list: Number,
+        first: u16,
+        machines: Vec<Machine>,
+    },
+    Hold {
+        list: Number,
+    },
+    GoOn {
+        list: Number,
+    },
+    /// Nothing more goes out for it; what is out is brought back.
+    Withdraw {
+        list: Number,
+    },
+    /// The log's time, and what whoever leads sees of the fleet.
+    Seen {
+        at: u64,
+        seen: crate::limits::Seen,
+    },
+    Grant {
+        list: Number,
+        machine: String,
+    },
+    /// Nobody sends there any more: it may be worked on.
+    Out {
+        grant: Number,
+    },
+    /// What the machine says: the work began, ended, or failed.
+    Began {
+        grant: Number,
+    },
+    Worked {
+        grant: Number,
+        well: bool,
+    },
+    /// It serves again, and is warm.
+    Warm {
+        grant: Number,
+    },
+    /// It was granted and is not to go out after all.
+    Recall {
+        grant: Number,
+    },
+}
+
+/// Why a word can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    #[error("another version")]
+    Version,
+    #[error("it can't be read")]
+    Damaged,
+    #[error("a name, a number or a part beyond its bounds")]
+    Bounds,
+}
+
+fn machine_fits(machine: &Machine) -> bool {
+    let named = [&machine.name, &machine.zone, &machine.kind].iter().all(|name| name.len() <= MOST_NAME);
+    named && !machine.name.is_empty() && (0.0..=1e6).contains(&machine.strength)
+}
+
+fn terms_fit(terms: &Terms) -> bool {
+    let limits = &terms.limits;
+    let part = (0.0..=1.0).contains(&limits.ready_part);
+    let pairs = limits.apart.len() <= MOST_PAIRS;
+    let windows = terms.windows.len() <= MOST_PAIRS && terms.windows.iter().all(|w| w.from < w.to);
+    part && pairs && windows && terms.name.len() <= MOST_NAME && limits.out > 0
+}
+
+impl Word {
+    pub fn write(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![VERSION]).unwrap_or_default()
+    }
+
+    /// # Errors
+    /// Why it can't be used.
+    pub fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
+        let (version, rest) = bytes.split_first().ok_or(Unreadable::Damaged)?;
+        if *version != VERSION {
+            return Err(Unreadable::Version);
+        }
+        let word: Self = postcard::from_bytes(rest).map_err(|_| Unreadable::Damaged)?;
+        let sound = match &word {
+            Word::Ask { terms, machines } => terms_fit(terms) && usize::from(*machines) <= MOST_MACHINES,
+            Word::Machines { machines, .. } => machines.iter().all(machine_fits),
+            Word::Seen { seen, .. } => seen.fits(),
+            Word::Grant { machine, .. } => machine.len() <= MOST_NAME,
+            _ => true,
+        };
+        sound.then_some(word).ok_or(Unreadable::Bounds)
+    }
+}
