--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -156,7 +156,6 @@
     /// The other sidecars, where the settings tell of them.
     fleet: Option<Fleet>,
     work: Option<Work>,
-    zones: Vec<String>,
     /// The node list as it was told; `rows` is what the module knows of it.
     listed: Vec<Row>,
     leaving: bool,
@@ -252,7 +251,6 @@
             reports: Reports::default(),
             fleet,
             work,
-            zones: settings.fleet.zones.clone(),
             listed: Vec::new(),
             leaving: false,
             left: false,
@@ -342,7 +340,7 @@
         }
         let (hits, book) = (&self.hits, &self.book);
         let busy = || hits.pods_out().filter_map(|pod| book.address(pod)).collect();
-        let site = Site { rows: &self.listed, zones: &self.zones, busy: &busy };
+        let site = Site { rows: &self.listed, busy: &busy };
         if work.turn(self.now, fleet, &site) {
             let rows = self.told(self.listed.clone());
             let news = self.book.changes(&self.rows, &rows, self.now, today());
--- a/crates/sidecar/src/service/work.rs
+++ b/crates/sidecar/src/service/work.rs
@@ -69,6 +69,8 @@
     grace: Duration,
     warm_after: Duration,
     trial: bool,
+    /// Zones that were seen to serve since this process started: one of them that does not is trouble.
+    served: BTreeSet<String>,
     out: Vec<(String, Vec<u8>)>,
 }
 
@@ -76,7 +78,6 @@
 pub struct Site<'a> {
     /// The node list as it was told.
     pub rows: &'a [Row],
-    pub zones: &'a [String],
     /// Addresses that forwards are out to.
     pub busy: &'a dyn Fn() -> BTreeSet<SocketAddr>,
 }
@@ -270,6 +271,7 @@
             grace,
             warm_after,
             trial: false,
+            served: BTreeSet::new(),
             out: Vec::new(),
         })
     }
@@ -404,6 +406,9 @@
         self.put_up(now);
         self.look_whether_clear(now, site);
         if now >= self.next_ask {
+            let serve = site.rows.iter().filter(|row| !row.drains).map(|row| &row.zone);
+            let fresh = serve.filter(|zone| !self.served.contains(*zone)).cloned().collect::<Vec<_>>();
+            self.served.extend(fresh);
             self.ask(now);
         }
         self.drive(now);
@@ -458,7 +463,9 @@
             match next {
                 Some(Settled::Word { at, bytes }) => {
                     match Word::read(&bytes).map(|word| (self.turns.apply(at.index, &word), word)) {
-                        Ok((Ok(()), Word::Seen { .. })) => {}
+                        Ok((Ok(()), Word::Seen { seen, .. })) => {
+                            tracing::debug!(index = at.index, ?seen, "settled")
+                        }
                         Ok((Ok(()), word)) => tracing::info!(index = at.index, ?word, "settled"),
                         Ok((Err(why), word)) => {
                             tracing::info!(index = at.index, ?word, %why, "settled, and changes nothing")
@@ -554,15 +561,11 @@
                 && self.age(row) >= self.warm_after.as_secs_f64()
         };
         let serves = |zone: &str| site.rows.iter().any(|row| row.zone == zone && !row.drains);
-        let has = |zone: &str| {
-            let mut machines = self.turns.lists().values().flat_map(|list| &list.ways);
-            site.rows.iter().any(|row| row.zone == zone) || machines.any(|way| way.machine.zone == zone)
-        };
         Seen {
             upto: self.read,
             all: site.rows.iter().map(|row| row.size).sum::<f64>() + away.values().sum::<f64>(),
             ready: site.rows.iter().filter(warm).map(|row| row.size).sum(),
-            trouble: site.zones.iter().any(|zone| has(zone) && !serves(zone)),
+            trouble: self.served.iter().any(|zone| !serves(zone)),
             trial: self.trial,
         }
     }
--- a/crates/standins/src/day/services.rs
+++ b/crates/standins/src/day/services.rs
@@ -29,13 +29,16 @@
     /// Sidecars that were told a list with pods in it.
     pub told: BTreeSet<SidecarNo>,
     pub show: bool,
+    made: u64,
+    newest: u64,
     votes: u64,
     /// When votes were taken, while there is an allowance.
     taken: Vec<Duration>,
 }
 
-/// A list as it will be told once its lag is over.
+/// A list as it will be told once its lag is over; an older one that comes due after it is not told any more.
 pub struct Published {
+    number: u64,
     body: Vec<u8>,
     ready: Vec<PodNo>,
     draining: Vec<PodNo>,
@@ -94,6 +97,8 @@
             draining,
             told: BTreeSet::new(),
             show: false,
+            made: 0,
+            newest: 0,
             votes: 0,
             taken: Vec::new(),
         }
@@ -127,7 +132,8 @@
         let body = serde_json::to_vec(&entries.collect::<Vec<_>>()).unwrap_or_default();
         let ready = up().filter(|(_, pod)| !pod.draining).map(|(number, _)| *number).collect();
         let draining = up().filter(|(_, pod)| pod.draining).map(|(number, _)| *number).collect();
-        let published = Published { body, ready, draining };
+        self.list.made += 1;
+        let published = Published { number: self.list.made, body, ready, draining };
         if !self.on {
             return self.publish(published);
         }
@@ -140,7 +146,11 @@
     }
 
     pub(super) fn publish(&mut self, published: Published) {
-        let Published { body, ready, draining } = published;
+        let Published { number, body, ready, draining } = published;
+        if number < self.list.newest {
+            return;
+        }
+        self.list.newest = number;
         (self.list.body, self.list.ready, self.list.draining) = (body, ready, draining);
         self.list.index += 1;
         let waiting =
