--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -42,6 +42,8 @@
 
 /// The signals on which a sidecar settles what it holds and leaves: SIGTERM and SIGINT.
 const LEAVE_ON: [i32; 2] = [15, 2];
+/// Address space that the system's allocator reserves for a thread that allocates.
+const THREAD_RESERVE: usize = 64 << 20;
 /// A sidecar that leaves waits so long at most until its list is on disk.
 const KEPT_WITHIN: Duration = Duration::from_secs(2);
 /// On this one the keys of the fleet are read again.
@@ -187,6 +189,9 @@
         let limits = &settings.limits;
         let client = limits.body_kept + limits.answer_gathered + MOST_INPUT + MOST_UNSENT;
         let (descriptors, memory) = granted();
+        // Each thread beside the loop has an allocator's reserve of its own, which counts as address space.
+        let threads = 1 + usize::from(settings.state_file.is_some()) + usize::from(settings.work.is_some());
+        let memory = memory - (threads * THREAD_RESERVE).min(memory / 2);
         let room = Room::of(descriptors, memory, client);
         sockets.accept_up_to(room.accepted, room.shared);
         let clock = Clock::default();
