Up to three quarters of a memory limit are kept for threads' reserves

Half of the limit taken off leaves too little beside what the process itself maps.

Tried and taken back: taking off the process's own address space as it stands as well; one client was left at 220000, and a test hung.

--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -191,7 +191,7 @@
         let (descriptors, memory) = granted();
         // Each thread beside the loop has an allocator's reserve of its own, which counts as address space.
         let threads = 1 + usize::from(settings.state_file.is_some()) + usize::from(settings.work.is_some());
-        let memory = memory - (threads * THREAD_RESERVE).min(memory / 2);
+        let memory = memory - (threads * THREAD_RESERVE).min(memory / 4 * 3);
         let room = Room::of(descriptors, memory, client);
         sockets.accept_up_to(room.accepted, room.shared);
         let clock = Clock::default();
