Read once more: what a silent or leaving sidecar still has out is waited for

Cause, read in the change: `Lessor` took a silent sidecar for clear 1.25 leases after it was heard, but its module may forward through a drain's grace and a hit may be out up to its client timeout; one told to leave said so at once, was taken out of the log, and still settled hits; `Gone` named no start, so a late one could strike the next start; where the leader itself left, its word was lost.

Change: a silent holder is waited for by its lease, the grace, the longest hit and an ask more; a new leader waits for those alone that it has not heard (all heard and clear are not waited for any more); one that leaves says so at its end, to all voters, each of which puts its word up; `Gone` names the start.

--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -205,10 +205,11 @@
         let keep = |file: PathBuf| Keeper::start(move |rows: &Vec<Row>| memory::keep(&file, rows));
         let keeper = settings.state_file.clone().map(keep).transpose()?;
         let rules = &settings.rules;
-        let spans = (Duration::from(rules.drain_grace), Duration::from(rules.cold_for));
+        let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
+        let longest_hit = longest.unwrap_or_default();
+        let spans = (rules.drain_grace.into(), longest_hit, rules.cold_for.into());
         let work = settings.work.as_ref().map(|work| Work::start(&settings.name, work, now, seed, spans));
         let work = work.transpose().map_err(StartTrouble::Work)?;
-        let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
             via: format!("1.1 {}", settings.name),
@@ -223,7 +224,7 @@
             clients: limits.clients,
             max_forwards: limits.max_forwards.into(),
             vote_answer_within: settings.releases.vote_answer_within.into(),
-            longest_hit: longest.unwrap_or_default(),
+            longest_hit,
             streamed: settings.path_groups.iter().map(|group| group.streamed).collect(),
         };
         let mut service = Self {
@@ -278,6 +279,10 @@
         while !self.left {
             self.turn()?;
         }
+        if let (Some(work), Some(fleet)) = (&mut self.work, &mut self.fleet) {
+            work.leave(self.now, fleet);
+            fleet.leave(self.now, &mut self.sockets);
+        }
         if self.keeper.as_ref().is_some_and(|keeper| !keeper.settle(KEPT_WITHIN)) {
             tracing::warn!("the newest list is not on disk; a start begins with an older one");
         }
@@ -467,10 +472,8 @@
         }
         tracing::info!(signal, open_hits = self.hits.len(), "leaving: no new hits are taken");
         self.leaving = true;
-        if let (Some(work), Some(fleet)) = (&mut self.work, &mut self.fleet) {
-            work.leave(self.now, fleet);
-        }
-        if let Some(fleet) = &mut self.fleet {
+        // Where machines go out for work it is waited for until it has settled all: it says so at its end.
+        if let Some(fleet) = self.fleet.as_mut().filter(|_| self.work.is_none()) {
             fleet.leave(self.now, &mut self.sockets);
         }
         self.sockets.close(self.listener);
--- a/crates/sidecar/src/service/work.rs
+++ b/crates/sidecar/src/service/work.rs
@@ -67,6 +67,8 @@
     state: Option<(u64, bool, bool)>,
     clear: Vec<Number>,
     grace: Duration,
+    /// How long what was sent before a machine was closed may be out.
+    settles: Duration,
     warm_after: Duration,
     trial: bool,
     /// Zones that were seen to serve since this process started: one of them that does not is trouble.
@@ -228,7 +230,7 @@
         told: &settings::Work,
         now: Duration,
         seed: u64,
-        (grace, warm_after): (Duration, Duration),
+        (grace, longest_hit, warm_after): (Duration, Duration, Duration),
     ) -> io::Result<Self> {
         let patience = Duration::from(told.patience);
         let voters = told.voters.clone();
@@ -269,6 +271,8 @@
             state: None,
             clear: Vec::new(),
             grace,
+            // Closed at the next ask, the latest.
+            settles: grace + longest_hit + lasts / 4,
             warm_after,
             trial: false,
             served: BTreeSet::new(),
@@ -360,8 +364,10 @@
                 (self.answered_by, self.unanswered) = (Some(from.to_owned()), 0);
             }
             Talk::Leaves { start } => {
-                if self.turns.sidecars().get(from) == Some(&start) && self.leads().is_some() {
-                    self.propose(now, &Word::Gone { name: from.to_owned() });
+                // Each voter sees to it: whoever leads may be the one that leaves.
+                if self.turns.sidecars().get(from) == Some(&start) && self.asked_for.len() < MOST_PUT_UP {
+                    let word = Word::Gone { name: from.to_owned(), start };
+                    self.asked_for.push((word, now + PUT_UP_FOR));
                 }
             }
             Talk::Settle { word } => {
@@ -489,7 +495,7 @@
     fn lead(&mut self, now: Duration, site: &Site) {
         let term = self.leads().map(Agree::term);
         if self.lessor.as_ref().map(|(of, _)| *of) != term {
-            let lessor = |term| (term, Lessor::new(now, self.lasts, self.patience * 2));
+            let lessor = |term| (term, Lessor::new(now, self.lasts, self.patience * 2, self.settles));
             (self.lessor, self.seen, self.put_up) = (term.map(lessor), false, 0);
             self.next_seen = now;
         }
@@ -518,8 +524,7 @@
         let ways = || self.turns.lists().values().flat_map(|list| &list.ways);
         let clear = |way: &limewing_turns::Way| {
             let grant = way.grant.filter(|_| way.step == Step::Granted)?;
-            let names = lessor.not_clear(now, &self.turns, grant)?;
-            names.is_empty().then_some(Word::Out { grant })
+            lessor.not_clear(now, &self.turns, grant).is_empty().then_some(Word::Out { grant })
         };
         let warm = |way: &limewing_turns::Way| {
             let grant = way.grant.filter(|_| way.step == Step::Back)?;
@@ -662,13 +667,8 @@
 
     pub(super) fn leave(&mut self, now: Duration, fleet: &mut Fleet) {
         let talk = Talk::Leaves { start: self.start };
-        for voter in self.voters.clone() {
-            if voter == self.name {
-                self.talk(now, &voter, talk.clone());
-            } else {
-                self.say(&voter, &talk);
-            }
-        }
+        let others: Vec<String> = self.voters.iter().filter(|name| **name != self.name).cloned().collect();
+        others.iter().for_each(|voter| self.say(voter, &talk));
         for (to, bytes) in std::mem::take(&mut self.out) {
             fleet.post_parcel(now, &to, bytes);
         }
@@ -700,9 +700,8 @@
             Asked::GoOn(list) => (vec![Word::GoOn { list: known(list)? }], None),
             Asked::Withdraw(list) => (vec![Word::Withdraw { list: known(list)? }], None),
             Asked::Gone(name) => {
-                let known = self.turns.sidecars().contains_key(name);
-                known.then_some(()).ok_or(format!("no sidecar {name}"))?;
-                (vec![Word::Gone { name: name.clone() }], None)
+                let start = self.turns.sidecars().get(name).ok_or(format!("no sidecar {name}"))?;
+                (vec![Word::Gone { name: name.clone(), start: *start }], None)
             }
             Asked::Report { grant, said } => {
                 let grant = Number(*grant);
@@ -745,8 +744,7 @@
                 .grant
                 .filter(|_| way.step == Step::Granted)
                 .zip(lessor)
-                .and_then(|(grant, lessor)| lessor.not_clear(now, &self.turns, grant))
-                .map_or(Vec::new(), owned),
+                .map_or(Vec::new(), |(grant, lessor)| owned(lessor.not_clear(now, &self.turns, grant))),
             why: (way.step == Step::Waits)
                 .then(|| self.turns.may_go(*list, &way.machine.name).err().map(|why| why.to_string()))
                 .flatten(),
--- a/crates/turns/src/leases.rs
+++ b/crates/turns/src/leases.rs
@@ -8,7 +8,8 @@
 //!
 //! Bound: a lease counts from when its holder sent the ask that was answered, and here from when that ask came, for `OVER` times as
 //! long: so it is over there first, while the two clocks run within a fifth of each other. One that has just begun to lead
-//! knows nothing of the leases its predecessors gave: it holds nobody clear for as long as they may last.
+//! knows nothing of the leases its predecessors gave: it holds nobody that it has not heard clear for as long as they may last. To that
+//! comes the time in which a holder whose lease is over settles what it had sent: the grace of a drain and the longest hit.
 
 use crate::turns::Turns;
 use crate::words::Number;
@@ -31,9 +32,10 @@
 }
 
 impl Lessor {
-    /// It leads since now; leases last so long, and `slack` is how long a predecessor may have led beside it.
-    pub fn new(now: Duration, lasts: Duration, slack: Duration) -> Self {
-        Self { since: now + slack, lasts: lasts.mul_f64(OVER), holders: BTreeMap::new() }
+    /// It leads since now; leases last so long, and `slack` is how long a predecessor may have led beside it. One whose lease
+    /// is over still settles what it had sent, for `settles` at most.
+    pub fn new(now: Duration, lasts: Duration, slack: Duration, settles: Duration) -> Self {
+        Self { since: now + slack, lasts: lasts.mul_f64(OVER) + settles, holders: BTreeMap::new() }
     }
 
     /// One asks, and says up to where it has read and of which grants' machines it is clear. Whether it gets its lease: not
@@ -66,18 +68,16 @@
         sidecars.map(|(name, _)| name.as_str()).collect()
     }
 
-    /// Those that may still send to a grant's machine; none if that is not known yet. All know the grant's list: so one
-    /// without a lease sends there no more.
-    pub fn not_clear<'a>(&self, now: Duration, turns: &'a Turns, grant: Number) -> Option<Vec<&'a str>> {
-        if now < self.since + self.lasts {
-            return None;
-        }
-        let holds = |name: &str, start: u64| {
-            let of = self.holder(name, start);
-            of.is_some_and(|of| now < of.heard + self.lasts && !of.clear.contains(&grant))
+    /// Those that may still send to a grant's machine, or have something out there. All know the grant's list: so one without a
+    /// lease sends there no more. Of one that this leader has not heard a predecessor's lease may last.
+    pub fn not_clear<'a>(&self, now: Duration, turns: &'a Turns, grant: Number) -> Vec<&'a str> {
+        let sends = |name: &str, start: u64| match self.holder(name, start) {
+            Some(holder) if holder.clear.contains(&grant) => false,
+            Some(holder) => now < holder.heard + self.lasts,
+            None => now < self.since + self.lasts,
         };
-        let names = turns.sidecars().iter().filter(|(name, start)| holds(name, **start));
-        Some(names.map(|(name, _)| name.as_str()).collect())
+        let names = turns.sidecars().iter().filter(|(name, start)| sends(name, **start));
+        names.map(|(name, _)| name.as_str()).collect()
     }
 }
 
--- a/crates/turns/src/turns.rs
+++ b/crates/turns/src/turns.rs
@@ -245,7 +245,7 @@
                 }
                 self.sidecars.insert(name.clone(), *start);
             }
-            Word::Gone { name } => drop(self.sidecars.remove(name)),
+            Word::Gone { name, start } => self.sidecars.retain(|known, of| known != name || of != start),
             Word::Hold { list } => self.list(*list)?.held = true,
             Word::GoOn { list } => self.list(*list)?.held = false,
             Word::Withdraw { list } => self.list(*list)?.withdrawn = true,
@@ -351,7 +351,7 @@
             Word::Worked { grant, .. } => {
                 self.of(*grant).is_none_or(|(_, way)| !matches!(way.step, Step::Granted | Step::Out))
             }
-            Word::Gone { name } => !self.sidecars.contains_key(name),
+            Word::Gone { name, start } => self.sidecars.get(name) != Some(start),
             Word::Known { .. } | Word::Here { .. } => true,
             Word::Seen { .. }
             | Word::Grant { .. }
--- a/crates/turns/src/words.rs
+++ b/crates/turns/src/words.rs
@@ -96,9 +96,10 @@
         name: String,
         start: u64,
     },
-    /// It runs no more: it said so, or an operator does.
+    /// This start of it runs no more: it said so, or an operator does.
     Gone {
         name: String,
+        start: u64,
     },
     /// Nobody sends there any more: it may be worked on.
     Out {
@@ -193,7 +194,7 @@
             Word::Machines { machines, .. } => machines.iter().all(machine_fits),
             Word::Seen { seen, .. } => seen.fits(),
             Word::Grant { machine, .. } => machine.len() <= MOST_NAME,
-            Word::Here { name, .. } | Word::Gone { name } => name.len() <= 64,
+            Word::Here { name, .. } | Word::Gone { name, .. } => name.len() <= 64,
             _ => true,
         };
         sound.then_some(word).ok_or(Unreadable::Bounds)
--- a/crates/turns/tests/ways.rs
+++ b/crates/turns/tests/ways.rs
@@ -253,20 +253,21 @@
     let mut turns = Turns::default();
     let here = |name: &str, start| Word::Here { name: name.into(), start };
     turns.apply(1, &here("a", 1)).unwrap();
-    let mut lessor = Lessor::new(at(10.0), LASTS, at(0.5));
+    let mut lessor = Lessor::new(at(10.0), LASTS, at(0.5), at(1.0));
     let grant = Number(7);
     assert!(lessor.asked(at(10.1), &turns, ("a", 1), 1, &[]));
     assert!(!lessor.asked(at(10.1), &turns, ("b", 1), 1, &[]), "not known yet");
     turns.apply(2, &here("b", 1)).unwrap();
     assert_eq!(lessor.unaware(&turns, 2), ["a", "b"]);
-    // Leases that another gave may last.
-    assert_eq!(lessor.not_clear(at(12.9), &turns, grant), None);
+    // Leases that another gave may last: 2.5 s, half a second in which that one led, and a second to settle.
+    assert_eq!(lessor.not_clear(at(13.9), &turns, grant), ["b"]);
+    assert_eq!(lessor.not_clear(at(14.0), &turns, grant), Vec::<&str>::new());
     for n in 0..10 {
         let now = at(11.0 + 0.5 * n as f64);
         lessor.asked(now, &turns, ("a", 1), 2, &[grant]);
         lessor.asked(now, &turns, ("b", 1), 2, &[grant][..usize::from(n >= 8)]);
-        let clear = lessor.not_clear(now, &turns, grant);
-        assert_eq!(clear, (n >= 4).then(|| if n < 8 { vec!["b"] } else { vec![] }), "{n}");
+        // Who says that it is clear is not waited for.
+        assert_eq!(lessor.not_clear(now, &turns, grant), if n < 8 { vec!["b"] } else { vec![] }, "{n}");
     }
     assert_eq!(lessor.unaware(&turns, 2), Vec::<&str>::new());
     // Another start of its name is another, and its words of before are void.
@@ -275,10 +276,12 @@
     assert_eq!(lessor.unaware(&turns, 2), ["b"]);
     assert!(!lessor.asked(at(15.6), &turns, ("b", 1), 4, &[grant]));
     assert!(lessor.asked(at(15.6), &turns, ("b", 2), 4, &[]));
-    assert_eq!(lessor.not_clear(at(15.7), &turns, grant), Some(vec!["b"]));
+    assert_eq!(lessor.not_clear(at(19.0), &turns, grant), ["b"]);
     // It says nothing for long: it sends there no more by itself, or it was said to be gone.
-    assert_eq!(lessor.not_clear(at(18.2), &turns, grant), Some(vec![]));
-    turns.apply(5, &Word::Gone { name: "b".into() }).unwrap();
+    assert_eq!(lessor.not_clear(at(19.2), &turns, grant), Vec::<&str>::new());
+    turns.apply(5, &Word::Gone { name: "b".into(), start: 1 }).unwrap();
+    assert!(turns.sidecars().contains_key("b"), "of a start that runs no more");
+    turns.apply(6, &Word::Gone { name: "b".into(), start: 2 }).unwrap();
     assert_eq!(lessor.unaware(&turns, 5), ["a"]);
 }
 
@@ -295,7 +298,8 @@
         let rate = 0.9 + 0.2 * part();
         let mut turns = Turns::default();
         turns.apply(1, &Word::Here { name: "a".into(), start: 1 }).unwrap();
-        let (mut lessor, mut lease) = (Lessor::new(at(0.0), LASTS, at(0.0)), Lease::new(at(0.0), LASTS));
+        let (mut lessor, mut lease) =
+            (Lessor::new(at(0.0), LASTS, at(0.0), at(1.0)), Lease::new(at(0.0), LASTS));
         // Asks on their way to it, and answers on their way back.
         let (mut now, mut there, mut back) = (4.0, Vec::new(), Vec::new());
         while now < 30.0 {
@@ -317,7 +321,7 @@
             while let Some((_, no)) = back.pop_if(|answer| answer.0 <= now) {
                 lease.answered(no, 0);
             }
-            if lessor.not_clear(at(now), &turns, Number(1)).is_some_and(|names| names.is_empty()) {
+            if lessor.not_clear(at(now), &turns, Number(1)).is_empty() {
                 assert!(!lease.holds(own, 0), "at {now}");
             }
             now += 0.1;
