--- a/crates/cli/tests/command/work.rs
+++ b/crates/cli/tests/command/work.rs
@@ -62,6 +62,9 @@
     one("stop", 5.0, 0), one("go_on", 8.0, 0), one("stop", 9.0, 1), one("go_on", 12.0, 1), one("stop", 13.0, 2), one("go_on", 15.0, 2)
 ])]
 #[case::all_killed(vec![step(7.0, json!({ "kill": "all" })), step(7.5, json!({ "start": "all" }))])]
+#[case::a_voter_and_another_leave(vec![
+    one("leave", 2.0, 0), one("leave", 2.1, 5), one("start", 9.0, 0), one("start", 14.0, 5)
+])]
 #[case::a_lost_disk(vec![one("kill", 6.0, 1), one("lose_disk", 6.1, 1), one("start", 6.5, 1)])]
 fn machines_are_done_once(#[case] steps: Vec<Value>) {
     let (text, logs) = plays(|day| {
