State kept by the other sidecars too: logs by origin, spread, rules where copies differ

Entries of kinds that a version does not know are kept and passed on. Not used by any host yet.

Found while writing, before any test: a floor told with the second packet of an answer let a copy pass over the first if that was lost; ranges are told instead, and that fault is planted now and found.

--- /dev/null
+++ b/crates/replica/src/facts.rs
@@ -0,0 +1,132 @@
+//! What holds where copies differ. Each rule takes facts in any order, again and again, and comes to the same; and no fact makes
+//! any answer less careful.
+//!
+//! | fact | rule |
+//! | --- | --- |
+//! | a key met a build | the newest build it met, for as long as any of them lives |
+//! | a hit may have run | until each origin that sent it has said, later, that it never ran; else to the end of its life |
+//! | a build's stage | of each sidecar its newest word; what to go by: `stage_to_go_by` |
+
+use crate::words::{Fact, Mark, Origin, Phase, Stage};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Facts {
+    met: BTreeMap<u64, (u16, Duration)>,
+    /// By tag and origin: its last word's number, and until when it may have run.
+    hits: BTreeMap<u64, BTreeMap<Origin, (u64, Mark, Duration)>>,
+    /// By name: start and number of its last word.
+    stages: BTreeMap<String, ((u64, u64), Stage)>,
+    /// What is over when, keys first, then tags.
+    ends: BTreeSet<(Duration, bool, u64)>,
+}
+
+impl Facts {
+    /// Takes a fact in, which lives until then. Whether it says something new.
+    pub fn take(&mut self, origin: &Origin, no: u64, until: Duration, fact: &Fact) -> bool {
+        match *fact {
+            Fact::Met { key, build } => {
+                let met = self.met.entry(key).or_insert((build, until));
+                let fresh = *met == (build, until) || met.0 < build;
+                *met = (met.0.max(build), met.1.max(until));
+                self.ends.insert((until, false, key));
+                fresh
+            }
+            Fact::Hit { tag, mark } => {
+                let words = self.hits.entry(tag).or_default();
+                let word = words.entry(origin.clone()).or_insert((0, mark, until));
+                let fresh = word.0 < no;
+                if fresh {
+                    *word = (no, mark, until);
+                }
+                self.ends.insert((until, true, tag));
+                fresh
+            }
+            Fact::Stage(stage) => {
+                let (place, none) = ((origin.start, no), !self.stages.contains_key(&origin.name));
+                let word = self.stages.entry(origin.name.clone()).or_insert((place, stage));
+                let fresh = none || word.0 < place;
+                if fresh {
+                    *word = (place, stage);
+                }
+                fresh
+            }
+        }
+    }
+
+    /// The newest build that a key has met.
+    pub fn met(&self, now: Duration, key: u64) -> Option<u16> {
+        self.met.get(&key).filter(|(_, until)| now < *until).map(|(build, _)| *build)
+    }
+
+    /// Whether a hit may have run, at whomever it was.
+    pub fn may_have_run(&self, now: Duration, tag: u64) -> bool {
+        let words = self.hits.get(&tag).into_iter().flat_map(BTreeMap::values);
+        words.into_iter().any(|(_, mark, until)| *mark == Mark::MayHaveRun && now < *until)
+    }
+
+    /// The newest word of each sidecar on stages, by name.
+    pub fn stages(&self) -> impl Iterator<Item = (&str, &Stage)> {
+        self.stages.iter().map(|(name, (_, stage))| (name.as_str(), stage))
+    }
+
+    /// Keys and hits that are held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.met.len(), self.hits.len())
+    }
+
+    /// Gives up what is over.
+    pub fn forget(&mut self, now: Duration) {
+        while let Some((until, of_hit, id)) = self.ends.first().copied().filter(|(until, ..)| *until <= now) {
+            self.ends.remove(&(until, of_hit, id));
+            if of_hit {
+                if let Some(words) = self.hits.get_mut(&id) {
+                    words.retain(|_, (.., until)| now < *until);
+                    if words.is_empty() {
+                        self.hits.remove(&id);
+                    }
+                }
+            } else if self.met.get(&id).is_some_and(|(_, until)| *until <= now) {
+                self.met.remove(&id);
+            }
+        }
+    }
+}
+
+/// By number, where both count; else by build and by how far it has come: of one build a later stage is newer, and an end is newer than a trial.
+fn newer(one: &Stage, other: &Stage) -> bool {
+    if one.number != 0 && other.number != 0 && one.number != other.number {
+        return one.number > other.number;
+    }
+    (one.build, one.phase, one.stage) > (other.build, other.phase, other.stage)
+}
+
+/// Whether a word may only close what another leaves open: the same build goes back, or has a lower cap.
+fn only_closes(word: &Stage, than: &Stage) -> bool {
+    let back = matches!(word.phase, Phase::GoingBack | Phase::Withdrawn);
+    let on_trial = word.phase == Phase::OnTrial && than.phase == Phase::OnTrial;
+    word.build == than.build && (back || (on_trial && word.cap <= than.cap))
+}
+
+/// What a sidecar is to go by while its installer is silent: what it was told itself, or its own earlier life (`told`), as long
+/// as nobody has heard something newer that only closes; without either only that a build goes back. A newer word that would open
+/// something is not taken: the lower cap holds until the installer says so itself. None: nothing is to change.
+pub fn stage_to_go_by<'a>(told: Option<Stage>, others: impl Iterator<Item = &'a Stage>) -> Option<Stage> {
+    let mut best: Option<Stage> = None;
+    for word in others {
+        let base = best.or(told);
+        let takes = match &base {
+            Some(base) => newer(word, base) && only_closes(word, base),
+            None => matches!(word.phase, Phase::GoingBack | Phase::Withdrawn),
+        };
+        // Of two that say the same of it, the lower cap.
+        let lower = base.is_some_and(|base| {
+            !newer(word, &base) && !newer(&base, word) && word.build == base.build && word.cap < base.cap
+        });
+        if takes || lower {
+            best = Some(*word);
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,25 @@
+//! State that matters, kept by the other sidecars too: without I/O and without a clock.
+//!
+//! How data flows: the host puts up what it learned (`Replica::put`), gives packets (`Replica::hear`) and the time
+//! (`Replica::tick`, at `Replica::next`), takes packets to send (`Replica::take`) and what is new to it (`Replica::learned`), each
+//! entry once in the life of a process. Learned facts go into `Facts`, which tells what holds where they differ.
+//!
+//! Each process of each sidecar is an `Origin` and numbers what it puts up. A copy of an origin's log (`logs`) knows up to where it is
+//! whole and which single entries it has beyond: what it had once it never takes again, so nothing that is over comes back, whatever
+//! copy returns when. An entry lives for a span, not until a time of day: what is left of it travels with it and only the first
+//! copy counts, so clocks may differ as they like. `spread` is who is told what: new entries go to a few others, who pass
+//! them on once, and each compares its logs with one other in turn. `words` are the packets.
+//!
+//! What others say makes a sidecar more careful, never less; it is no evidence on a build.
+
+mod facts;
+mod logs;
+mod spread;
+mod words;
+
+pub use facts::{stage_to_go_by, Facts};
+pub use logs::{Log, MOST_ENTRIES};
+pub use spread::{Replica, Terms};
+pub use words::{
+    Entry, Fact, Mark, Origin, Packet, Phase, Row, Say, Stage, Unreadable, MOST_BODY, MOST_NAME, MOST_PACKET,
+};
--- /dev/null
+++ b/crates/replica/tests/fleet.rs
@@ -0,0 +1,192 @@
+//! Copies in simulated time under scripts of faults: after the last fault all are alike, nothing that is over comes back, and what
+//! two others have outlives any two.
+
+mod helpers;
+
+use helpers::*;
+use limewing_links::{Fault, Script, Who, World};
+use limewing_replica::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn world(script: &Script, members: usize, puts_until: f64, every: f64) -> World<Node> {
+    assert_eq!(script.misfits(), []);
+    FLEET.with(|fleet| *fleet.borrow_mut() = (members, s(puts_until), s(every)));
+    PUT.with(|put| put.borrow_mut().clear());
+    World::new(script, members)
+}
+
+/// What lives at a copy, by origin.
+fn lives(node: &Node, now: Duration) -> BTreeMap<Origin, Vec<u64>> {
+    let logs = node.replica.logs().map(|(origin, log)| {
+        (origin.clone(), log.all(now).filter(|e| e.left > 0).map(|e| e.no).collect::<Vec<_>>())
+    });
+    logs.filter(|(_, all)| !all.is_empty()).collect()
+}
+
+fn alike(world: &World<Node>) -> bool {
+    let mut nodes = (0..world.members()).filter_map(|n| world.core(n));
+    let Some(first) = nodes.next() else { return true };
+    // What lives for less than the way takes may be over at one and not yet at another.
+    let all = |node: &Node| -> Vec<(Origin, u64)> {
+        node.replica
+            .logs()
+            .map(|(origin, log)| (origin.clone(), log.upto()))
+            .filter(|(_, upto)| *upto > 0)
+            .collect()
+    };
+    let had = all(first);
+    nodes.all(|node| all(node) == had)
+}
+
+/// How long after a time all are alike.
+fn alike_after(world: &mut World<Node>, from: Duration, most: Duration) -> Option<Duration> {
+    world.run_to(from);
+    while world.now() < from + most {
+        if alike(world) {
+            return Some(world.now() - from);
+        }
+        let next = world.now() + s(0.02);
+        world.run_to(next);
+    }
+    None
+}
+
+fn sound(world: &World<Node>) {
+    let now = world.now();
+    for number in 0..world.members() {
+        let Some(node) = world.core(number) else { continue };
+        assert!(!node.twice, "m{number} was handed an entry twice");
+        for (origin, all) in lives(node, now) {
+            for no in all {
+                let put = PUT.with(|put| put.borrow().get(&(origin.clone(), no)).copied());
+                // On its way an entry may wait: a line that holds it for 0.3 s, a member that stands still for 3 s.
+                let put = put.unwrap_or_else(|| panic!("nobody put up {no} of {origin:?}"));
+                assert!(now < put + LIFE + s(4.0), "m{number} holds {no} of {origin:?}, which is over");
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::three(3, 40)]
+#[case::twelve(12, 20)]
+#[case::fifty(50, 3)]
+fn drawn_faults_leave_all_alike(#[case] members: usize, #[case] seeds: u64) {
+    let mut worst = Duration::ZERO;
+    for seed in 0..seeds {
+        let script = drawn(seed, 40.0);
+        let mut world = world(&script, members, 34.0, 0.4);
+        for at in 1..35 {
+            world.run_to(s(f64::from(at)));
+            sound(&world);
+        }
+        let took = alike_after(&mut world, s(35.0), s(20.0));
+        sound(&world);
+        let took = took.unwrap_or_else(|| panic!("seed {seed}: not alike 20 s after the last fault"));
+        worst = worst.max(took);
+        // When all is over nothing is held, and nothing comes back.
+        world.run_to(s(34.0) + LIFE + s(8.0));
+        for number in 0..members {
+            let held = world.core(number).map_or(0, |node| lives(node, world.now()).len());
+            assert_eq!(held, 0, "seed {seed}: m{number} holds what is over");
+        }
+    }
+    println!("{members} members, {seeds} scripts: alike within {worst:?} after the last fault");
+}
+
+/// What two others have is still there when any two are killed at once, for good: also the one that put it up.
+#[test]
+fn what_two_others_have_outlives_two() {
+    let mut checked = 0;
+    for seed in 0..40u64 {
+        let (one, other) = ((seed % 12) as usize, ((seed / 3 + 5) % 12) as usize);
+        let at = 2.0 + seed as f64 * 0.07;
+        let steps = vec![step(at, Fault::Kill(Who::Numbers(vec![one, other])))];
+        let mut world = world(&script(30.0, 0.1, steps), 12, 6.0, 0.3);
+        world.run_to(s(at - 0.001));
+        let kept: Vec<(Origin, u64)> = [one, other]
+            .iter()
+            .filter_map(|n| world.core(*n))
+            .flat_map(|node| {
+                let me = node.replica.me().clone();
+                let upto = node.replica.logs().find(|(of, _)| **of == me).map_or(0, |(_, log)| log.upto());
+                (1..=upto)
+                    .filter(|no| node.replica.kept_by(*no) >= 2)
+                    .map(|no| (me.clone(), no))
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        world.run_to(s(at + 3.0));
+        for (origin, no) in &kept {
+            for number in (0..12).filter(|n| *n != one && *n != other) {
+                let had = world
+                    .core(number)
+                    .is_some_and(|node| node.had.get(origin).is_some_and(|had| had.contains(no)));
+                assert!(had, "seed {seed}: m{number} lacks {no} of {origin:?}");
+            }
+        }
+        checked += kept.len();
+    }
+    assert!(checked > 200, "{checked}");
+    println!("{checked} entries that two others had outlived two members");
+}
+
+/// Half the fleet cut off for ten seconds, while both halves put up facts.
+#[test]
+fn halves_are_alike_soon_after_a_cut() {
+    let mut took = Vec::new();
+    for seed in 0..25 {
+        let half = || Who::Part(0.0, 0.5);
+        let steps = vec![
+            step(3.0, Fault::Cut { from: half(), to: Who::Part(0.5, 1.0), one_way: seed % 4 == 3 }),
+            step(13.0, Fault::Mend),
+        ];
+        let mut script = script(40.0, 0.02, steps);
+        script.seed = seed;
+        let mut world = world(&script, 12, 12.9, 0.2);
+        took.push(alike_after(&mut world, s(13.0), s(20.0)).expect("alike"));
+        sound(&world);
+    }
+    took.sort();
+    println!(
+        "12 members, a cut of 10 s: alike after {:?} (median), {:?} (worst of {})",
+        took[12],
+        took[24],
+        took.len()
+    );
+    assert!(took[24] < s(8.0));
+}
+
+/// Seven in ten killed at once, back a second later with nothing: the three in ten that stayed are not run over, and all catch up.
+#[rstest]
+#[case::thirty(30)]
+#[case::three_hundred(300)]
+fn a_crowd_that_returns_catches_up(#[case] members: usize) {
+    let most = || Who::Part(0.0, 0.7);
+    let steps = vec![step(8.0, Fault::Kill(most())), step(9.0, Fault::Start(most()))];
+    let every = if members > 100 { 4.0 } else { 0.5 };
+    let mut world = world(&script(40.0, 0.01, steps), members, 8.0, every);
+    world.run_to(s(7.9));
+    let sent: Vec<u64> = (0..members).filter_map(|n| world.core(n)).map(|n| n.replica.bytes_sent()).collect();
+    let before = sent.iter().sum::<u64>() as f64 / members as f64 / 7.9;
+    let last = members - 1;
+    let at_8 = world.core(last).map_or(0, |node| node.replica.bytes_sent());
+    let caught = |world: &World<Node>| {
+        (0..members).filter(|n| world.core(*n).is_some_and(|n| n.caught_up.is_some())).count()
+    };
+    while world.now() < s(39.0) && (world.now() < s(9.1) || caught(&world) < members) {
+        let next = world.now() + s(0.05);
+        world.run_to(next);
+    }
+    assert_eq!(caught(&world), members);
+    let took = world.now() - s(9.0);
+    let rate = world.core(last).map_or(0, |n| n.replica.bytes_sent() - at_8) as f64
+        / (world.now() - s(7.9)).as_secs_f64();
+    let most_held =
+        world.core(last).map_or(0, |n| n.replica.logs().map(|(_, log)| log.live()).sum::<usize>());
+    println!("{members} members, a fact each {every} s: {before:.0} bytes/s each before; all caught up {took:?} after the return, {most_held} entries; one that stayed sent {rate:.0} bytes/s");
+    assert!(rate <= 66_000.0 && took < s(20.0));
+    sound(&world);
+}
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -449,6 +449,6 @@
 
     /// The places of a machine.
     pub fn places_of(&self, machine: usize) -> Vec<usize> {
-        (0..self.fleet.pods as usize).filter(|place| self.machine_of(*place) == machine).collect()
+        (0..self.fleet.pods).filter(|place| self.machine_of(*place) == machine).collect()
     }
 }
