Keys that met a build and hits that may have run are known at all sidecars

Need: the one-way rule holds at each sidecar alone, and a killed one forgets; a client that tries again reaches another sidecar, which sends what may have run. Keys and tags are hashed by siphasher, the same in all versions.

--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -3,7 +3,7 @@
 use crate::Stop;
 use crate::{plot, show};
 use limewing_account::rules::{self, Account};
-use limewing_account::{balance, record, work};
+use limewing_account::{across, balance, record, work};
 use limewing_standins::day;
 use limewing_standins::script::DayScript;
 use std::fs::File;
@@ -41,6 +41,7 @@
     let work = work::work(&lines(file)?);
     let wrong = work.iter().map(|work| work.breaches.len()).sum::<usize>();
     work.iter().for_each(show::work);
+    across::across(&lines(file)?).iter().for_each(show::across);
     let broken = account.findings.iter().filter(|finding| !finding.breaches.is_empty()).count();
     match broken {
         0 if wrong > 0 => Err(Stop::failed(format!("{wrong} times machines were out as they must not be"))),
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -5,7 +5,7 @@
 use comfy_table::Table;
 use limewing_links::{Fault, Script, World};
 use limewing_settings::{Checked, Misfit, SidecarSettings};
-use limewing_sidecar::service::View;
+use limewing_sidecar::service::{StateView, View};
 use limewing_standins::fleet::{self, Crowd, CrowdPlan, Member, Plan};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -35,6 +35,31 @@
 }
 
 /// Prints one sidecar's view of its fleet.
+/// Prints what a sidecar keeps, and how far each of its copies goes.
+pub fn state(at: SocketAddr) -> Result<(), Stop> {
+    let text =
+        fleet::call(at, "GET", "/limewing/state", "").map_err(|e| Stop::failed(format!("{at}: {e}")))?;
+    let view: StateView = serde_json::from_str(&text).map_err(|e| Stop::failed(format!("{at}: {e}")))?;
+    println!(
+        "{}, started {}: {}; {} keys that met a build, {} hits that may have run, {} bytes sent",
+        view.name,
+        view.start,
+        if view.caught_up { "has caught up" } else { "has NOT caught up" },
+        view.keys,
+        view.hits,
+        view.bytes_sent
+    );
+    println!("goes by {}", view.stage.as_deref().unwrap_or("no stage news"));
+    view.stages.iter().for_each(|stage| println!("  {stage}"));
+    let mut rows = table(&["of", "start", "whole up to", "live", "given up"]);
+    for log in view.logs {
+        let (start, upto, live) = (log.start.to_string(), log.upto.to_string(), log.live.to_string());
+        rows.add_row([log.name, start, upto, live, log.given_up.to_string()]);
+    }
+    println!("{rows}");
+    Ok(())
+}
+
 pub fn show(at: SocketAddr) -> Result<(), Stop> {
     let text = fleet::ask(at).map_err(|e| Stop::failed(format!("{at}: {e}")))?;
     let view: View = serde_json::from_str(&text).map_err(|e| Stop::failed(format!("{at}: {e}")))?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -97,6 +97,11 @@
         /// Where the sidecar serves its clients
         at: std::net::SocketAddr,
     },
+    /// Print what a sidecar keeps of its own and the others' state
+    State {
+        /// Where the sidecar serves its clients
+        at: std::net::SocketAddr,
+    },
     /// Play a script of faults with processes of this program
     Play {
         script: PathBuf,
@@ -298,6 +303,7 @@
             Ok(())
         }
         Command::Fleet(FleetCommand::Show { at }) => fleet::show(at),
+        Command::Fleet(FleetCommand::State { at }) => fleet::state(at),
         Command::Fleet(FleetCommand::Play { script, settings, members, period_ms, folder }) => {
             let script: fleet::ScriptFile = limewing_settings::read(&script).map_err(Stop::input)?;
             let settings: SidecarSettings = limewing_settings::read(&settings).map_err(Stop::input)?;
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -2,6 +2,7 @@
 
 use comfy_table::{presets, Table};
 use indicatif::{ProgressBar, ProgressStyle};
+use limewing_account::across::Across;
 use limewing_account::rules::Account;
 use limewing_account::work::Work;
 use limewing_standins::day::Progress;
@@ -84,3 +85,13 @@
         println!("  {:.3} s: {text}", at.as_secs_f64());
     }
 }
+
+pub fn across(across: &Across) {
+    println!(
+        "across sidecars: {} of {} forwards of keys that had met a newer build went back; {} of {} hits that may not run twice did",
+        across.keys_back, across.keys, across.twice, across.once
+    );
+    for (at, text) in &across.first {
+        println!("  {:.3} s: {text}", at.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/command/copies.rs
@@ -0,0 +1,64 @@
+//! State that the others keep, while processes are killed: days of six sidecars with a release on trial throughout and clients that
+//! try again whatever may have run.
+
+use crate::days::{limewing, one_day_at_a_time};
+use crate::help::{in_repo, settings, Running};
+use serde_json::Value;
+
+/// What `day check` counted across sidecars: keys that went back, hits with two effects; and all that it printed.
+fn plays(replicas: bool, change: impl Fn(&mut Value)) -> (usize, usize, String) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut day: Value =
+        serde_json::from_str(&std::fs::read_to_string(in_repo("days/copies.json")).unwrap()).unwrap();
+    day["peers"]["replicas"] = replicas.into();
+    change(&mut day);
+    let script = folder.path().join("day.json");
+    std::fs::write(&script, day.to_string()).unwrap();
+    let out =
+        limewing(&["day", "play", script.to_str().unwrap(), "--folder", folder.path().to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    // Without copies a hit may run twice, as its clients ask for it twice: that is what they are for.
+    assert!(out.status.success() || !replicas, "{text}");
+    let line = text.lines().find(|line| line.starts_with("across sidecars: ")).unwrap_or_default();
+    let numbers: Vec<usize> = line.split(' ').filter_map(|word| word.parse().ok()).collect();
+    assert_eq!(numbers.len(), 4, "{text}");
+    (numbers[0], numbers[2], text)
+}
+
+/// Sidecars killed in turn: without copies keys go back to the older build, with them none does and no hit runs twice.
+#[test]
+fn what_a_killed_sidecar_knew_the_others_know() {
+    let _alone = one_day_at_a_time();
+    let (back, twice, text) = plays(true, |_| ());
+    assert_eq!((back, twice), (0, 0), "{text}");
+    let (without, ..) = plays(false, |_| ());
+    assert!(without > 5, "{without} keys went back without copies");
+}
+
+/// Half of them cut off for a while, four in six killed at once, one that stands still and goes on: the rules are kept, and what one
+/// half did not know the other tells it after.
+#[test]
+fn copies_under_cuts_and_a_crowd_that_returns() {
+    let _alone = one_day_at_a_time();
+    let (_, twice, text) = plays(true, |day| {
+        day["peers"]["faults"]["steps"] = serde_json::json!([
+            { "at": 5.0, "does": { "cut": { "from": { "part": [0.0, 0.5] }, "to": { "part": [0.5, 1.0] } } } },
+            { "at": 9.0, "does": "mend" },
+            { "at": 11.0, "does": { "kill": { "numbers": [0, 1, 2, 3] } } },
+            { "at": 11.8, "does": { "start": { "numbers": [0, 1, 2, 3] } } },
+            { "at": 15.0, "does": { "stop": { "numbers": [4] } } },
+            { "at": 18.0, "does": { "go_on": { "numbers": [4] } } }
+        ]);
+    });
+    assert_eq!(twice, 0, "{text}");
+}
+
+/// Off unless told: a sidecar says so.
+#[test]
+fn without_replicas_nothing_is_kept() {
+    let folder = tempfile::tempdir().unwrap();
+    let sidecar = Running::start("", &settings(folder.path(), "127.0.0.1:0"), std::process::Stdio::null());
+    let out = limewing(&["fleet", "state", &sidecar.at.to_string()]);
+    let text = String::from_utf8_lossy(&out.stderr);
+    assert!(out.status.code() == Some(1) && text.contains("no `peers.replicas` in its settings"), "{text}");
+}
--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -1,5 +1,6 @@
 //! The command as its users call it.
 
+mod copies;
 mod days;
 mod fleet;
 mod help;
--- a/crates/replica/src/facts.rs
+++ b/crates/replica/src/facts.rs
@@ -66,6 +66,11 @@
         words.into_iter().any(|(_, mark, until)| *mark == Mark::MayHaveRun && now < *until)
     }
 
+    /// All keys that have met a build.
+    pub fn all_met(&self) -> impl Iterator<Item = (u64, u16)> + '_ {
+        self.met.iter().map(|(key, (build, _))| (*key, *build))
+    }
+
     /// The newest word of each sidecar on stages, by name.
     pub fn stages(&self) -> impl Iterator<Item = (&str, &Stage)> {
         self.stages.iter().map(|(name, (_, stage))| (name.as_str(), stage))
--- a/crates/replica/src/spread.rs
+++ b/crates/replica/src/spread.rs
@@ -126,6 +126,10 @@
         let left = life.min(MOST_LIFE).as_millis() as u32;
         log.take(now, &Entry { no, left, kind: fact.kind(), body: fact.write() });
         self.tell(me, no);
+        // A hit's mark is told with the next packet: it may be all that is left of this process.
+        if matches!(fact, Fact::Hit { .. }) {
+            self.next_beat = self.next_beat.min(now);
+        }
         no
     }
 
@@ -169,9 +173,9 @@
         self.budget = ((self.budget.0 + earned).min(most), now);
     }
 
-    fn some_others(&mut self, many: usize) -> Vec<String> {
+    fn some_others(&mut self, many: usize, but: &str) -> Vec<String> {
         let mut drawn = Vec::new();
-        let mut left: Vec<usize> = (0..self.others.len()).collect();
+        let mut left: Vec<usize> = (0..self.others.len()).filter(|n| self.others[*n] != but).collect();
         while drawn.len() < many && !left.is_empty() {
             let at = self.chance.generate_range(0..left.len());
             drawn.push(self.others[left.swap_remove(at)].clone());
@@ -234,7 +238,14 @@
             if entries.is_empty() {
                 continue;
             }
-            for to in self.some_others(self.terms.fan) {
+            // Where there are few an origin tells all itself, and one more each is enough for what is lost.
+            let (few, own) = (self.others.len() <= self.terms.fan * 2, origin == self.terms.me);
+            let fan = match (few, own) {
+                (true, true) => self.others.len(),
+                (true, false) => 1,
+                (false, _) => self.terms.fan,
+            };
+            for to in self.some_others(fan, &origin.name) {
                 let (origin, entries) = (origin.clone(), entries.clone());
                 self.say(&to, Say::Entries { origin, all: None, entries });
             }
@@ -252,7 +263,7 @@
             return;
         }
         self.next_round = now + self.terms.beat * 4;
-        let Some(to) = self.some_others(1).pop() else {
+        let Some(to) = self.some_others(1, "").pop() else {
             // Nobody is there to ask.
             return;
         };
@@ -384,7 +395,8 @@
     /// What one lacks of a log, from where its copy is whole; how many packets that took.
     fn give(&mut self, now: Duration, to: &str, row: &Row, room: usize) -> usize {
         let (mut after, mut packets) = (row.upto, 0);
-        while packets < room && self.budget.0 > 0.0 {
+        // Half of what may be sent is left for new entries, whoever comes back.
+        while packets < room && self.budget.0 > f64::from(self.terms.bytes_per_s) / 2.0 {
             // Only as far as this copy is whole itself.
             let Some(log) = self.logs.get(&row.origin).filter(|log| log.upto() > after) else { break };
             let whole = log.upto();
--- a/crates/replica/tests/fleet.rs
+++ b/crates/replica/tests/fleet.rs
@@ -133,6 +133,44 @@
     println!("{checked} entries that two others had outlived two members");
 }
 
+/// While some come back and are told all, what is new still reaches all in time: the first copy that is lost comes by another.
+#[test]
+fn what_is_new_is_told_in_time_while_others_catch_up() {
+    let one = |n: usize| Who::Numbers(vec![n]);
+    let steps = (0..6).flat_map(|n| {
+        let at = 10.0 + 2.0 * n as f64;
+        [step(at, Fault::Kill(one(n))), step(at + 0.7, Fault::Start(one(n)))]
+    });
+    let mut world = world(&script(30.0, 0.01, steps.collect()), 6, 23.0, 0.025);
+    let mut known: BTreeMap<(usize, Origin, u64), Duration> = BTreeMap::new();
+    let mut late: Vec<Duration> = Vec::new();
+    while world.now() < s(23.0) {
+        let next = world.now() + s(0.01);
+        world.run_to(next);
+        for number in 0..6 {
+            let Some(node) = world.core(number) else { continue };
+            // What was put up before it had caught up it is told in its own time.
+            let Some(from) = node.caught_up.map(|took| node.started + took) else { continue };
+            for (origin, had) in &node.had {
+                for no in had.iter().rev().take(60) {
+                    if PUT.with(|put| put.borrow()[&(origin.clone(), *no)]) < from {
+                        break;
+                    }
+                    known.entry((number, origin.clone(), *no)).or_insert_with(|| world.now());
+                }
+            }
+        }
+    }
+    for ((_, origin, no), at) in &known {
+        let put = PUT.with(|put| put.borrow()[&(origin.clone(), *no)]);
+        late.push(at.saturating_sub(put));
+    }
+    late.sort();
+    let part = |part: f64| late[(late.len() as f64 * part) as usize];
+    println!("{} tellings: {:?} in the median, 99.9% within {:?}", late.len(), part(0.5), part(0.999));
+    assert!(part(0.999) < s(0.3), "{:?}", part(0.999));
+}
+
 /// Half the fleet cut off for ten seconds, while both halves put up facts.
 #[test]
 fn halves_are_alike_soon_after_a_cut() {
--- a/crates/replica/tests/helpers/mod.rs
+++ b/crates/replica/tests/helpers/mod.rs
@@ -18,7 +18,7 @@
 
 pub fn terms(name: &str, start: u64) -> Terms {
     let me = Origin { name: name.into(), start };
-    Terms { me, beat: BEAT, fan: 4, bytes_per_s: 65_536, seed: start ^ 77 }
+    Terms { me, beat: BEAT, fan: 4, bytes_per_s: 32_768, seed: start ^ 77 }
 }
 
 /// One that puts up a fact now and then, and holds what it learned.
@@ -30,7 +30,7 @@
     pub twice: bool,
     pub caught_up: Option<Duration>,
     number: usize,
-    started: Duration,
+    pub started: Duration,
     next_put: Duration,
     chance: WyRand,
 }
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -106,6 +106,9 @@
     /// Whether what is known of the others moves this one's choice among pods, and which shut pods it proves.
     #[serde(default)]
     pub choices: bool,
+    /// Whether state that matters is kept by the others too (docs/replicas.md).
+    #[serde(default)]
+    pub replicas: bool,
 }
 
 /// The keys of a fleet: the first seals, both open, so that one can take the other's place.
--- a/crates/sidecar/src/routes.rs
+++ b/crates/sidecar/src/routes.rs
@@ -3,8 +3,8 @@
 use limewing::interface::{CustomerId, GroupId, KeyId};
 use limewing_net::http::RequestHead;
 use limewing_settings::{Headers, Misfit, Repeat, Router, SidecarSettings};
+use siphasher::sip::SipHasher13;
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// The field that marks a tagged hit.
@@ -21,6 +21,7 @@
 struct Group {
     client_timeout: Duration,
     tagged: bool,
+    mutating: bool,
 }
 
 /// A request as the decision module needs it.
@@ -30,6 +31,8 @@
     pub customer: Option<CustomerId>,
     pub key: Option<KeyId>,
     pub due: Duration,
+    /// The hash of the tag of a hit that may not run twice.
+    pub once: Option<u64>,
 }
 
 /// Why a request is no hit, and the status that says so.
@@ -47,6 +50,7 @@
         let groups = settings.path_groups.iter().map(|group| Group {
             client_timeout: group.client_timeout.into(),
             tagged: matches!(group.repeat, Repeat::Tagged { .. }),
+            mutating: group.repeat == Repeat::Mutating,
         });
         let customers = (0u32..).zip(&settings.customers).map(|(n, c)| (c.name.clone(), CustomerId(n)));
         Ok(Self {
@@ -82,9 +86,10 @@
             }
         };
         let waits = told.min(of.client_timeout).saturating_sub(self.margin);
+        let tag = head.fields.get(TAG).filter(|tag| of.mutating && !tag.is_empty()).map(hash_of);
         let customer = named(head, &self.headers.customer).and_then(|name| self.customers.get(name)).copied();
         let key = named(head, &self.headers.key).map(key_of);
-        Ok(Traits { group, customer, key, due: now + waits })
+        Ok(Traits { group, customer, key, due: now + waits, once: tag })
     }
 }
 
@@ -99,8 +104,11 @@
     head.fields.text(name.as_deref()?)
 }
 
+/// The same at all sidecars, of whatever version: they tell each other of keys and tags.
+pub fn hash_of(bytes: &[u8]) -> u64 {
+    SipHasher13::new().hash(bytes)
+}
+
 fn key_of(text: &str) -> KeyId {
-    let mut hasher = DefaultHasher::new();
-    text.hash(&mut hasher);
-    KeyId(hasher.finish())
+    KeyId(hash_of(text.as_bytes()))
 }
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -33,7 +33,7 @@
     quiet: TimerKey,
 }
 
-fn not_old(latest: &mut Latest, message: StageMessage) -> Option<StageNews> {
+pub(super) fn not_old(latest: &mut Latest, message: StageMessage) -> Option<StageNews> {
     let news = latest.take(message);
     if news.is_none() {
         tracing::warn!(number = message.number, "old stage news left out");
@@ -223,8 +223,11 @@
                         let fleet = self.fleet.as_mut();
                         fleet.into_iter().for_each(|fleet| fleet.answers(now, Asked::Installer, true));
                     }
-                    let news = news.into_iter().filter_map(|news| not_old(&mut self.latest, news));
-                    self.events.extend(news.map(|news| Event::Stage { news: Some(news), answer: None }));
+                    for message in news {
+                        let Some(news) = not_old(&mut self.latest, message) else { continue };
+                        self.copies.iter_mut().for_each(|copies| copies.stage_told(self.now, &message));
+                        self.events.push(Event::Stage { news: Some(news), answer: None });
+                    }
                 }
                 Err(why) => return self.news_lost(link, &why),
             }
@@ -292,7 +295,10 @@
         self.wheel.cancel(of.timer);
         self.sockets.close(link);
         tracing::debug!(?answer, "a vote was answered");
-        let news = news.and_then(|news| not_old(&mut self.latest, news));
-        self.events.push(Event::Stage { news, answer: Some(answer) });
+        let now = news.and_then(|message| not_old(&mut self.latest, message));
+        if let (Some(message), Some(_), Some(copies)) = (news, now, &mut self.copies) {
+            copies.stage_told(self.now, &message);
+        }
+        self.events.push(Event::Stage { news: now, answer: Some(answer) });
     }
 }
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -56,6 +56,9 @@
         let spent = open.forwards.len() > self.terms.max_forwards;
         // A body that was passed on is gone: nothing is left for another forward.
         let gone = !open.of.whole && open.of.carrier.is_some();
+        if let (Some(tag), Some(copies)) = (open.of.once, &mut self.copies) {
+            copies.sent(self.now, hit, tag);
+        }
         if open.over || open.of.passing.is_some() || spent || gone || self.now >= due {
             return self.end_forward(hit, no, Fate::Void);
         }
@@ -332,6 +335,10 @@
     fn end_forward(&mut self, hit: HitId, no: ForwardNo, fate: Fate) {
         let Some(ended) = self.hits.end(hit, no, fate, self.now) else { return };
         ended.timer.map(|timer| self.wheel.cancel(timer));
+        if let Some(copies) = &mut self.copies {
+            let key = ended.last.as_ref().or(self.hits.get(hit).map(|open| &open.of)).and_then(|of| of.key);
+            copies.ended(self.now, &ended.outcome, key);
+        }
         self.events.push(Event::Outcome(ended.outcome));
     }
 
--- a/crates/sidecar/src/service/fleet.rs
+++ b/crates/sidecar/src/service/fleet.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Names of the others that are held to be there.
+    pub(super) fn here(&self) -> impl Iterator<Item = String> + '_ {
+        self.peers.here().map(|member| member.claim.name.to_string())
+    }
+
     pub(super) fn parcel(&mut self) -> Option<(String, Vec<u8>)> {
         self.peers.parcel().map(|(from, bytes)| (from.to_string(), bytes))
     }
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -1,9 +1,10 @@
 //! The clients' side: requests become hits, and each hit gets one final answer.
 
+use super::copies::Refuses;
 use super::{Due, Peer, Service};
 use crate::routes::{path_of, Traits};
 use bytes::{Bytes, BytesMut};
-use limewing::interface::{Event, ForwardNo, GroupId, Hit, HitId, PodId};
+use limewing::interface::{Event, ForwardNo, GroupId, Hit, HitId, KeyId, PodId};
 use limewing_hosting::open::Open;
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, Refused, RequestHead, ResponseHead};
@@ -21,6 +22,7 @@
 const STATUS: &str = "/limewing/status";
 const FLEET: &str = "/limewing/fleet";
 const WORK: &str = "/limewing/work";
+const STATE: &str = "/limewing/state";
 /// Output that may wait for a client before its pod is read no further, in bytes.
 pub const MOST_UNSENT: usize = 64 * 1024;
 
@@ -55,6 +57,9 @@
     /// The forward that the rest of the body goes with.
     pub carrier: Option<ForwardNo>,
     pub group: GroupId,
+    pub key: Option<KeyId>,
+    /// The hash of its tag, if it may not run twice.
+    pub once: Option<u64>,
     /// The forward whose answer is passed on as it comes.
     pub passing: Option<ForwardNo>,
 }
@@ -163,6 +168,7 @@
             ("POST", REPORTS) => return self.reported(id, &body),
             ("GET", STATUS) => return self.tell_status(id),
             ("GET", FLEET) => return self.tell_fleet(id),
+            ("GET", STATE) => return self.tell_state(id),
             ("GET", WORK) => return self.tell_work(id),
             ("POST", WORK) => return self.asked_for_work(id, &body),
             _ => {}
@@ -178,10 +184,22 @@
     }
 
     fn take_hit(&mut self, client: SocketId, head: RequestHead, body: Bytes, traits: Traits) {
-        let Traits { group, customer, key, due } = traits;
+        let Traits { group, customer, key, due, once } = traits;
+        let refused = self.copies.as_ref().and_then(|copies| copies.refuses(self.now, once, key.is_some()));
+        if let Some(refused) = refused {
+            let (status, harmless) = match refused {
+                // That it never ran nobody here can say yet.
+                Refuses::NotCaughtUp if once.is_some() => (502, false),
+                Refuses::NotCaughtUp => (503, true),
+                Refuses::MayHaveRun => (409, false),
+            };
+            let text = self.proxy_status(if harmless { "bounced" } else { "errored" }, harmless);
+            return self.reply(client, status, &[("proxy-status", &text)], b"");
+        }
         let whole = self.client(client).is_none_or(|client| client.rest.is_none());
         let (passing, carrier) = (None, None);
-        let id = self.hits.open(client, due, Request { head, body, whole, carrier, group, passing });
+        let id =
+            self.hits.open(client, due, Request { head, body, whole, carrier, group, key, once, passing });
         self.events.push(Event::Hit(Hit { id, group, customer, key, due }));
         if let Some(client) = self.client(client) {
             client.hit = Some(id);
@@ -271,6 +289,7 @@
 
     /// The final answer of a hit that no pod answered.
     fn settle(&mut self, hit: HitId, status: u16, fields: &[(&str, &str)]) {
+        self.copies.iter_mut().for_each(|copies| copies.over(hit));
         let Some(open) = self.hits.unsettled(hit) else { return };
         open.over = true;
         if let Some(client) = open.client.take() {
@@ -437,6 +456,18 @@
         }
     }
 
+    fn tell_state(&mut self, id: SocketId) {
+        match self.copies.as_ref().map(|copies| serde_json::to_vec(&copies.view())) {
+            Some(Ok(body)) => self.reply(id, 200, &[("content-type", "application/json")], &body),
+            _ => self.reply(
+                id,
+                404,
+                &[],
+                b"nothing is kept for others here: no `peers.replicas` in its settings\n",
+            ),
+        }
+    }
+
     fn tell_work(&mut self, id: SocketId) {
         match self.work.as_ref().map(|work| serde_json::to_vec(&work.view(self.now))) {
             Some(Ok(body)) => self.reply(id, 200, &[("content-type", "application/json")], &body),
@@ -509,6 +540,7 @@
         open.client = None;
         if !open.over {
             open.over = true;
+            self.copies.iter_mut().for_each(|copies| copies.over(hit));
             self.events.push(Event::Left(hit));
             // An answer in mid-way has nobody to go to.
             if let Some(no) = open.of.passing {
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -6,6 +6,7 @@
 
 mod asks;
 mod back;
+mod copies;
 mod fleet;
 mod front;
 mod work;
@@ -17,6 +18,8 @@
 use crate::stages::Latest;
 use asks::{ListLink, NewsLink};
 use back::PodLink;
+use copies::{Copies, COPIES};
+pub use copies::{LogView, StateView};
 use fleet::Fleet;
 pub use fleet::{Seen, View};
 use front::{Client, Reports, Request, MOST_UNSENT};
@@ -158,8 +161,12 @@
     /// The other sidecars, where the settings tell of them.
     fleet: Option<Fleet>,
     work: Option<Work>,
+    /// State that the others keep too.
+    copies: Option<Copies>,
     /// The node list as it was told; `rows` is what the module knows of it.
     listed: Vec<Row>,
+    /// Parcels for it came.
+    work_heard: bool,
     leaving: bool,
     left: bool,
 }
@@ -210,6 +217,10 @@
         let spans = (rules.drain_grace.into(), longest_hit, rules.cold_for.into());
         let work = settings.work.as_ref().map(|work| Work::start(&settings.name, work, now, seed, spans));
         let work = work.transpose().map_err(StartTrouble::Work)?;
+        let replicas = settings.peers.as_ref().filter(|peers| peers.replicas);
+        let keys_stay = settings.releases.keys_stay;
+        let copies =
+            replicas.map(|told| Copies::start(now, &settings.name, told.bytes_per_s, keys_stay, seed));
         let terms = Terms {
             name: settings.name.clone(),
             via: format!("1.1 {}", settings.name),
@@ -257,7 +268,9 @@
             reports: Reports::default(),
             fleet,
             work,
+            copies,
             listed: Vec::new(),
+            work_heard: false,
             leaving: false,
             left: false,
         };
@@ -292,6 +305,7 @@
     fn turn(&mut self) -> io::Result<()> {
         let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
         let next = self.fleet.as_ref().map_or(next, |fleet| fleet.next().min(next));
+        let next = self.copies.as_ref().map_or(next, |copies| copies.next().min(next));
         let next = self.work.as_ref().map_or(next, |work| work.wakes(self.clock.now()).min(next));
         let wait =
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
@@ -301,6 +315,8 @@
         while let Some(due) = self.wheel.take(self.now) {
             self.is_due(due);
         }
+        self.open_parcels();
+        self.copy();
         self.work_on();
         if let Some(fleet) = &mut self.fleet {
             let news = fleet.watch(self.now, &self.events, |pod| self.book.address(pod));
@@ -315,6 +331,11 @@
             decided = self.clock.now();
             actions.into_iter().for_each(|action| self.carry_out(action));
         }
+        // What was just sent may be all that is left of this process: the others are told in the same turn.
+        self.copy();
+        if let Some(fleet) = &mut self.fleet {
+            fleet.turn(self.now, &mut self.sockets);
+        }
         let done = self.clock.now();
         if done - self.now > LONG_TURN {
             let ms = |span: Duration| span.as_secs_f64() * 1e3;
@@ -332,6 +353,33 @@
         Ok(())
     }
 
+    /// Gives what other sidecars sent to whom it is for.
+    fn open_parcels(&mut self) {
+        let Some(fleet) = &mut self.fleet else { return };
+        while let Some((from, bytes)) = fleet.parcel() {
+            match (bytes.split_first(), &mut self.copies, &mut self.work) {
+                (Some((&COPIES, rest)), Some(copies), _) => copies.hear(self.now, &from, rest),
+                (Some((&COPIES, _)), None, _) => {}
+                (_, _, Some(work)) => {
+                    self.work_heard = true;
+                    work.hear(self.now, &from, &bytes);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Copies of state go between the others and this one; what of them is news to the module.
+    fn copy(&mut self) {
+        let (Some(copies), Some(fleet)) = (&mut self.copies, &mut self.fleet) else { return };
+        self.events.iter().for_each(|event| copies.see(event));
+        let (events, stage) = copies.turn(self.now, fleet);
+        self.events.extend(events);
+        if let Some(news) = stage.and_then(|message| asks::not_old(&mut self.latest, message)) {
+            self.events.push(Event::Stage { news: Some(news), answer: None });
+        }
+    }
+
     /// What is settled about machines that go out, and what the module is to be told of that.
     fn work_on(&mut self) {
         let (Some(work), Some(fleet)) = (&mut self.work, &mut self.fleet) else { return };
@@ -344,12 +392,7 @@
                 _ => {}
             }
         }
-        let mut heard = false;
-        while let Some((from, bytes)) = fleet.parcel() {
-            heard = true;
-            work.hear(self.now, &from, &bytes);
-        }
-        if !heard && self.now < work.next() {
+        if !std::mem::take(&mut self.work_heard) && self.now < work.next() {
             return;
         }
         let (hits, book) = (&self.hits, &self.book);
--- a/crates/standins/src/day/clients.rs
+++ b/crates/standins/src/day/clients.rs
@@ -140,7 +140,8 @@
         if let Some(customer) = order.customer {
             fields.push(("customer", &self.script.customers[customer].name));
         }
-        if matches!(group.repeat, Repeat::Tagged { .. }) {
+        let careless = self.script.clients.careless && group.repeat == Repeat::Mutating;
+        if careless || matches!(group.repeat, Repeat::Tagged { .. }) {
             fields.push(("idempotency-key", &tag));
         }
         if order.worthless {
@@ -315,7 +316,7 @@
         let by_group = match self.script.groups[order.group].group.repeat {
             Repeat::Repeatable => true,
             Repeat::Tagged { reach, .. } => reach == Reach::All,
-            Repeat::Mutating => false,
+            Repeat::Mutating => self.script.clients.careless,
         };
         let at = self.now + Duration::from_secs_f64(if soon { wait * 0.1 } else { wait });
         let again = order.tries <= self.script.clients.retries && at < order.until && (harmless || by_group);
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -118,6 +118,7 @@
             period: told.period,
             bytes_per_s: 65_536,
             choices: told.choices,
+            replicas: told.replicas,
         })
     }
 
--- a/crates/standins/src/fleet/rig.rs
+++ b/crates/standins/src/fleet/rig.rs
@@ -215,6 +215,7 @@
             key_file: key_file(self.plan.folder, number),
             period,
             bytes_per_s: 65_536,
+            replicas: told.peers.as_ref().is_some_and(|peers| peers.replicas),
             choices: told.peers.as_ref().is_some_and(|peers| peers.choices),
         });
         let file = self.plan.folder.join(format!("s{number}.json"));
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -97,6 +97,9 @@
 pub struct PeersScript {
     /// Whether what they know of each other moves their choices.
     pub choices: bool,
+    /// Whether they keep each other's state that matters.
+    #[serde(default)]
+    pub replicas: bool,
     /// Between two probes.
     pub period: Seconds,
     /// Faults of the links between them and of the sidecars; its members are the day's sidecars.
@@ -160,6 +163,9 @@
     /// The part of tries that are sent in two pieces, with a wait between.
     #[serde(default)]
     pub slow: f64,
+    /// They try again also where it may run twice, with a tag, as those do that know no better.
+    #[serde(default)]
+    pub careless: bool,
     /// The part of tries whose client goes before the answer.
     #[serde(default)]
     pub leaves: f64,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -240,6 +240,9 @@
             Note::Streams(hit) => self.accounts.get_mut(&hit).into_iter().for_each(|a| a.streams = true),
             Note::End(hit) => self.answer(hit, round),
             Note::Over(hit) if self.accounts.contains_key(&hit) => self.close(hit, round),
+            Note::Met(key, build) => {
+                self.met.entry(key).and_modify(|met| *met = build.max(*met)).or_insert(build);
+            }
             Note::Stage(news) => {
                 // Rule 5 speaks of the newest build's keys alone.
                 if self.news.is_some_and(|old| old.build < news.build) {
@@ -337,8 +340,7 @@
         let figures = &round.figures;
         let newer = self.news.filter(|n| figures.keys_stay && build < n.build);
         let stays = newer.is_some_and(|n| matches!(n.phase, Phase::OnTrial | Phase::Released));
-        let met = account.key.and_then(|key| self.met.get(&key).copied().max(self.all_met));
-        let met = met.is_some_and(|met| met > build);
+        let met = account.key.is_some_and(|key| self.met.get(&key).copied().max(self.all_met) > Some(build));
         (!stays || !met).then_some(()).ok_or(Refusal::KeyStays)?;
         let Some((cap, stage)) = self.cap(build, figures) else { return Ok(()) };
         let repeatable = figures.line(account.group).repeat == Repeat::Repeatable;
@@ -377,10 +379,8 @@
         account.over |= outcome.over;
         if outcome.fate == Fate::Delivered {
             self.answered.add(round.now, RATE_OVER);
-            if let Some(key) = account.key.filter(|_| round.figures.keys_stay) {
-                let met = self.met.entry(key).or_insert(build);
-                *met = build.max(*met);
-            }
+            let key = account.key.filter(|_| round.figures.keys_stay);
+            key.into_iter().for_each(|key| round.mail.put(To::Gate, Note::Met(key, build)));
         }
         let (hit, group, open) = (outcome.hit, account.group, was_open && !account.over);
         let customer = account.customer;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -237,6 +237,8 @@
     },
     /// What is known of the other sidecars changed; none: nobody else is known.
     Fleet(Option<FleetView>),
+    /// A routing key was answered by a build, at another sidecar or in an earlier life of this one.
+    Met(KeyId, BuildId),
 }
 
 /// What the other sidecars make of this one's choices. It widens nothing: no cap, budget or time.
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -46,6 +46,7 @@
     /// Desk to gate: the hit is given up.
     End(HitId),
     Over(HitId),
+    Met(KeyId, BuildId),
     Stage(StageNews),
     VoteAnswered(VoteAnswer),
     Flagged {
@@ -169,6 +170,7 @@
                 }
             }
             Event::Fleet(view) => self.look_at(view),
+            Event::Met(key, build) => self.mail.put(To::Gate, Note::Met(key, build)),
             Event::Flagged { pod, group } => self.mail.put(To::Judge, Note::Flagged { pod, group }),
         }
     }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -11,7 +11,7 @@
 /// cap that has been replaced. Hurts by nothing: both speak of the same moment.
 pub fn in_order(mut events: Vec<Event>) -> Vec<Event> {
     events.sort_by_key(|event| match event {
-        Event::List(_) | Event::Stage { .. } | Event::Fleet(_) => 0,
+        Event::List(_) | Event::Stage { .. } | Event::Fleet(_) | Event::Met(..) => 0,
         Event::Outcome(_) => 1,
         _ => 2,
     });
