A start beside a silent installer knows of the trial, at the first stage's cap at most

Cause: what a sidecar's earlier life was told came back as it was, with a later stage's cap; the stages may have gone back meanwhile, and rule 5 holds an unannounced build to the first stage.

Change: known_again gives a new life the build and its phase, but no more of it than of a build that nobody announced; of one that was out nothing.

--- a/crates/cli/tests/command/copies.rs
+++ b/crates/cli/tests/command/copies.rs
@@ -1,7 +1,7 @@
 //! State that the others keep, while processes are killed: days of six sidecars with a release on trial throughout and clients that
 //! try again whatever may have run.
 
-use crate::days::{limewing, one_day_at_a_time};
+use crate::days::{limewing, one_day_at_a_time, told_of};
 use crate::help::{in_repo, settings, Running};
 use serde_json::Value;
 
@@ -53,6 +53,36 @@
     assert_eq!(twice, 0, "{text}");
 }
 
+/// One that is killed while the installer is gone knows in its next life that a build is on trial, and takes no more of it than of one that
+/// nobody announced: rule 5 is kept.
+#[test]
+fn a_start_beside_a_silent_installer_knows_of_the_trial() {
+    let _alone = one_day_at_a_time();
+    let folder = tempfile::tempdir().unwrap();
+    let mut day: Value =
+        serde_json::from_str(&std::fs::read_to_string(in_repo("days/copies.json")).unwrap()).unwrap();
+    day["lasts"] = 16.into();
+    day["releases"]["step_after"] = 4.into();
+    day["troubles"] = serde_json::json!([{ "at": 9, "for": 7, "what": "installer_down" }]);
+    day["peers"]["faults"]["steps"] = serde_json::json!([
+        { "at": 10.0, "does": { "kill": { "numbers": [2, 3] } } },
+        { "at": 10.7, "does": { "start": { "numbers": [2, 3] } } }
+    ]);
+    let script = folder.path().join("day.json");
+    std::fs::write(&script, day.to_string()).unwrap();
+    let out =
+        limewing(&["day", "play", script.to_str().unwrap(), "--folder", folder.path().to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert!(out.status.success(), "{text}\n{}", told_of(&text, folder.path()));
+    assert!(text.contains("across sidecars: 0 of"), "{text}");
+    for number in [2, 3] {
+        let log = std::fs::read_to_string(folder.path().join(format!("sidecar-{number}.log"))).unwrap();
+        let told: Vec<&str> =
+            log.lines().filter(|line| line.contains("stage news by the others' copies")).collect();
+        assert!(told.iter().any(|line| line.contains("OnTrial")), "sidecar-{number}: {told:?}");
+    }
+}
+
 /// Off unless told: a sidecar says so.
 #[test]
 fn without_replicas_nothing_is_kept() {
--- a/crates/replica/src/facts.rs
+++ b/crates/replica/src/facts.rs
@@ -114,6 +114,16 @@
     word.build == than.build && (back || (on_trial && word.cap <= than.cap))
 }
 
+/// What a new life may go by of what its earlier one was told, until the installer speaks: that a build is on trial or goes back, but no
+/// more of it than of a build that nobody announced, as the stages may have gone back meanwhile. Of one that was out nothing.
+pub fn known_again(own: Stage, first_cap: f64) -> Option<Stage> {
+    match own.phase {
+        Phase::OnTrial => Some(Stage { stage: 0, cap: own.cap.min(first_cap), ..own }),
+        Phase::GoingBack | Phase::Withdrawn => Some(own),
+        Phase::Released => None,
+    }
+}
+
 /// What a sidecar is to go by while its installer is silent: what it was told itself, or its own earlier life (`told`), as long
 /// as nobody has heard something newer that only closes; without either only that a build goes back. A newer word that would open
 /// something is not taken: the lower cap holds until the installer says so itself. None: nothing is to change.
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -19,7 +19,7 @@
 mod spread;
 mod words;
 
-pub use facts::{stage_to_go_by, Facts};
+pub use facts::{known_again, stage_to_go_by, Facts};
 pub use keeper::{Keeper, CATCHES_UP_WITHIN, HITS_FOR, KEYS_FOR, STAGES_FOR};
 pub use logs::{Log, MOST_ENTRIES};
 pub use spread::{Replica, Terms};
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -102,6 +102,9 @@
             (None, Some(by)) => prop_assert!(back(&by)),
             (_, None) => {}
         }
+        // A new life goes by no more than by a build that nobody announced.
+        let again = told.and_then(|told| known_again(told, 0.14));
+        prop_assert!(again.is_none_or(|again| back(&again) || (again.stage == 0 && again.cap <= 0.14)));
         // Said again it changes nothing more.
         if let Some(by) = by {
             WyRand::new_seed(seed).shuffle(&mut others);
--- a/crates/sidecar/src/service/copies.rs
+++ b/crates/sidecar/src/service/copies.rs
@@ -6,9 +6,10 @@
 use limewing::interface::{BuildId, Event, Fate, HitId, KeyId, ListNews, Outcome, PodId, PodState};
 use limewing_hosting::clock::today;
 use limewing_replica::{
-    stage_to_go_by, Fact, Facts, Keeper, Origin, Packet, Phase, Replica, Stage, Terms, CATCHES_UP_WITHIN,
-    HITS_FOR, KEYS_FOR, STAGES_FOR,
+    known_again, stage_to_go_by, Fact, Facts, Keeper, Origin, Packet, Phase, Replica, Stage, Terms,
+    CATCHES_UP_WITHIN, HITS_FOR, KEYS_FOR, STAGES_FOR,
 };
+use limewing_settings::{Peers, SidecarSettings};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
@@ -28,6 +29,8 @@
     facts: Facts,
     keeper: Keeper,
     keys_stay: bool,
+    /// The cap of a build that nobody announced.
+    first_cap: f64,
     builds: BTreeMap<PodId, BuildId>,
     started: Duration,
     next_look: Duration,
@@ -103,16 +106,17 @@
 }
 
 impl Copies {
-    pub(super) fn start(now: Duration, name: &str, bytes_per_s: u32, keys_stay: bool, seed: u64) -> Self {
+    pub(super) fn start(now: Duration, settings: &SidecarSettings, peers: &Peers, seed: u64) -> Self {
         let start = today().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        let me = Origin { name: name.to_owned(), start };
+        let me = Origin { name: settings.name.clone(), start };
         // The rest is for knowing who is there.
-        let terms = Terms { me, beat: BEAT, fan: FAN, bytes_per_s: bytes_per_s / 2, seed };
+        let terms = Terms { me, beat: BEAT, fan: FAN, bytes_per_s: peers.bytes_per_s / 2, seed };
         Self {
             replica: Replica::new(now, terms),
             facts: Facts::default(),
             keeper: Keeper::default(),
-            keys_stay,
+            keys_stay: settings.releases.keys_stay,
+            first_cap: settings.releases.stages.first().map_or(0.0, |stage| stage.cap),
             builds: BTreeMap::new(),
             started: now,
             next_look: now,
@@ -231,7 +235,8 @@
         let name = &self.replica.me().name;
         // What it was told in an earlier life it knows again, until the installer speaks.
         let own = self.facts.stages().find(|(of, _)| of == name).map(|(_, stage)| *stage);
-        let base = self.told.or(own.filter(|_| !self.heard));
+        let own = own.filter(|_| !self.heard).and_then(|own| known_again(own, self.first_cap));
+        let base = self.told.or(own);
         let closes = stage_to_go_by(base, self.facts.stages().map(|(_, stage)| stage));
         let stage = closes.or(base).filter(|stage| self.told != Some(*stage))?;
         self.told = Some(stage);
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -218,9 +218,7 @@
         let work = settings.work.as_ref().map(|work| Work::start(&settings.name, work, now, seed, spans));
         let work = work.transpose().map_err(StartTrouble::Work)?;
         let replicas = settings.peers.as_ref().filter(|peers| peers.replicas);
-        let keys_stay = settings.releases.keys_stay;
-        let copies =
-            replicas.map(|told| Copies::start(now, &settings.name, told.bytes_per_s, keys_stay, seed));
+        let copies = replicas.map(|told| Copies::start(now, settings, told, seed));
         let terms = Terms {
             name: settings.name.clone(),
             via: format!("1.1 {}", settings.name),
