Copies are bounded over all origins, and numbers that can't be are refused

Cause, found by reading: a range that ends at the greatest number made a copy add one to it (words.rs, Packet::read let it pass), and the bound on entries was by origin alone: 2,048 origins of 50,000 entries each.

Change: numbers up to 2^48; 400,000 entries over all origins, 500,000 keys and as many hits, what is left out counted and shown by fleet state.

--- a/crates/replica/src/facts.rs
+++ b/crates/replica/src/facts.rs
@@ -7,12 +7,17 @@
 //! | a hit may have run | until each origin that sent it has said, later, that it never ran; else to the end of its life |
 //! | a build's stage | of each sidecar its newest word; what to go by: `stage_to_go_by` |
 
+use crate::spread::MOST_LOGS;
 use crate::words::{Fact, Mark, Origin, Phase, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Keys, and hits, that are held at most: beyond, new ones are not, and are counted. Hurts as if nobody had told of them.
+const MOST: usize = 500_000;
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Facts {
+    left_out: u64,
     met: BTreeMap<u64, (u16, Duration)>,
     /// By tag and origin: its last word's number, and until when it may have run.
     hits: BTreeMap<u64, BTreeMap<Origin, (u64, Mark, Duration)>>,
@@ -25,6 +30,16 @@
 impl Facts {
     /// Takes a fact in, which lives until then. Whether it says something new.
     pub fn take(&mut self, origin: &Origin, no: u64, until: Duration, fact: &Fact) -> bool {
+        let full = match fact {
+            Fact::Met { key, .. } => self.met.len() >= MOST && !self.met.contains_key(key),
+            Fact::Hit { tag, .. } => self.hits.len() >= MOST && !self.hits.contains_key(tag),
+            // Names are those of sidecars.
+            Fact::Stage(_) => self.stages.len() >= MOST_LOGS && !self.stages.contains_key(&origin.name),
+        };
+        if full {
+            self.left_out += 1;
+            return false;
+        }
         match *fact {
             Fact::Met { key, build } => {
                 let met = self.met.entry(key).or_insert((build, until));
@@ -76,6 +91,11 @@
         self.stages.iter().map(|(name, (_, stage))| (name.as_str(), stage))
     }
 
+    /// Facts that were left out for want of room.
+    pub fn left_out(&self) -> u64 {
+        self.left_out
+    }
+
     /// Keys and hits that are held.
     pub fn held(&self) -> (usize, usize) {
         (self.met.len(), self.hits.len())
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -21,8 +21,9 @@
 
 pub use facts::{known_again, stage_to_go_by, Facts};
 pub use keeper::{Keeper, CATCHES_UP_WITHIN, HITS_FOR, KEYS_FOR, STAGES_FOR};
-pub use logs::{Log, MOST_ENTRIES};
+pub use logs::{Log, MOST_ENTRIES, MOST_OF_ALL};
 pub use spread::{Replica, Terms};
 pub use words::{
-    Entry, Fact, Mark, Origin, Packet, Phase, Row, Say, Stage, Unreadable, MOST_BODY, MOST_NAME, MOST_PACKET,
+    Entry, Fact, Mark, Origin, Packet, Phase, Row, Say, Stage, Unreadable, MOST_BODY, MOST_NAME, MOST_NO,
+    MOST_PACKET,
 };
--- a/crates/replica/src/logs.rs
+++ b/crates/replica/src/logs.rs
@@ -4,8 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Entries of one origin that live at one time, at most: beyond, the oldest are given up, and counted.
+/// Entries of one origin that live at one time, at most: beyond, the oldest are given up, and counted. Fewer where there are many
+/// origins: of all together a copy holds `MOST_OF_ALL`.
 pub const MOST_ENTRIES: usize = 50_000;
+pub const MOST_OF_ALL: usize = 400_000;
 /// Single entries beyond the whole part that are known, at most: others are taken again when the gap is closed.
 const MOST_BEYOND: usize = 4096;
 
@@ -78,15 +80,19 @@
             return false;
         }
         self.ends.insert((until, entry.no));
-        if self.live.len() > MOST_ENTRIES {
-            if let Some((no, held)) = self.live.pop_first() {
-                self.ends.remove(&(held.until, no));
-                self.given_up += 1;
-            }
-        }
+        self.keep_most(MOST_ENTRIES);
         true
     }
 
+    /// Gives up the oldest beyond so many.
+    pub fn keep_most(&mut self, most: usize) {
+        while self.live.len() > most {
+            let Some((no, held)) = self.live.pop_first() else { return };
+            self.ends.remove(&(held.until, no));
+            self.given_up += 1;
+        }
+    }
+
     fn close_up(&mut self) {
         while self.beyond.first().is_some_and(|no| *no <= self.upto + 1) {
             self.upto = self.upto.max(self.beyond.pop_first().unwrap_or_default());
--- a/crates/replica/src/spread.rs
+++ b/crates/replica/src/spread.rs
@@ -6,14 +6,14 @@
 //! as often as it is answered, with another each time, until a whole round finds nothing that it lacks: then it has caught up. Those
 //! that come back all at once so ask many, each of whom gives no more than its own bound.
 
-use crate::logs::Log;
+use crate::logs::{Log, MOST_OF_ALL};
 use crate::words::{Entry, Fact, Origin, Packet, Row, Say, MOST_LIFE, MOST_PACKET, MOST_ROWS};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Logs that are known, at most: beyond, empty ones go first.
-const MOST_LOGS: usize = 2048;
+pub(crate) const MOST_LOGS: usize = 2048;
 /// A log with nothing in it any more is known for so long after: whatever copy is still on its way is told by it.
 const KNOWN_FOR: Duration = Duration::from_secs(120);
 /// New entries that wait to be told, at most: beyond, they come by the comparison.
@@ -195,8 +195,10 @@
     }
 
     fn forget(&mut self, now: Duration) {
+        let most = MOST_OF_ALL / self.logs.len().max(1);
         for (origin, log) in &mut self.logs {
             log.forget(now);
+            log.keep_most(most);
             if log.live() > 0 || *origin == self.terms.me {
                 self.empty.remove(origin);
             } else {
@@ -333,11 +335,13 @@
         if *origin == self.terms.me || (self.logs.len() >= MOST_LOGS && !self.logs.contains_key(origin)) {
             return;
         }
+        let most = (MOST_OF_ALL / (self.logs.len() + 1)).max(1);
         let log = self.logs.entry(origin.clone()).or_default();
         let fresh = match all {
             Some(range) => log.take_all(now, range, entries),
             None => entries.iter().filter(|entry| log.take(now, entry)).cloned().collect(),
         };
+        log.keep_most(most);
         for entry in fresh {
             self.tell(origin.clone(), entry.no);
             self.learned.push_back((origin.clone(), entry));
--- a/crates/replica/src/words.rs
+++ b/crates/replica/src/words.rs
@@ -12,6 +12,8 @@
 pub const MOST_LIFE: Duration = Duration::from_secs(86_400);
 /// Rows of logs that are compared in one packet, at most.
 pub const MOST_ROWS: usize = 16;
+/// An entry's number, at most.
+pub const MOST_NO: u64 = 1 << 48;
 const VERSION: u8 = 1;
 
 /// One life of one sidecar: its name, and when it started, in milliseconds of its own clock: the later start is the greater.
@@ -153,17 +155,20 @@
         }
         let packet: Self = postcard::from_bytes(rest).map_err(|_| Unreadable::Damaged)?;
         let named = |origin: &Origin| (1..=MOST_NAME).contains(&origin.name.len());
-        let rows_fit = |rows: &[Row]| rows.len() <= MOST_ROWS && rows.iter().all(|row| named(&row.origin));
+        let fits = |row: &Row| named(&row.origin) && row.upto <= MOST_NO;
+        let rows_fit = |rows: &[Row]| rows.len() <= MOST_ROWS && rows.iter().all(fits);
         let sound = match &packet.say {
             Say::Entries { origin, all, entries } => {
-                let within = |no: u64| all.is_none_or(|(after, upto)| after < no && no <= upto);
+                let within =
+                    |no: u64| no <= MOST_NO && all.is_none_or(|(after, upto)| after < no && no <= upto);
                 let fits = |entry: &Entry| {
                     entry.body.len() <= MOST_BODY
                         && entry.no >= 1
                         && within(entry.no)
                         && Duration::from_millis(entry.left.into()) <= MOST_LIFE
                 };
-                named(origin) && entries.iter().all(fits)
+                let range = all.is_none_or(|(after, upto)| after <= upto && upto <= MOST_NO);
+                named(origin) && range && entries.iter().all(fits)
             }
             Say::Have { from, to, rows, .. } => from.iter().chain(to).all(named) && rows_fit(rows),
             Say::Lack { rows, .. } => rows_fit(rows),
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -151,6 +151,56 @@
     }
 }
 
+#[rstest]
+#[case::a_number(Say::Entries { origin: origin(1), all: Some((0, MOST_NO + 1)), entries: vec![] })]
+#[case::a_range_that_ends_before_it_begins(Say::Entries { origin: origin(1), all: Some((5, 4)), entries: vec![] })]
+#[case::outside_its_range(Say::Entries {
+    origin: origin(1),
+    all: Some((5, 6)),
+    entries: vec![Entry { no: 7, left: 1, kind: 1, body: vec![] }]
+})]
+#[case::a_long_body(Say::Entries {
+    origin: origin(1),
+    all: None,
+    entries: vec![Entry { no: 7, left: 1, kind: 1, body: vec![0; MOST_BODY + 1] }]
+})]
+#[case::a_life(Say::Entries {
+    origin: origin(1),
+    all: None,
+    entries: vec![Entry { no: 7, left: u32::MAX, kind: 1, body: vec![] }]
+})]
+#[case::no_name(Say::Lack { no: 1, rows: vec![Row { origin: Origin { name: String::new(), start: 1 }, upto: 1 }], behind: true })]
+#[case::many_rows(Say::Lack { no: 1, rows: vec![Row { origin: origin(1), upto: 1 }; 17], behind: true })]
+fn packets_beyond_their_bounds_are_refused(#[case] say: Say) {
+    assert_eq!(Packet::read(&Packet { say }.write()), Err(Unreadable::Bounds));
+}
+
+/// Whatever one is sent, it holds so much and no more.
+#[test]
+fn a_flood_is_bounded() {
+    let mut replica = Replica::new(s(0.0), terms("a", 1));
+    replica.others(["b".to_owned()].into_iter());
+    let mut no = 0;
+    for _ in 0..6_000 {
+        let entries: Vec<Entry> = (no + 1..=no + 10)
+            .map(|no| Entry { no, left: 80_000_000, kind: 1, body: vec![0; MOST_BODY / 3] })
+            .collect();
+        let say = Say::Entries { origin: origin(4), all: Some((no, no + 10)), entries };
+        replica.hear(s(0.1), "b", Packet { say });
+        no += 10;
+        while replica.learned().is_some() {}
+        while replica.take().is_some() {}
+    }
+    let held: Vec<_> = replica.logs().map(|(_, log)| (log.live(), log.given_up(), log.upto())).collect();
+    assert_eq!(held, [(0, 0, 0), (MOST_ENTRIES, 10_000, 60_000)]);
+    for n in 10..100u64 {
+        let entries = vec![Entry { no: 1, left: 80_000_000, kind: 1, body: vec![] }];
+        replica.hear(s(0.2), "b", Packet { say: Say::Entries { origin: origin(n), all: None, entries } });
+    }
+    let live: usize = replica.logs().map(|(_, log)| log.live()).sum();
+    assert!(live <= MOST_OF_ALL);
+}
+
 /// A word of a kind that this version does not know is kept, and passed on as it came.
 #[test]
 fn later_kinds_are_passed_on() {
--- a/crates/sidecar/src/service/copies.rs
+++ b/crates/sidecar/src/service/copies.rs
@@ -57,6 +57,8 @@
     pub bytes_sent: u64,
     pub keys: usize,
     pub hits: usize,
+    /// Facts that were left out for want of room.
+    pub left_out: u64,
     /// By origin: up to where its copy is whole, entries that live, and entries given up for want of room.
     pub logs: Vec<LogView>,
     pub stages: Vec<String>,
@@ -261,6 +263,7 @@
             bytes_sent: self.replica.bytes_sent(),
             keys,
             hits,
+            left_out: self.facts.left_out(),
             logs: self.replica.logs().map(log).collect(),
             stages: self.facts.stages().map(|(name, stage)| format!("{name}: {stage:?}")).collect(),
             stage: self.told.map(|stage| format!("{stage:?}")),
