--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod record;
 pub mod rules;
 mod stalls;
+pub mod work;
--- a/crates/account/src/record.rs
+++ b/crates/account/src/record.rs
@@ -159,6 +159,26 @@
         group: usize,
         work: Duration,
     },
+    /// An operator asked for work on machines, so many out at once.
+    WorkAsked {
+        out: u16,
+        out_in_zone: u16,
+    },
+    /// A machine's agent was told that it is out: nothing more is to arrive at its pod.
+    WorkOut {
+        place: usize,
+        pod: PodNo,
+    },
+    /// The work begins, with so many hits still at its pods.
+    WorkBegins {
+        place: usize,
+        zone: u16,
+        open: usize,
+    },
+    WorkEnds {
+        place: usize,
+        well: bool,
+    },
     /// The pod said that it has not begun it.
     TurnedAway {
         pod: PodNo,
--- a/crates/agree/src/agree.rs
+++ b/crates/agree/src/agree.rs
@@ -180,6 +180,11 @@
         self.standing
     }
 
+    /// It leads, and has settled an entry of its term: what was settled before it knows too.
+    pub fn leads_for_good(&self) -> bool {
+        self.standing == Standing::Leads && self.log.term_at(self.settled) == Some(self.term)
+    }
+
     pub fn term(&self) -> u64 {
         self.term
     }
--- a/crates/agree/src/words.rs
+++ b/crates/agree/src/words.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeSet;
 
 /// Bytes of a packet, at most: it rides in one datagram, with its seal.
-pub const MOST_PACKET: usize = 1100;
+pub const MOST_PACKET: usize = 1000;
 /// Bytes of one word that is settled, at most.
 pub const MOST_WORD: usize = 700;
 /// Bytes of a piece of a snapshot.
-pub const PIECE: usize = 600;
+pub const PIECE: usize = 400;
 pub const MOST_VOTERS: usize = 7;
 const MOST_NAME: usize = 32;
 const VERSION: u8 = 1;
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -3,7 +3,7 @@
 use crate::Stop;
 use crate::{plot, show};
 use limewing_account::rules::{self, Account};
-use limewing_account::{balance, record};
+use limewing_account::{balance, record, work};
 use limewing_standins::day;
 use limewing_standins::script::DayScript;
 use std::fs::File;
@@ -38,8 +38,12 @@
 pub fn check(file: &Path) -> Result<(), Stop> {
     let account = account(file)?;
     println!("{}", show::table(&account));
+    let work = work::work(&lines(file)?);
+    let wrong = work.iter().map(|work| work.breaches.len()).sum::<usize>();
+    work.iter().for_each(show::work);
     let broken = account.findings.iter().filter(|finding| !finding.breaches.is_empty()).count();
     match broken {
+        0 if wrong > 0 => Err(Stop::failed(format!("{wrong} times machines were out as they must not be"))),
         0 => Ok(()),
         broken => Err(Stop::failed(format!("{broken} of the five rules were broken"))),
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod plot;
 mod show;
+mod work;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use limewing_load::compare;
@@ -56,6 +57,9 @@
     /// What a sidecar holds of its fleet; fleets under scripts of faults
     #[command(subcommand)]
     Fleet(FleetCommand),
+    /// Machines out for work, in an order that the sidecars settle among themselves
+    #[command(subcommand)]
+    Work(WorkCommand),
     /// Play one bad day, and show how it went and whether the rules were kept
     Demo {
         /// Where the record and the sidecars' logs go; a folder that is removed afterwards if absent
@@ -64,6 +68,24 @@
     },
 }
 
+#[derive(Subcommand)]
+enum WorkCommand {
+    /// Tell all that is wrong with a work list
+    Check { list: PathBuf },
+    /// Hand a work list to a sidecar
+    Ask { at: SocketAddr, list: PathBuf },
+    /// Print one sidecar's view: who leads, the lists, and how far each machine is
+    Show { at: SocketAddr },
+    /// Let nothing more go out for a list
+    Hold { at: SocketAddr, list: u64 },
+    /// Go on with a list that is held
+    GoOn { at: SocketAddr, list: u64 },
+    /// Let nothing more go out for a list, for good
+    Withdraw { at: SocketAddr, list: u64 },
+    /// Say that a sidecar runs no more, so that it is not waited for
+    Gone { at: SocketAddr, sidecar: String },
+}
+
 #[derive(Subcommand)]
 enum FleetCommand {
     /// Print one sidecar's view of its fleet
@@ -131,6 +153,8 @@
     Faults,
     /// The keys of a fleet
     Keys,
+    /// Machines that are to go out for work
+    Work,
 }
 
 #[derive(Subcommand)]
@@ -253,6 +277,7 @@
                     drop(limewing_settings::read::<fleet::ScriptFile>(&file).map_err(Stop::input)?)
                 }
                 Kind::Keys => drop(limewing_settings::read::<KeyFile>(&file).map_err(Stop::input)?),
+                Kind::Work => return work::check(&file),
             }
             println!("{}: can be used", file.display());
             Ok(())
@@ -263,6 +288,7 @@
                 Kind::Day => schemars::schema_for!(DayScript),
                 Kind::Faults => schemars::schema_for!(fleet::ScriptFile),
                 Kind::Keys => schemars::schema_for!(KeyFile),
+                Kind::Work => schemars::schema_for!(limewing_settings::WorkList),
             };
             println!("{}", serde_json::to_string_pretty(&schema).map_err(Stop::failed)?);
             Ok(())
@@ -281,6 +307,15 @@
             let script: fleet::ScriptFile = limewing_settings::read(&script).map_err(Stop::input)?;
             fleet::simulate(&script.0, members.into())
         }
+        Command::Work(command) => match command {
+            WorkCommand::Check { list } => work::check(&list),
+            WorkCommand::Ask { at, list } => work::ask(at, &list),
+            WorkCommand::Show { at } => work::show(at),
+            WorkCommand::Hold { at, list } => work::hold(at, list, true),
+            WorkCommand::GoOn { at, list } => work::hold(at, list, false),
+            WorkCommand::Withdraw { at, list } => work::withdraw(at, list),
+            WorkCommand::Gone { at, sidecar } => work::gone(at, &sidecar),
+        },
         Command::Day(DayCommand::Play { script, folder }) => {
             let script = limewing_settings::read(&script).map_err(Stop::input)?;
             day::play(&script, &folder)
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -3,6 +3,7 @@
 use comfy_table::{presets, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use limewing_account::rules::Account;
+use limewing_account::work::Work;
 use limewing_standins::day::Progress;
 
 /// Breaches shown for each rule.
@@ -69,3 +70,17 @@
     }
     text
 }
+
+pub fn work(work: &Work) {
+    println!(
+        "machines: {} worked on, {} failed, {} out at once at most, {} still out, {:.1} s from the ask to the last",
+        work.done,
+        work.failed,
+        work.most,
+        work.left,
+        work.took.as_secs_f64()
+    );
+    for (at, text) in work.breaches.iter().take(SHOWN) {
+        println!("  {:.3} s: {text}", at.as_secs_f64());
+    }
+}
--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -5,3 +5,4 @@
 mod help;
 mod platform;
 mod wants;
+mod work;
--- a/crates/hosting/src/open.rs
+++ b/crates/hosting/src/open.rs
@@ -65,6 +65,12 @@
         self.hits.get_mut(&hit).filter(|open| !open.over)
     }
 
+    /// The pods that forwards are out to, each as often as there are.
+    pub fn pods_out(&self) -> impl Iterator<Item = PodId> + '_ {
+        let forwards = self.hits.values().flat_map(|open| &open.forwards);
+        forwards.filter(|forward| !forward.ended).map(|forward| forward.pod)
+    }
+
     /// How many were ever taken.
     pub fn taken(&self) -> u64 {
         self.next
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -225,6 +225,7 @@
 /// The folder can't be written.
 pub fn settings(folder: &Path, pods: &[SocketAddr]) -> Result<String, Trouble> {
     let row = |(place, address): (usize, &SocketAddr)| Row {
+        machine: address.to_string(),
         address: *address,
         drains: false,
         build: 1,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -8,6 +8,8 @@
 //!
 //! Beside that each member may put something up for all to read (`Peers::put_up`): bytes that are not looked at here.
 //!
+//! And each may send another a parcel (`Peers::post_parcel`, `Peers::parcel`): sealed as all else, lost as a datagram may be.
+//!
 //! What a member is told may make it more careful, never less: nothing here widens a cap, a budget or a time.
 
 mod gossip;
@@ -19,4 +21,4 @@
 pub use peers::{News, Peers, Terms, Trouble};
 pub use roll::Member;
 pub use seal::{Key, Refused};
-pub use words::{Claim, Name, Standing, MOST_DATAGRAM, MOST_POSTER};
+pub use words::{Claim, Name, Standing, MOST_DATAGRAM, MOST_PARCEL, MOST_POSTER};
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::gossip::{size, Gossip, Rides};
 use crate::roll::{Effect, Member, Roll};
 use crate::seal::{Key, Refused, Seal};
-use crate::words::{Claim, Frame, Kind, Name, Poster, Standing, MOST_POSTER};
+use crate::words::{Claim, Frame, Kind, Name, Poster, Standing, MOST_PARCEL, MOST_POSTER};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -121,6 +121,7 @@
     quiet: bool,
     out: VecDeque<(SocketAddr, Vec<u8>)>,
     news: VecDeque<News>,
+    parcels: VecDeque<(Name, Vec<u8>)>,
     sent: u64,
     refused: BTreeMap<Refused, u64>,
 }
@@ -166,6 +167,7 @@
             quiet: false,
             out: VecDeque::new(),
             news: VecDeque::new(),
+            parcels: VecDeque::new(),
             sent: 0,
             refused: BTreeMap::new(),
             chance,
@@ -217,6 +219,24 @@
         }
     }
 
+    /// Sends another something, whatever it is held to be: who is cut off here may be reached there. False if it is not
+    /// known, or too long. It does not count against the budget of claims: whoever stands above bounds it.
+    pub fn post_parcel(&mut self, now: Duration, to: &Name, bytes: Vec<u8>) -> bool {
+        let Some(at) = self.roll.get(to).map(|member| member.claim.at) else { return false };
+        let fits = bytes.len() <= MOST_PARCEL;
+        if fits {
+            let budget = self.budget;
+            self.post(now, at, Kind::Parcel { bytes }, Vec::new(), Vec::new());
+            self.budget = budget;
+        }
+        fits
+    }
+
+    /// The next parcel that came, and from whom.
+    pub fn parcel(&mut self) -> Option<(Name, Vec<u8>)> {
+        self.parcels.pop_front()
+    }
+
     /// 0 to 8: how much longer it waits for others, for being slow itself.
     pub fn slowness(&self) -> u32 {
         self.slow
@@ -601,6 +621,10 @@
                     probe.silent += 1;
                 }
             }
+            // Beyond that many they are lost, as on the way.
+            Kind::Parcel { bytes } if self.parcels.len() < MOST_WAITING => {
+                self.parcels.push_back((name, bytes))
+            }
             Kind::Join => self.tell_all(now, at, true),
             Kind::Roll { back: true } => self.tell_all(now, at, false),
             _ => {}
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -7,6 +7,8 @@
 /// Bytes of a datagram, at most: it goes through common networks in one piece.
 pub const MOST_DATAGRAM: usize = 1200;
 const LONGEST_NAME: usize = 64;
+/// Bytes of a parcel, at most.
+pub const MOST_PARCEL: usize = 1020;
 /// Bytes of a poster, at most.
 pub const MOST_POSTER: usize = 256;
 
@@ -112,6 +114,10 @@
     },
     /// Claims alone.
     Tell,
+    /// Something for who stands above: it is not looked at here.
+    Parcel {
+        bytes: Vec<u8>,
+    },
 }
 
 /// What a member has put up for all to read; the later number takes the place of the earlier. What it says is not looked at
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,8 @@
 mod read;
 mod sidecar;
 mod terms;
+mod work;
 
-pub use read::{read, read_text, Checked, Misfit, Unusable};
+pub use read::{findings, read, read_text, Checked, Misfit, Unusable};
 pub use sidecar::*;
+pub use work::{Select, WorkLimits, WorkList, WorkWindow};
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -67,7 +67,27 @@
     reader.end().map_err(|e| unusable(e.line(), "/".into(), "expected the end of the file".into()))?;
     match value.misfits().into_iter().next() {
         None => Ok(value),
-        Some(Misfit { path, expected }) => Err(unusable(line_of(text, &path), path, expected)),
+        Some(misfit) => Err(at_line(file, text, misfit)),
+    }
+}
+
+fn at_line(file: &str, text: &str, Misfit { path, expected }: Misfit) -> Unusable {
+    Unusable { file: file.into(), line: line_of(text, &path), path, expected }
+}
+
+/// All that is wrong with a file, not the first alone; what can't be read at all is one finding.
+pub fn findings<T: DeserializeOwned + Checked>(file: &Path) -> Vec<Unusable> {
+    let first = match read::<T>(file) {
+        Ok(_) => return Vec::new(),
+        Err(first) => first,
+    };
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    match serde_json::from_str::<T>(&text) {
+        Ok(value) => {
+            let name = file.display().to_string();
+            value.misfits().into_iter().map(|misfit| at_line(&name, &text, misfit)).collect()
+        }
+        Err(_) => vec![first],
     }
 }
 
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -62,6 +62,26 @@
     /// The other sidecars; none: this one knows of no other, and opens no socket for them.
     #[serde(default)]
     pub peers: Option<Peers>,
+    /// Machines go out for work in an order that the sidecars settle among themselves; none: they don't. Needs `peers`.
+    #[serde(default)]
+    pub work: Option<Work>,
+}
+
+/// How the sidecars settle which machine goes out for work when (docs/work.md).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Work {
+    /// The names of the sidecars that settle it: three, five or seven, the same at all. The others follow.
+    pub voters: Vec<String>,
+    /// Where a voter keeps what it has promised; it must outlive the process, or the voter comes back as a new one.
+    #[serde(default)]
+    pub folder: Option<PathBuf>,
+    /// A voter that hears no leader for so long, and up to twice that by chance, stands itself.
+    #[serde(default = "third")]
+    pub patience: Seconds,
+    /// A sidecar that nobody hears for so long sends to no machine on a work list.
+    #[serde(default = "two_seconds")]
+    pub lease: Seconds,
 }
 
 /// How the sidecars of a fleet know of each other: by datagrams, sealed with a key that they share.
@@ -133,6 +153,14 @@
     }
 }
 
+fn third() -> Seconds {
+    Seconds(0.3)
+}
+
+fn two_seconds() -> Seconds {
+    Seconds(2.0)
+}
+
 fn second() -> Seconds {
     Seconds(1.0)
 }
@@ -442,6 +470,18 @@
             let open = reached.ip().is_unspecified() || (peers.advertise.is_some() && reached.port() == 0);
             need(!open, "/peers/advertise", "an address and port where the others reach this sidecar");
         }
+        if let Some(work) = &self.work {
+            need(self.peers.is_some(), "/work", "`peers` beside it");
+            need(self.name.len() <= 32, "/name", "32 letters at most where machines go out for work");
+            let odd = [1, 3, 5, 7].contains(&work.voters.len());
+            let names: std::collections::BTreeSet<&String> = work.voters.iter().collect();
+            need(odd && names.len() == work.voters.len(), "/work/voters", "three, five or seven names");
+            let votes = work.voters.contains(&self.name);
+            need(!votes || work.folder.is_some(), "/work/folder", "a folder, as this one is a voter");
+            let (patience, lease) = (f64::from(work.patience), f64::from(work.lease));
+            need((0.05..=60.0).contains(&patience), "/work/patience", "0.05 to 60 seconds");
+            need(lease >= 2.0 * patience && lease <= 600.0, "/work/lease", "twice `patience` to 600 seconds");
+        }
         found.extend(Router::new(&self.path_groups).err());
         found
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod keeper;
 pub mod memory;
 pub mod pods;
+pub mod promises;
 pub mod routes;
 pub mod service;
 pub mod stages;
--- a/crates/sidecar/src/pods.rs
+++ b/crates/sidecar/src/pods.rs
@@ -3,7 +3,7 @@
 //!
 //! Of an entry are read: `Service.ID`, `Service.Address` (else `Node.Address`), `Service.Port`,
 //! `Service.Weights.Passing` (size), `Service.Meta` (`build`, `started` in seconds since 1970, `zone`, `cell`,
-//! `kind`), `Node.Datacenter` (zone where Meta has none) and `Checks[].Status`: a critical check, as the
+//! `kind`), `Node.Node` (the machine's name), `Node.Datacenter` (zone where Meta has none) and `Checks[].Status`: a critical check, as the
 //! maintenance mode sets one, means that the pod drains.
 
 use limewing::interface::{BuildId, CellId, KindId, PodEntry, PodId, PodState, ZoneId};
@@ -26,6 +26,9 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Node {
+    /// Its name.
+    #[serde(default)]
+    node: String,
     #[serde(default)]
     address: String,
     #[serde(default)]
@@ -77,6 +80,9 @@
     pub zone: String,
     pub cell: u16,
     pub kind: String,
+    /// The machine's name; its address if the list tells none.
+    #[serde(default)]
+    pub machine: String,
 }
 
 /// What could not be used of an answer.
@@ -147,6 +153,11 @@
         zone: meta.get("zone").unwrap_or(&entry.node.datacenter).clone(),
         cell: number("cell")?.unwrap_or(0),
         kind: meta.get("kind").cloned().unwrap_or_default(),
+        machine: if entry.node.node.is_empty() {
+            format!("{ip}:{}", service.port)
+        } else {
+            entry.node.node.clone()
+        },
     })
 }
 
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -140,6 +140,8 @@
     }
 
     fn new_list(&mut self, rows: Vec<pods::Row>) {
+        self.listed = rows;
+        let rows = self.told(self.listed.clone());
         let today = today();
         // The first one tells what of the remembered list is gone; later ones only what changed.
         let news = match std::mem::replace(&mut self.list_known, true) {
--- a/crates/sidecar/src/service/fleet.rs
+++ b/crates/sidecar/src/service/fleet.rs
@@ -171,6 +171,17 @@
         }
     }
 
+    /// Sends another something; one that is not known gets nothing.
+    pub(super) fn post_parcel(&mut self, now: Duration, to: &str, bytes: Vec<u8>) {
+        if let Ok(name) = Name::try_from(to.to_owned()) {
+            self.peers.post_parcel(now, &name, bytes);
+        }
+    }
+
+    pub(super) fn parcel(&mut self) -> Option<(String, Vec<u8>)> {
+        self.peers.parcel().map(|(from, bytes)| (from.to_string(), bytes))
+    }
+
     pub(super) fn leave(&mut self, now: Duration, sockets: &mut Sockets) {
         self.peers.leave(now);
         self.turn(now, sockets);
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -20,6 +20,7 @@
 const REPORTS: &str = "/limewing/reports";
 const STATUS: &str = "/limewing/status";
 const FLEET: &str = "/limewing/fleet";
+const WORK: &str = "/limewing/work";
 /// Output that may wait for a client before its pod is read no further, in bytes.
 pub const MOST_UNSENT: usize = 64 * 1024;
 
@@ -162,6 +163,8 @@
             ("POST", REPORTS) => return self.reported(id, &body),
             ("GET", STATUS) => return self.tell_status(id),
             ("GET", FLEET) => return self.tell_fleet(id),
+            ("GET", WORK) => return self.tell_work(id),
+            ("POST", WORK) => return self.asked_for_work(id, &body),
             _ => {}
         }
         if self.leaving {
@@ -434,6 +437,25 @@
         }
     }
 
+    fn tell_work(&mut self, id: SocketId) {
+        match self.work.as_ref().map(|work| serde_json::to_vec(&work.view(self.now))) {
+            Some(Ok(body)) => self.reply(id, 200, &[("content-type", "application/json")], &body),
+            _ => self.reply(id, 404, &[], b"no machine goes out for work here: no `work` in its settings\n"),
+        }
+    }
+
+    fn asked_for_work(&mut self, id: SocketId, body: &[u8]) {
+        let Some(work) = &mut self.work else { return self.tell_work(id) };
+        let asked = serde_json::from_slice(body).map_err(|e| e.to_string());
+        match asked.and_then(|asked| work.asked(self.now, &asked, &self.listed)) {
+            Ok(list) => {
+                let said = serde_json::json!({ "list": list }).to_string();
+                self.reply(id, 202, &[("content-type", "application/json")], said.as_bytes());
+            }
+            Err(why) => self.reply(id, 400, &[], format!("{why}\n").as_bytes()),
+        }
+    }
+
     fn tell_status(&mut self, id: SocketId) {
         let status = serde_json::json!({
             "name": self.terms.name,
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -8,6 +8,7 @@
 mod back;
 mod fleet;
 mod front;
+mod work;
 
 use crate::keeper::Keeper;
 use crate::memory;
@@ -19,7 +20,7 @@
 use fleet::Fleet;
 pub use fleet::{Seen, View};
 use front::{Client, Reports, Request, MOST_UNSENT};
-use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, StartTerms, VoteAnswer};
+use limewing::interface::{Action, Event, ForwardNo, HitId, ListNews, Phase, StartTerms, VoteAnswer};
 use limewing::sidecar::Sidecar;
 use limewing_hosting::again::Again;
 use limewing_hosting::clock::{today, Clock};
@@ -36,6 +37,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use thiserror::Error;
+pub use work::{Asked, ListView, Said, WayView, WorkView};
+use work::{Site, Work};
 
 /// The signals on which a sidecar settles what it holds and leaves: SIGTERM and SIGINT.
 const LEAVE_ON: [i32; 2] = [15, 2];
@@ -56,6 +59,8 @@
     Datagrams { at: SocketAddr, why: io::Error },
     #[error("at /peers/key_file: {0}")]
     Keys(limewing_settings::Unusable),
+    #[error("at /work/folder: {0}")]
+    Work(io::Error),
     #[error("at /peers: {0}")]
     Peers(limewing_peers::Trouble),
 }
@@ -150,6 +155,10 @@
     reports: Reports,
     /// The other sidecars, where the settings tell of them.
     fleet: Option<Fleet>,
+    work: Option<Work>,
+    zones: Vec<String>,
+    /// The node list as it was told; `rows` is what the module knows of it.
+    listed: Vec<Row>,
     leaving: bool,
     left: bool,
 }
@@ -191,6 +200,10 @@
             .transpose()?;
         let keep = |file: PathBuf| Keeper::start(move |rows: &Vec<Row>| memory::keep(&file, rows));
         let keeper = settings.state_file.clone().map(keep).transpose()?;
+        let rules = &settings.rules;
+        let spans = (Duration::from(rules.drain_grace), Duration::from(rules.cold_for));
+        let work = settings.work.as_ref().map(|work| Work::start(&settings.name, work, now, seed, spans));
+        let work = work.transpose().map_err(StartTrouble::Work)?;
         let longest = settings.path_groups.iter().map(|group| Duration::from(group.client_timeout)).max();
         let terms = Terms {
             name: settings.name.clone(),
@@ -238,6 +251,9 @@
             room,
             reports: Reports::default(),
             fleet,
+            work,
+            zones: settings.fleet.zones.clone(),
+            listed: Vec::new(),
             leaving: false,
             left: false,
         };
@@ -268,6 +284,7 @@
     fn turn(&mut self) -> io::Result<()> {
         let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
         let next = self.fleet.as_ref().map_or(next, |fleet| fleet.next().min(next));
+        let next = self.work.as_ref().map_or(next, |work| work.wakes(self.clock.now()).min(next));
         let wait =
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
         let happened = self.sockets.wait(Some(wait))?;
@@ -276,6 +293,7 @@
         while let Some(due) = self.wheel.take(self.now) {
             self.is_due(due);
         }
+        self.work_on();
         if let Some(fleet) = &mut self.fleet {
             let news = fleet.watch(self.now, &self.events, |pod| self.book.address(pod));
             self.events.extend(news);
@@ -306,6 +324,43 @@
         Ok(())
     }
 
+    /// What is settled about machines that go out, and what the module is to be told of that.
+    fn work_on(&mut self) {
+        let (Some(work), Some(fleet)) = (&mut self.work, &mut self.fleet) else { return };
+        for event in &self.events {
+            if let Event::Stage { news: Some(news), .. } = event {
+                work.trial(matches!(news.phase, Phase::OnTrial | Phase::GoingBack));
+            }
+        }
+        let mut heard = false;
+        while let Some((from, bytes)) = fleet.parcel() {
+            heard = true;
+            work.hear(self.now, &from, &bytes);
+        }
+        if !heard && self.now < work.next() {
+            return;
+        }
+        let (hits, book) = (&self.hits, &self.book);
+        let busy = || hits.pods_out().filter_map(|pod| book.address(pod)).collect();
+        let site = Site { rows: &self.listed, zones: &self.zones, busy: &busy };
+        if work.turn(self.now, fleet, &site) {
+            let rows = self.told(self.listed.clone());
+            let news = self.book.changes(&self.rows, &rows, self.now, today());
+            self.rows = rows;
+            if !news.is_empty() {
+                self.events.push(Event::List(ListNews::Change(news)));
+            }
+        }
+    }
+
+    /// The list as the module is told it: machines that go out for work drain.
+    fn told(&self, mut rows: Vec<Row>) -> Vec<Row> {
+        if let Some(work) = &self.work {
+            rows.iter_mut().for_each(|row| row.drains |= work.closes(&row.machine));
+        }
+        rows
+    }
+
     fn recall(&mut self, state_file: Option<&Path>) {
         let kept = match state_file.map(memory::recall) {
             Some(Ok(Some(rows))) => rows,
@@ -315,8 +370,9 @@
             }
             _ => Vec::new(),
         };
-        let entries = self.book.entries(&kept, self.now, today());
-        self.rows = kept;
+        self.listed = kept;
+        self.rows = self.told(self.listed.clone());
+        let entries = self.book.entries(&self.rows, self.now, today());
         self.events.push(Event::List(ListNews::Remembered(entries)));
     }
 
@@ -408,6 +464,9 @@
         }
         tracing::info!(signal, open_hits = self.hits.len(), "leaving: no new hits are taken");
         self.leaving = true;
+        if let (Some(work), Some(fleet)) = (&mut self.work, &mut self.fleet) {
+            work.leave(self.now, fleet);
+        }
         if let Some(fleet) = &mut self.fleet {
             fleet.leave(self.now, &mut self.sockets);
         }
--- /dev/null
+++ b/crates/sidecar/src/service/work.rs
@@ -0,0 +1,775 @@
+//! Machines out for work: packets go between the other sidecars and `limewing_agree`, what is settled goes to
+//! `limewing_turns`, and what that closes is told to the decision module as machines that drain.
+
+use super::fleet::Fleet;
+use crate::pods::Row;
+use crate::promises::Promises;
+use limewing_agree::{Agree, Follow, Id, Packet, Settled, Standing, Terms, MOST_WORD};
+use limewing_hosting::clock::today;
+use limewing_settings::{self as settings, WorkList};
+use limewing_turns::{Lease, Lessor, Limits, Machine, Number, Seen, Step, Talk, Turns, Window, Word};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+/// The first byte of a parcel: whose it is.
+const AGREES: u8 = 1;
+const TALKS: u8 = 2;
+/// Those that follow ask for what is settled so often.
+const FOLLOWS_EVERY: Duration = Duration::from_millis(400);
+/// While a write is under way it is looked for so often.
+const LOOKS_EVERY: Duration = Duration::from_millis(1);
+/// Whoever leads tells what it sees so often, while there is a list.
+const SEEN_EVERY: Duration = Duration::from_millis(500);
+/// What was asked of this sidecar is put up again so often, and for so long, until it shows.
+const PUT_UP_EVERY: Duration = Duration::from_millis(300);
+const PUT_UP_FOR: Duration = Duration::from_secs(20);
+const MOST_PUT_UP: usize = 256;
+/// Entries beyond which the log is made short.
+const MOST_HELD: u64 = 400;
+/// A machine's work is over for so long before it is held to be warm: the node list may be late.
+const LIST_LATE: u64 = 1_000;
+
+enum Part {
+    Votes(Box<Agree>, Promises),
+    Follows(Box<Follow>),
+}
+
+pub struct Work {
+    name: String,
+    start: u64,
+    voters: Vec<String>,
+    part: Part,
+    turns: Turns,
+    /// Up to where the log was read.
+    read: u64,
+    lease: Lease,
+    lasts: Duration,
+    patience: Duration,
+    /// Who may still send, while this one leads, and the term it is of.
+    lessor: Option<(u64, Lessor)>,
+    next_ask: Duration,
+    /// Who answered the last ask, and how many have not been answered since.
+    answered_by: Option<String>,
+    unanswered: u32,
+    /// Words that were asked for here, until when.
+    asked_for: Vec<(Word, Duration)>,
+    next_put_up: Duration,
+    next_seen: Duration,
+    /// Whether what this leader sees is settled in its term; and up to where its own words go.
+    seen: bool,
+    put_up: u64,
+    /// Machines that the module was told are closed, since when; none: all.
+    closed: Option<BTreeSet<String>>,
+    since: BTreeMap<String, Duration>,
+    state: Option<(u64, bool, bool)>,
+    clear: Vec<Number>,
+    grace: Duration,
+    warm_after: Duration,
+    trial: bool,
+    out: Vec<(String, Vec<u8>)>,
+}
+
+/// What of the sidecar it goes by.
+pub struct Site<'a> {
+    /// The node list as it was told.
+    pub rows: &'a [Row],
+    pub zones: &'a [String],
+    /// Addresses that forwards are out to.
+    pub busy: &'a dyn Fn() -> BTreeSet<SocketAddr>,
+}
+
+/// What one may ask of it, as JSON.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Asked {
+    Ask(Box<WorkList>),
+    Hold(u64),
+    GoOn(u64),
+    Withdraw(u64),
+    /// A sidecar that runs no more and did not say so.
+    Gone(String),
+    Report {
+        grant: u64,
+        said: Said,
+    },
+}
+
+/// What a machine's agent says of the work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Said {
+    Began,
+    Worked,
+    Failed,
+}
+
+/// One sidecar's view of the work.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkView {
+    pub name: String,
+    pub standing: String,
+    pub leader: Option<String>,
+    pub term: u64,
+    pub settled: u64,
+    pub members: Vec<String>,
+    /// Whether it holds a lease; without one it sends to no machine on a list.
+    pub lease: bool,
+    pub sidecars: Vec<String>,
+    pub closed: Vec<String>,
+    pub lists: Vec<ListView>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListView {
+    pub list: u64,
+    pub name: String,
+    pub held: bool,
+    pub withdrawn: bool,
+    pub over: bool,
+    /// Sidecars that do not know the list yet, as far as whoever leads was told.
+    pub unknown_to: Vec<String>,
+    pub machines: Vec<WayView>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WayView {
+    pub machine: String,
+    pub step: String,
+    pub grant: Option<u64>,
+    pub stalled: bool,
+    /// Sidecars that may still send there, as far as whoever leads was told.
+    pub not_clear: Vec<String>,
+    /// Why one that waits may not go now.
+    pub why: Option<String>,
+}
+
+fn ms(today: SystemTime) -> u64 {
+    today.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The words that bring a list about.
+///
+/// # Errors
+/// What does not fit, as a line.
+fn words(list: Number, told: &WorkList, rows: &[Row]) -> Result<Vec<Word>, String> {
+    let fits = |row: &&Row| {
+        told.machines.contains(&row.machine)
+            || told.select.as_ref().is_some_and(|select| {
+                select.zone.as_ref().is_none_or(|zone| *zone == row.zone)
+                    && select.kind.as_ref().is_none_or(|kind| *kind == row.kind)
+                    && select.build.is_none_or(|build| build == row.build)
+            })
+    };
+    let mut machines: BTreeMap<String, Machine> = BTreeMap::new();
+    for row in rows.iter().filter(fits) {
+        let new = || Machine {
+            name: row.machine.clone(),
+            zone: row.zone.clone(),
+            kind: row.kind.clone(),
+            strength: 0.0,
+        };
+        machines.entry(row.machine.clone()).or_insert_with(new).strength += row.size;
+    }
+    let unknown: Vec<&String> = told.machines.iter().filter(|name| !machines.contains_key(*name)).collect();
+    if !unknown.is_empty() {
+        return Err(format!("machines that are not on the node list: {unknown:?}"));
+    }
+    if machines.is_empty() {
+        return Err("no machine on the node list fits `select`".into());
+    }
+    let span = |seconds: settings::Seconds| Duration::from(seconds).as_millis() as u64;
+    let window = |window: &settings::WorkWindow| Window {
+        from: (window.from * 1e3) as u64,
+        to: (window.to * 1e3) as u64,
+    };
+    let limits = Limits {
+        out: told.limits.out,
+        out_in_zone: told.limits.out_in_zone.unwrap_or(0),
+        out_of_kind: told.limits.out_of_kind.unwrap_or(0),
+        ready_part: told.limits.ready_part,
+        apart: told.limits.apart.clone(),
+    };
+    let terms = limewing_turns::Terms {
+        name: told.name.clone(),
+        limits,
+        takes: span(told.takes),
+        stalls_after: span(told.stalls_after),
+        windows: told.windows.iter().map(window).collect(),
+        priority: told.priority,
+        beside_trials: told.beside_trials,
+    };
+    let all: Vec<Machine> = machines.into_values().collect();
+    let mut words = vec![Word::Ask { list, terms, machines: all.len() as u16 }];
+    let mut first = 0;
+    while first < all.len() {
+        let part = |many: usize| Word::Machines {
+            list,
+            first: first as u16,
+            machines: all[first..(first + many).min(all.len())].to_vec(),
+        };
+        let fits = |many: &usize| part(*many).write().len() <= MOST_WORD;
+        let many = (1..=8).take_while(fits).last().ok_or("a machine's name, zone or kind is too long")?;
+        words.push(part(many));
+        first += many;
+    }
+    if words[0].write().len() > MOST_WORD {
+        return Err("limits, pairs and windows are too long together".into());
+    }
+    Ok(words)
+}
+
+impl Work {
+    pub(super) fn start(
+        name: &str,
+        told: &settings::Work,
+        now: Duration,
+        seed: u64,
+        (grace, warm_after): (Duration, Duration),
+    ) -> io::Result<Self> {
+        let patience = Duration::from(told.patience);
+        let voters = told.voters.clone();
+        let votes = voters.contains(&name.to_owned());
+        let part = match told.folder.as_deref().filter(|_| votes) {
+            Some(folder) => {
+                let (promises, records) = Promises::open(folder)?;
+                let terms = Terms { voters: voters.clone(), beat: patience / 6, patience, seed };
+                Part::Votes(Box::new(Agree::new(now, name, rand::random(), &records, terms)), promises)
+            }
+            None => {
+                let me = Id { name: name.to_owned(), disk: rand::random() };
+                Part::Follows(Box::new(Follow::new(now, me, voters.clone(), FOLLOWS_EVERY)))
+            }
+        };
+        let lasts = Duration::from(told.lease);
+        Ok(Self {
+            name: name.to_owned(),
+            start: ms(today()),
+            voters,
+            part,
+            turns: Turns::default(),
+            read: 0,
+            lease: Lease::new(now, lasts),
+            lasts,
+            patience,
+            lessor: None,
+            next_ask: now,
+            answered_by: None,
+            unanswered: 0,
+            asked_for: Vec::new(),
+            next_put_up: now,
+            next_seen: now,
+            seen: false,
+            put_up: 0,
+            closed: None,
+            since: BTreeMap::new(),
+            state: None,
+            clear: Vec::new(),
+            grace,
+            warm_after,
+            trial: false,
+            out: Vec::new(),
+        })
+    }
+
+    pub(super) fn next(&self) -> Duration {
+        let part = match &self.part {
+            Part::Votes(agree, promises) if promises.idle() => agree.next(),
+            // It is looked for at the next turn.
+            Part::Votes(..) => Duration::ZERO,
+            Part::Follows(follow) => follow.next(),
+        };
+        part.min(self.next_ask)
+    }
+
+    /// When the loop has to come round for it, at the latest.
+    pub(super) fn wakes(&self, now: Duration) -> Duration {
+        self.next().max(now + LOOKS_EVERY)
+    }
+
+    /// The stage news that the module is told.
+    pub(super) fn trial(&mut self, trial: bool) {
+        self.trial = trial;
+    }
+
+    pub(super) fn hear(&mut self, now: Duration, from: &str, bytes: &[u8]) {
+        match bytes.split_first() {
+            Some((&AGREES, rest)) => {
+                let Ok(packet) = Packet::read(rest) else { return };
+                // Nobody speaks for another.
+                if packet.from.name != from {
+                    return;
+                }
+                match &mut self.part {
+                    Part::Votes(agree, _) => {
+                        // Whoever stood still learns that it leads no more before it says another word.
+                        if now >= agree.next() {
+                            agree.tick(now);
+                        }
+                        agree.hear(now, packet);
+                    }
+                    Part::Follows(follow) => follow.hear(now, packet),
+                }
+            }
+            Some((&TALKS, rest)) => {
+                if let Ok(talk) = Talk::read(rest) {
+                    self.talk(now, from, talk);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn leads(&self) -> Option<&Agree> {
+        match &self.part {
+            Part::Votes(agree, _) => Some(&**agree).filter(|agree| agree.standing() == Standing::Leads),
+            Part::Follows(_) => None,
+        }
+    }
+
+    fn propose(&mut self, now: Duration, word: &Word) {
+        if let Part::Votes(agree, _) = &mut self.part {
+            if let Ok(place) = agree.propose(now, word.write()) {
+                self.put_up = place.index;
+            }
+        }
+    }
+
+    fn say(&mut self, to: &str, talk: &Talk) {
+        self.out.push((to.to_owned(), [&[TALKS], &talk.write()[..]].concat()));
+    }
+
+    fn talk(&mut self, now: Duration, from: &str, talk: Talk) {
+        if let Part::Votes(agree, _) = &mut self.part {
+            if now >= agree.next() {
+                agree.tick(now);
+            }
+        }
+        match talk {
+            Talk::Ask { start, no, read, clear } => {
+                if let Some(settled) = self.give_lease(now, from, start, read, &clear) {
+                    self.say(from, &Talk::Lease { no, settled });
+                }
+            }
+            Talk::Lease { no, settled } => {
+                self.lease.answered(no, settled);
+                (self.answered_by, self.unanswered) = (Some(from.to_owned()), 0);
+            }
+            Talk::Leaves { start } => {
+                if self.turns.sidecars().get(from) == Some(&start) && self.leads().is_some() {
+                    self.propose(now, &Word::Gone { name: from.to_owned() });
+                }
+            }
+            Talk::Settle { word } => {
+                // Only what can be read is settled.
+                if let (Part::Votes(agree, _), Ok(_)) = (&mut self.part, Word::read(&word)) {
+                    if agree.standing() == Standing::Leads {
+                        let _ = agree.propose(now, word);
+                    } else {
+                        agree.pass_on(word);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Up to where all is settled, if this one leads and the asker gets its lease.
+    fn give_lease(
+        &mut self,
+        now: Duration,
+        name: &str,
+        start: u64,
+        read: u64,
+        clear: &[Number],
+    ) -> Option<u64> {
+        // What its predecessors settled it has to know, or a lease would hold for one that has not read it.
+        let settled = self.leads().filter(|agree| agree.leads_for_good())?.upto();
+        let (_, lessor) = self.lessor.as_mut()?;
+        if lessor.asked(now, &self.turns, (name, start), read, clear) {
+            return Some(settled);
+        }
+        if self.read >= self.put_up && self.turns.sidecars().get(name).is_none_or(|known| *known < start) {
+            self.propose(now, &Word::Here { name: name.to_owned(), start });
+        }
+        None
+    }
+
+    /// Does what is due. Whether what is closed to the module has changed.
+    pub(super) fn turn(&mut self, now: Duration, fleet: &mut Fleet, site: &Site) -> bool {
+        self.drive(now);
+        self.read_on();
+        self.lead(now, site);
+        self.put_up(now);
+        self.look_whether_clear(now, site);
+        if now >= self.next_ask {
+            self.ask(now);
+        }
+        self.drive(now);
+        self.read_on();
+        for (to, bytes) in std::mem::take(&mut self.out) {
+            fleet.post_parcel(now, &to, bytes);
+        }
+        self.close_off(now)
+    }
+
+    /// Disk, clock and packets of the agreement.
+    fn drive(&mut self, now: Duration) {
+        let mut out = Vec::new();
+        match &mut self.part {
+            Part::Votes(agree, promises) => {
+                if let Some(no) = promises.done() {
+                    agree.wrote(now, no);
+                }
+                if now >= agree.next() {
+                    agree.tick(now);
+                }
+                if agree.held() > MOST_HELD && promises.idle() && agree.upto() == self.read {
+                    agree.compact(self.read, self.turns.write());
+                    if let Some(write) = agree.write() {
+                        promises.rewrite(write.no, &agree.records());
+                    }
+                }
+                while let Some(write) = agree.write() {
+                    promises.write(write.no, &write.records);
+                }
+                while let Some(one) = agree.take() {
+                    out.push(one);
+                }
+            }
+            Part::Follows(follow) => {
+                follow.tick(now);
+                while let Some(one) = follow.take() {
+                    out.push(one);
+                }
+            }
+        }
+        let parcel = |(to, packet): (String, Packet)| (to, [&[AGREES], &packet.write()[..]].concat());
+        self.out.extend(out.into_iter().map(parcel));
+    }
+
+    fn read_on(&mut self) {
+        loop {
+            let next = match &mut self.part {
+                Part::Votes(agree, _) => agree.settled(),
+                Part::Follows(follow) => follow.settled(),
+            };
+            match next {
+                Some(Settled::Word { at, bytes }) => {
+                    match Word::read(&bytes).map(|word| (self.turns.apply(at.index, &word), word)) {
+                        Ok((Ok(()), Word::Seen { .. })) => {}
+                        Ok((Ok(()), word)) => tracing::info!(index = at.index, ?word, "settled"),
+                        Ok((Err(why), word)) => {
+                            tracing::info!(index = at.index, ?word, %why, "settled, and changes nothing")
+                        }
+                        Err(why) => tracing::warn!(index = at.index, %why, "a settled word can't be read"),
+                    }
+                }
+                Some(Settled::Whole { state, .. }) => match Turns::read(&state) {
+                    Some(turns) => self.turns = turns,
+                    None => tracing::error!("the state of the work can't be read: it is of another version"),
+                },
+                None => break,
+            }
+        }
+        self.read = match &self.part {
+            Part::Votes(agree, _) => agree.upto(),
+            Part::Follows(follow) => follow.upto(),
+        };
+    }
+
+    fn lead(&mut self, now: Duration, site: &Site) {
+        let term = self.leads().map(Agree::term);
+        if self.lessor.as_ref().map(|(of, _)| *of) != term {
+            let lessor = |term| (term, Lessor::new(now, self.lasts, self.patience * 2));
+            (self.lessor, self.seen, self.put_up) = (term.map(lessor), false, 0);
+            self.next_seen = now;
+        }
+        let Some((_, lessor)) = &self.lessor else { return };
+        if !self.leads().is_some_and(Agree::leads_for_good) {
+            return;
+        }
+        if self.turns.lists().values().all(|list| list.over()) {
+            return;
+        }
+        // What was put up before is looked at first: else it is put up twice.
+        if self.read < self.put_up {
+            return;
+        }
+        if now >= self.next_seen {
+            self.next_seen = now + SEEN_EVERY;
+            self.seen = true;
+            let word = Word::Seen { at: ms(today()).max(self.turns.now()), seen: self.look(site) };
+            return self.propose(now, &word);
+        }
+        let unknown = |(no, list): (&Number, &limewing_turns::List)| {
+            (!list.known && list.whole() && lessor.unaware(&self.turns, list.whole_at).is_empty())
+                .then_some(*no)
+        };
+        let known = self.turns.lists().iter().find_map(unknown).map(|list| Word::Known { list });
+        let ways = || self.turns.lists().values().flat_map(|list| &list.ways);
+        let clear = |way: &limewing_turns::Way| {
+            let grant = way.grant.filter(|_| way.step == Step::Granted)?;
+            let names = lessor.not_clear(now, &self.turns, grant)?;
+            names.is_empty().then_some(Word::Out { grant })
+        };
+        let warm = |way: &limewing_turns::Way| {
+            let grant = way.grant.filter(|_| way.step == Step::Back)?;
+            let late = self.turns.now() < way.since + LIST_LATE;
+            (!late && self.is_warm(site, &way.machine.name)).then_some(Word::Warm { grant })
+        };
+        let next = || if self.seen { self.turns.next() } else { None };
+        let recall = next().filter(|word| matches!(word, Word::Recall { .. }));
+        let word = recall
+            .or(known)
+            .or_else(|| ways().find_map(clear))
+            .or_else(|| ways().find_map(warm))
+            .or_else(next);
+        if let Some(word) = word {
+            self.propose(now, &word);
+        }
+    }
+
+    fn age(&self, row: &Row) -> f64 {
+        row.started.map_or(f64::MAX, |started| ms(today()) as f64 / 1e3 - started)
+    }
+
+    fn is_warm(&self, site: &Site, machine: &str) -> bool {
+        let mut rows = site.rows.iter().filter(|row| row.machine == machine).peekable();
+        rows.peek().is_some() && rows.all(|row| !row.drains && self.age(row) >= self.warm_after.as_secs_f64())
+    }
+
+    /// What this leader sees of the fleet.
+    fn look(&self, site: &Site) -> Seen {
+        let closed: BTreeSet<&str> = self.turns.closed().map(|(machine, _)| machine.name.as_str()).collect();
+        let listed: BTreeSet<&str> = site.rows.iter().map(|row| row.machine.as_str()).collect();
+        let ways = self.turns.lists().values().flat_map(|list| &list.ways);
+        let away = ways.map(|way| &way.machine).filter(|machine| !listed.contains(machine.name.as_str()));
+        let away: BTreeMap<&str, f64> =
+            away.map(|machine| (machine.name.as_str(), machine.strength)).collect();
+        let warm = |row: &&Row| {
+            !row.drains
+                && !closed.contains(row.machine.as_str())
+                && self.age(row) >= self.warm_after.as_secs_f64()
+        };
+        let serves = |zone: &str| site.rows.iter().any(|row| row.zone == zone && !row.drains);
+        let has = |zone: &str| {
+            let mut machines = self.turns.lists().values().flat_map(|list| &list.ways);
+            site.rows.iter().any(|row| row.zone == zone) || machines.any(|way| way.machine.zone == zone)
+        };
+        Seen {
+            upto: self.read,
+            all: site.rows.iter().map(|row| row.size).sum::<f64>() + away.values().sum::<f64>(),
+            ready: site.rows.iter().filter(warm).map(|row| row.size).sum(),
+            trouble: site.zones.iter().any(|zone| has(zone) && !serves(zone)),
+            trial: self.trial,
+        }
+    }
+
+    /// Puts up again what was asked for here and does not show yet.
+    fn put_up(&mut self, now: Duration) {
+        if self.asked_for.is_empty() || now < self.next_put_up {
+            return;
+        }
+        self.next_put_up = now + PUT_UP_EVERY;
+        let turns = &self.turns;
+        self.asked_for.retain(|(word, until)| now < *until && !turns.shows(word));
+        for (word, _) in self.asked_for.clone() {
+            match &mut self.part {
+                Part::Votes(agree, _) if agree.standing() == Standing::Leads => {
+                    let _ = agree.propose(now, word.write());
+                }
+                Part::Votes(agree, _) => agree.pass_on(word.write()),
+                Part::Follows(_) => {
+                    let to = self.answered_by.clone().or_else(|| self.voters.first().cloned());
+                    let talk = Talk::Settle { word: word.write() };
+                    to.into_iter().for_each(|to| self.say(&to, &talk));
+                }
+            }
+        }
+    }
+
+    /// Of which grants' machines this sidecar is clear: the module knows that they drain, its grace is over, nothing is out.
+    fn look_whether_clear(&mut self, now: Duration, site: &Site) {
+        let grants: Vec<(String, Number)> =
+            self.turns.closed().map(|(machine, grant)| (machine.name.clone(), grant)).collect();
+        if grants.is_empty() {
+            self.clear.clear();
+            return;
+        }
+        let over = |machine: &String| self.since.get(machine).is_some_and(|since| now >= *since + self.grace);
+        if grants.iter().all(|(machine, grant)| !over(machine) || self.clear.contains(grant)) {
+            let known = |grant: &Number| grants.iter().any(|(_, of)| of == grant);
+            self.clear.retain(known);
+            return;
+        }
+        let busy = (site.busy)();
+        let free = |machine: &String| {
+            !site.rows.iter().any(|row| row.machine == *machine && busy.contains(&row.address))
+        };
+        let clear: Vec<Number> =
+            grants.iter().filter(|(m, _)| over(m) && free(m)).map(|(_, grant)| *grant).collect();
+        if clear != self.clear {
+            (self.clear, self.next_ask) = (clear, now);
+        }
+    }
+
+    fn ask(&mut self, now: Duration) {
+        self.next_ask = now + self.lease.every();
+        let no = self.lease.ask(now);
+        let ask = Talk::Ask { start: self.start, no, read: self.read, clear: self.clear.clone() };
+        if self.leads().is_some() {
+            let (name, start, read, clear) = (self.name.clone(), self.start, self.read, self.clear.clone());
+            if let Some(settled) = self.give_lease(now, &name, start, read, &clear) {
+                self.lease.answered(no, settled);
+            }
+            return;
+        }
+        let to = match self.answered_by.clone().filter(|_| self.unanswered < 2) {
+            Some(leader) => vec![leader],
+            None => self.voters.iter().filter(|name| **name != self.name).cloned().collect(),
+        };
+        self.unanswered += 1;
+        to.iter().for_each(|to| self.say(to, &ask));
+    }
+
+    fn close_off(&mut self, now: Duration) -> bool {
+        let waits = self.lease.waits(now);
+        let state = (self.read, self.lease.holds(now, self.read), waits);
+        if self.state == Some(state) {
+            return false;
+        }
+        self.state = Some(state);
+        let closed = self.lease.closed(now, self.read, &self.turns);
+        let names = closed.clone().unwrap_or_default();
+        self.since.retain(|machine, _| names.contains(machine));
+        for machine in names {
+            self.since.entry(machine).or_insert(now);
+        }
+        let changed = closed != self.closed;
+        self.closed = closed;
+        changed
+    }
+
+    /// Whether the module is to be told that a machine drains.
+    pub(super) fn closes(&self, machine: &str) -> bool {
+        self.closed.as_ref().is_none_or(|closed| closed.contains(machine))
+    }
+
+    pub(super) fn leave(&mut self, now: Duration, fleet: &mut Fleet) {
+        let talk = Talk::Leaves { start: self.start };
+        for voter in self.voters.clone() {
+            if voter == self.name {
+                self.talk(now, &voter, talk.clone());
+            } else {
+                self.say(&voter, &talk);
+            }
+        }
+        for (to, bytes) in std::mem::take(&mut self.out) {
+            fleet.post_parcel(now, &to, bytes);
+        }
+    }
+
+    /// Takes in what an operator or a machine's agent asks; the list's number, if it is one.
+    ///
+    /// # Errors
+    /// What of it can't be used.
+    pub(super) fn asked(
+        &mut self,
+        now: Duration,
+        asked: &Asked,
+        rows: &[Row],
+    ) -> Result<Option<u64>, String> {
+        let known = |list: &u64| {
+            let known = self.turns.lists().contains_key(&Number(*list));
+            known.then_some(Number(*list)).ok_or(format!("no list {list}"))
+        };
+        let (words, list) = match asked {
+            Asked::Ask(told) => {
+                if let Some(misfit) = settings::Checked::misfits(&**told).first() {
+                    return Err(format!("at {}: {}", misfit.path, misfit.expected));
+                }
+                let list = Number(u64::from(rand::random::<u32>()));
+                (words(list, told, rows)?, Some(list.0))
+            }
+            Asked::Hold(list) => (vec![Word::Hold { list: known(list)? }], None),
+            Asked::GoOn(list) => (vec![Word::GoOn { list: known(list)? }], None),
+            Asked::Withdraw(list) => (vec![Word::Withdraw { list: known(list)? }], None),
+            Asked::Gone(name) => {
+                let known = self.turns.sidecars().contains_key(name);
+                known.then_some(()).ok_or(format!("no sidecar {name}"))?;
+                (vec![Word::Gone { name: name.clone() }], None)
+            }
+            Asked::Report { grant, said } => {
+                let grant = Number(*grant);
+                self.turns.of(grant).ok_or(format!("no grant {}", grant.0))?;
+                let word = match said {
+                    Said::Began => Word::Began { grant },
+                    Said::Worked => Word::Worked { grant, well: true },
+                    Said::Failed => Word::Worked { grant, well: false },
+                };
+                (vec![word], None)
+            }
+        };
+        if self.asked_for.len() + words.len() > MOST_PUT_UP {
+            return Err("too much is asked for at once".into());
+        }
+        self.asked_for.extend(words.into_iter().map(|word| (word, now + PUT_UP_FOR)));
+        self.next_put_up = now;
+        self.next_ask = self.next_ask.min(now);
+        Ok(list)
+    }
+
+    pub(super) fn view(&self, now: Duration) -> WorkView {
+        let (standing, leader, term, members) = match &self.part {
+            Part::Votes(agree, _) => (
+                format!("{:?}", agree.standing()).to_lowercase(),
+                agree.leader().map(|id| id.name.clone()),
+                agree.term(),
+                agree.members().iter().map(|id| id.name.clone()).collect(),
+            ),
+            Part::Follows(_) => ("asks".to_owned(), self.answered_by.clone(), 0, Vec::new()),
+        };
+        let lessor = self.lessor.as_ref().map(|(_, lessor)| lessor);
+        let owned = |names: Vec<&str>| names.into_iter().map(str::to_owned).collect();
+        let way = |list: &Number, way: &limewing_turns::Way| WayView {
+            machine: way.machine.name.clone(),
+            step: format!("{:?}", way.step).to_lowercase(),
+            grant: way.grant.map(|grant| grant.0),
+            stalled: way.stalled,
+            not_clear: way
+                .grant
+                .filter(|_| way.step == Step::Granted)
+                .zip(lessor)
+                .and_then(|(grant, lessor)| lessor.not_clear(now, &self.turns, grant))
+                .map_or(Vec::new(), owned),
+            why: (way.step == Step::Waits)
+                .then(|| self.turns.may_go(*list, &way.machine.name).err().map(|why| why.to_string()))
+                .flatten(),
+        };
+        let list = |(no, list): (&Number, &limewing_turns::List)| ListView {
+            list: no.0,
+            name: list.terms.name.clone(),
+            held: list.held,
+            withdrawn: list.withdrawn,
+            over: list.over(),
+            unknown_to: lessor
+                .filter(|_| !list.known)
+                .map_or(Vec::new(), |lessor| owned(lessor.unaware(&self.turns, list.whole_at))),
+            machines: list.ways.iter().map(|one| way(no, one)).collect(),
+        };
+        WorkView {
+            name: self.name.clone(),
+            standing,
+            leader,
+            term,
+            settled: self.read,
+            members,
+            lease: self.lease.holds(now, self.read),
+            sidecars: self.turns.sidecars().keys().cloned().collect(),
+            closed: self.closed.clone().unwrap_or_default().into_iter().collect(),
+            lists: self.turns.lists().iter().map(list).collect(),
+        }
+    }
+}
--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -53,6 +53,7 @@
     let folder = tempfile::tempdir().unwrap().keep();
     let file = folder.join("state.json");
     let row = |(address, build): &(SocketAddr, u16)| Row {
+        machine: address.to_string(),
         address: *address,
         drains: false,
         build: *build,
--- a/crates/standins/src/day/mod.rs
+++ b/crates/standins/src/day/mod.rs
@@ -4,6 +4,7 @@
 mod pods;
 mod processes;
 mod services;
+mod work;
 
 use crate::fleet::{key_file, write_keys, Relay, FIRST_KEYS};
 use crate::installer::{Installer, PlaceNo};
@@ -86,6 +87,9 @@
     Offer(usize),
     Trouble(usize),
     TroubleEnds(usize),
+    Work(usize),
+    WorkBegins(u64),
+    WorkEnds(u64),
     Show,
     Over,
 }
@@ -120,6 +124,8 @@
     processes: Vec<Process>,
     /// Between the sidecars, if they know of each other.
     relay: Option<Relay>,
+    /// Of machines that go out for work.
+    agents: Option<work::Agents>,
     on: bool,
     over: bool,
 }
@@ -177,6 +183,7 @@
             clients: Clients::default(),
             processes: Vec::new(),
             relay: None,
+            agents: None,
             on: false,
             over: false,
         };
@@ -240,6 +247,7 @@
         for (number, trouble) in script.troubles.iter().enumerate() {
             self.wheel.arm(now + trouble.at.into(), Due::Trouble(number));
         }
+        self.begin_work();
         let settles = script.longest_timeout() + Duration::from_secs(1);
         self.clients.until = now + script.lasts.into();
         self.wheel.arm(self.clients.until + settles, Due::Over);
@@ -329,6 +337,7 @@
             Due::ListAnswer(link, asked) => self.list_wait_over(link, asked),
             Due::Tick => {
                 self.faults()?;
+                self.work_seen();
                 self.tick()?
             }
             Due::TellAll => self.tell_all_again(),
@@ -343,6 +352,9 @@
             }
             Due::Trouble(number) => self.trouble_begins(number)?,
             Due::TroubleEnds(number) => self.trouble_ends(number)?,
+            Due::Work(number) => self.work_step(number),
+            Due::WorkBegins(grant) => self.work_begins(grant),
+            Due::WorkEnds(grant) => self.work_ends(grant)?,
             Due::Show => {
                 self.list.show = true;
                 self.wheel.arm(self.now + SHOW_EVERY, Due::Show);
--- a/crates/standins/src/day/pods.rs
+++ b/crates/standins/src/day/pods.rs
@@ -202,6 +202,15 @@
         here.into_iter().for_each(|number| self.pod_down(number));
     }
 
+    /// Hits that are at a place's pods, waiting or in work.
+    pub(super) fn open_at(&self, place: PlaceNo) -> usize {
+        let here = |job: &&Job| match self.ends.get(&job.link) {
+            Some(End::Pod(link)) => self.pods.get(&link.pod).is_some_and(|pod| pod.place == place),
+            _ => false,
+        };
+        self.jobs.held.values().filter(here).count()
+    }
+
     pub(super) fn pod_down(&mut self, number: PodNo) {
         let Some(pod) = self.pods.remove(&number) else { return };
         self.note(Entry::PodDown { pod: number });
--- a/crates/standins/src/day/processes.rs
+++ b/crates/standins/src/day/processes.rs
@@ -80,9 +80,24 @@
             rules: script.rules.clone(),
             releases: script.releases.clone(),
             peers: self.peers(number),
+            work: self.work(number),
         }
     }
 
+    fn work(&self, number: usize) -> Option<limewing_settings::Work> {
+        let work = self.script.work.as_ref()?;
+        Some(limewing_settings::Work {
+            voters: (0..work.voters).map(|voter| format!("sidecar-{voter}")).collect(),
+            folder: (number < work.voters).then(|| self.work_folder(number)),
+            patience: work.patience,
+            lease: work.lease,
+        })
+    }
+
+    fn work_folder(&self, number: usize) -> std::path::PathBuf {
+        self.folder.join(format!("sidecar-{number}.work"))
+    }
+
     fn peers(&self, number: usize) -> Option<limewing_settings::Peers> {
         let (told, relay) = (self.script.peers.as_ref()?, self.relay.as_ref()?);
         Some(limewing_settings::Peers {
@@ -110,6 +125,7 @@
                     let file = self.folder.join(format!("sidecar-{number}.state.json"));
                     // There may be none yet.
                     let _ = std::fs::remove_file(file);
+                    let _ = std::fs::remove_dir_all(self.work_folder(number));
                 }
                 Act::LoseDisk(_) => {}
                 Act::Keys { to, ids } => {
@@ -147,6 +163,7 @@
         if at.is_none() {
             // What an earlier day left in the folder is not this day's.
             settings.state_file.iter().for_each(|file| drop(std::fs::remove_file(file)));
+            drop(std::fs::remove_dir_all(self.work_folder(number)));
         }
         let file = self.folder.join(format!("sidecar-{number}.json"));
         let text = serde_json::to_string_pretty(&settings).map_err(|e| trouble(e.to_string()))?;
--- /dev/null
+++ b/crates/standins/src/day/work.rs
@@ -0,0 +1,194 @@
+//! Machines' agents and the operator: a thread of its own looks at the sidecars' pages and posts to them; what is out is
+//! worked on in the day's loop.
+
+use super::{Day, DayTrouble, Due};
+use crate::fleet::call;
+use crate::installer::PlaceNo;
+use crate::script::{WorkDoes, WorkScript};
+use limewing_account::record::Entry;
+use limewing_sidecar::service::{Asked, Said, WorkView};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+const LOOKS_EVERY: Duration = Duration::from_millis(40);
+/// What has not shown yet is posted again after this.
+const AGAIN: Duration = Duration::from_millis(400);
+/// Between what an agent was told and the begin of the work: whatever arrives meanwhile should not.
+pub const SETTLES: Duration = Duration::from_millis(300);
+
+/// What the thread is to post, until it shows.
+enum Post {
+    Does(WorkDoes),
+    Report(u64, Said),
+    Over,
+}
+
+pub struct Agents {
+    posts: Sender<Post>,
+    views: Receiver<WorkView>,
+    thread: Option<std::thread::JoinHandle<()>>,
+    /// Grants that are out, or were, by the place of their machine.
+    known: BTreeMap<u64, PlaceNo>,
+}
+
+impl Agents {
+    pub fn start(sidecars: Vec<SocketAddr>) -> Self {
+        let ((posts, take), (tell, views)) = (channel(), channel());
+        let thread = std::thread::spawn(move || look(&sidecars, &take, &tell));
+        Self { posts, views, thread: Some(thread), known: BTreeMap::new() }
+    }
+
+    fn post(&self, post: Post) {
+        // The thread ends with the day alone.
+        let _ = self.posts.send(post);
+    }
+}
+
+impl Drop for Agents {
+    fn drop(&mut self) {
+        self.post(Post::Over);
+        self.thread.take().map(std::thread::JoinHandle::join);
+    }
+}
+
+/// Whether what was posted shows in a sidecar's view, so that it need not be posted again.
+fn shows(view: &WorkView, post: &Post, list: Option<u64>) -> bool {
+    let of = view.lists.iter().find(|of| Some(of.list) == list);
+    let at = |grant: u64| {
+        let mut machines = view.lists.iter().flat_map(|list| &list.machines);
+        machines.find(|machine| machine.grant == Some(grant)).map(|machine| machine.step.as_str())
+    };
+    match post {
+        Post::Does(WorkDoes::Ask(_)) => of.is_some_and(|of| !of.machines.is_empty()),
+        Post::Does(WorkDoes::Hold) => of.is_some_and(|of| of.held),
+        Post::Does(WorkDoes::GoOn) => of.is_some_and(|of| !of.held),
+        Post::Does(WorkDoes::Withdraw) => of.is_some_and(|of| of.withdrawn),
+        Post::Does(WorkDoes::Gone(name)) => !view.sidecars.contains(name),
+        // That it began does not show: it is told once.
+        Post::Report(_, Said::Began) => true,
+        Post::Report(grant, _) => at(*grant) != Some("out"),
+        Post::Over => true,
+    }
+}
+
+fn look(sidecars: &[SocketAddr], posts: &Receiver<Post>, views: &Sender<WorkView>) {
+    let mut open: Vec<(Post, Option<std::time::Instant>)> = Vec::new();
+    let (mut list, mut turn) = (None, 0);
+    loop {
+        for post in posts.try_iter() {
+            if matches!(post, Post::Over) {
+                return;
+            }
+            open.push((post, None));
+        }
+        turn += 1;
+        let at = sidecars[turn % sidecars.len()];
+        // One that is down or stands still is passed over.
+        if let Some(view) =
+            call(at, "GET", "/limewing/work", "").ok().and_then(|t| serde_json::from_str(&t).ok())
+        {
+            open.retain(|(post, posted)| posted.is_none() || !shows(&view, post, list));
+            let _ = views.send(view);
+            let now = std::time::Instant::now();
+            for (post, posted) in &mut open {
+                if posted.is_some_and(|posted| now < posted + AGAIN) {
+                    continue;
+                }
+                let asked = match (&*post, list) {
+                    // Asked for once: again it would be another list.
+                    (Post::Does(WorkDoes::Ask(_)), _) if posted.is_some() => continue,
+                    (Post::Does(WorkDoes::Ask(told)), _) => Asked::Ask(told.clone()),
+                    (Post::Does(WorkDoes::Hold), Some(list)) => Asked::Hold(list),
+                    (Post::Does(WorkDoes::GoOn), Some(list)) => Asked::GoOn(list),
+                    (Post::Does(WorkDoes::Withdraw), Some(list)) => Asked::Withdraw(list),
+                    (Post::Does(WorkDoes::Gone(name)), _) => Asked::Gone(name.clone()),
+                    (Post::Report(grant, said), _) => Asked::Report { grant: *grant, said: *said },
+                    _ => continue,
+                };
+                let body = serde_json::to_string(&asked).unwrap_or_default();
+                if let Ok(said) = call(at, "POST", "/limewing/work", &body) {
+                    *posted = Some(now);
+                    let number = serde_json::from_str::<serde_json::Value>(&said).ok();
+                    list = number.and_then(|said| said["list"].as_u64()).or(list);
+                }
+            }
+        }
+        std::thread::sleep(LOOKS_EVERY);
+    }
+}
+
+impl Day<'_> {
+    pub(super) fn begin_work(&mut self) {
+        let Some(work) = self.script.work.as_ref() else { return };
+        self.agents = Some(Agents::start(self.processes.iter().map(|process| process.address).collect()));
+        for (number, step) in work.steps.iter().enumerate() {
+            self.wheel.arm(self.now + step.at.into(), Due::Work(number));
+        }
+    }
+
+    pub(super) fn work_step(&mut self, number: usize) {
+        let Some((work, agents)) = self.script.work.as_ref().zip(self.agents.as_ref()) else { return };
+        let does = work.steps[number].does.clone();
+        agents.post(Post::Does(does.clone()));
+        if let WorkDoes::Ask(list) = does {
+            let (out, out_in_zone) = (list.limits.out, list.limits.out_in_zone.unwrap_or(u16::MAX));
+            self.note(Entry::WorkAsked { out, out_in_zone });
+        }
+    }
+
+    /// Looks at what the sidecars said lately.
+    pub(super) fn work_seen(&mut self) {
+        let Some(agents) = &mut self.agents else { return };
+        let mut fresh = Vec::new();
+        for view in agents.views.try_iter() {
+            for machine in view.lists.iter().flat_map(|list| &list.machines) {
+                let place = machine.machine.strip_prefix("node-").and_then(|place| place.parse().ok());
+                let out =
+                    machine.grant.filter(|grant| machine.step == "out" && !agents.known.contains_key(grant));
+                if let Some((grant, place)) = out.zip(place) {
+                    agents.known.insert(grant, PlaceNo(place));
+                    fresh.push((grant, PlaceNo(place)));
+                }
+            }
+        }
+        for (grant, place) in fresh {
+            let pods: Vec<_> =
+                self.pods.iter().filter(|(_, pod)| pod.place == place).map(|(no, _)| *no).collect();
+            pods.into_iter().for_each(|pod| self.note(Entry::WorkOut { place: place.0, pod }));
+            self.wheel.arm(self.now + SETTLES, Due::WorkBegins(grant));
+        }
+    }
+
+    fn worked_at(&self, grant: u64) -> Option<(PlaceNo, &WorkScript, &Agents)> {
+        let agents = self.agents.as_ref()?;
+        Some((*agents.known.get(&grant)?, self.script.work.as_ref()?, agents))
+    }
+
+    pub(super) fn work_begins(&mut self, grant: u64) {
+        let Some((place, work, agents)) = self.worked_at(grant) else { return };
+        agents.post(Post::Report(grant, Said::Began));
+        let (lasts, stalls) = (work.works_for, work.stall.contains(&place.0));
+        let open = self.open_at(place);
+        let zone = place.0 % self.script.fleet.zones.len();
+        self.note(Entry::WorkBegins { place: place.0, zone: zone as u16, open });
+        self.kill_pods(place);
+        if !stalls {
+            self.wheel.arm(self.now + lasts.into(), Due::WorkEnds(grant));
+        }
+    }
+
+    pub(super) fn work_ends(&mut self, grant: u64) -> Result<(), DayTrouble> {
+        let Some((place, work, agents)) = self.worked_at(grant) else { return Ok(()) };
+        let fails = work.fail.contains(&place.0);
+        let said = if fails { Said::Failed } else { Said::Worked };
+        agents.post(Post::Report(grant, said));
+        if work.twice.contains(&place.0) {
+            agents.post(Post::Report(grant, said));
+        }
+        self.note(Entry::WorkEnds { place: place.0, well: !fails });
+        let build = self.installer.build_at(place);
+        self.start_pod(place, build, true)
+    }
+}
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 pub use crowd::{crowd, Crowd, CrowdPlan};
 pub use relay::Relay;
 pub use rig::{
-    ask, key_file, listens, play, write_keys, Plan, Played, RigTrouble, Sample, CLOCK, FIRST_KEYS,
+    ask, call, key_file, listens, play, write_keys, Plan, Played, RigTrouble, Sample, CLOCK, FIRST_KEYS,
 };
 
 use limewing_links::{Core, World};
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -2,7 +2,9 @@
 
 use limewing_account::record;
 use limewing_links::Script;
-use limewing_settings::{Checked, Limits, Misfit, PathGroup, Reach, Releases, Repeat, Rules, Seconds};
+use limewing_settings::{
+    Checked, Limits, Misfit, PathGroup, Reach, Releases, Repeat, Rules, Seconds, WorkList,
+};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -35,6 +37,47 @@
     /// The sidecars know of each other, through links of this script; none: they don't.
     #[serde(default)]
     pub peers: Option<PeersScript>,
+    /// Machines go out for work; needs `peers`. A machine is a place of the fleet: `node-0` and so on.
+    #[serde(default)]
+    pub work: Option<WorkScript>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct WorkScript {
+    /// The first so many sidecars have a vote.
+    pub voters: usize,
+    pub patience: Seconds,
+    pub lease: Seconds,
+    /// How long the work on a machine takes.
+    pub works_for: Seconds,
+    /// Machines whose work never ends, fails, or is told twice, by their place.
+    #[serde(default)]
+    pub stall: Vec<usize>,
+    #[serde(default)]
+    pub fail: Vec<usize>,
+    #[serde(default)]
+    pub twice: Vec<usize>,
+    pub steps: Vec<WorkStep>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct WorkStep {
+    pub at: Seconds,
+    pub does: WorkDoes,
+}
+
+/// What an operator does; of the list that was asked for last.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum WorkDoes {
+    Ask(Box<WorkList>),
+    Hold,
+    GoOn,
+    Withdraw,
+    /// This sidecar runs no more.
+    Gone(String),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -295,6 +338,11 @@
         for misfit in self.peers.iter().flat_map(|peers| peers.faults.misfits()) {
             need(false, format!("/peers/faults{}", misfit.path), misfit.expected);
         }
+        if let Some(work) = &self.work {
+            need(self.peers.is_some(), "/work".into(), "`peers` beside it");
+            let odd = [1, 3, 5, 7].contains(&work.voters) && work.voters <= self.sidecars.len();
+            need(odd, "/work/voters".into(), "1, 3, 5 or 7, and no more than there are sidecars");
+        }
         let shares: f64 = self.groups.iter().map(|group| group.share).sum();
         need((shares - 1.0).abs() < 1e-6, "/groups".into(), "shares that sum to 1");
         for (place, group) in self.groups.iter().enumerate() {
--- /dev/null
+++ b/crates/turns/src/leases.rs
@@ -0,0 +1,148 @@
+//! Who may still send to a machine that is to go out. Each sidecar holds a lease from whoever leads; while it does, it is asked
+//! whether it is clear of each machine granted. One whose lease ran out sends to no machine on a list any more, so nobody has
+//! to wait for it.
+//!
+//! A list's machines go out only once all sidecars that the log names know the list: one that is cut off before holds the list
+//! up, until it is back, started anew, or said to be gone. That is the price of never sending to a machine that is out: a sidecar
+//! that can't be asked can't be told either, and to have it stop serving would cost more.
+//!
+//! Bound: a lease counts from when its holder sent the ask that was answered, and here from when that ask came, for `OVER` times as
+//! long: so it is over there first, while the two clocks run within a fifth of each other. One that has just begun to lead
+//! knows nothing of the leases its predecessors gave: it holds nobody clear for as long as they may last.
+
+use crate::turns::Turns;
+use crate::words::Number;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const OVER: f64 = 1.25;
+
+struct Holder {
+    heard: Duration,
+    read: u64,
+    clear: BTreeSet<Number>,
+}
+
+/// The leases that whoever leads has given. Which sidecars there are the log says.
+pub struct Lessor {
+    since: Duration,
+    lasts: Duration,
+    holders: BTreeMap<String, (u64, Holder)>,
+}
+
+impl Lessor {
+    /// It leads since now; leases last so long, and `slack` is how long a predecessor may have led beside it.
+    pub fn new(now: Duration, lasts: Duration, slack: Duration) -> Self {
+        Self { since: now + slack, lasts: lasts.mul_f64(OVER), holders: BTreeMap::new() }
+    }
+
+    /// One asks, and says up to where it has read and of which grants' machines it is clear. Whether it gets its lease: not
+    /// before all know that it is there.
+    pub fn asked(
+        &mut self,
+        now: Duration,
+        turns: &Turns,
+        (name, start): (&str, u64),
+        read: u64,
+        clear: &[Number],
+    ) -> bool {
+        let known = turns.sidecars().get(name) == Some(&start);
+        if known {
+            let clear = clear.iter().copied().collect();
+            self.holders.insert(name.to_owned(), (start, Holder { heard: now, read, clear }));
+            self.holders.retain(|name, (start, _)| turns.sidecars().get(name) == Some(start));
+        }
+        known
+    }
+
+    fn holder(&self, name: &str, start: u64) -> Option<&Holder> {
+        self.holders.get(name).filter(|(of, _)| *of == start).map(|(_, holder)| holder)
+    }
+
+    /// Those that have not read up to here, as far as it was told.
+    pub fn unaware<'a>(&self, turns: &'a Turns, upto: u64) -> Vec<&'a str> {
+        let aware = |name: &str, start: u64| self.holder(name, start).is_some_and(|h| h.read >= upto);
+        let sidecars = turns.sidecars().iter().filter(|(name, start)| !aware(name, **start));
+        sidecars.map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// Those that may still send to a grant's machine; none if that is not known yet. All know the grant's list: so one
+    /// without a lease sends there no more.
+    pub fn not_clear<'a>(&self, now: Duration, turns: &'a Turns, grant: Number) -> Option<Vec<&'a str>> {
+        if now < self.since + self.lasts {
+            return None;
+        }
+        let holds = |name: &str, start: u64| {
+            let of = self.holder(name, start);
+            of.is_some_and(|of| now < of.heard + self.lasts && !of.clear.contains(&grant))
+        };
+        let names = turns.sidecars().iter().filter(|(name, start)| holds(name, **start));
+        Some(names.map(|(name, _)| name.as_str()).collect())
+    }
+}
+
+/// A sidecar's own lease.
+pub struct Lease {
+    lasts: Duration,
+    asked: BTreeMap<u64, Duration>,
+    next: u64,
+    until: Option<Duration>,
+    /// It holds for one that has read the log up to here.
+    needs: u64,
+    begun: Duration,
+}
+
+/// Asks that wait for an answer, at most.
+const MOST_ASKED: usize = 64;
+/// One that has just started and gets no lease for so long goes by the node list alone: without that, sidecars that start
+/// while no majority of voters runs would serve nothing. Hurts where a machine that is out is on the list as ready.
+pub const START_WAIT: Duration = Duration::from_secs(5);
+
+impl Lease {
+    pub fn new(now: Duration, lasts: Duration) -> Self {
+        Self { lasts, asked: BTreeMap::new(), next: 0, until: None, needs: 0, begun: now }
+    }
+
+    /// How often to ask.
+    pub fn every(&self) -> Duration {
+        self.lasts / 4
+    }
+
+    /// It asks now; the ask's number.
+    pub fn ask(&mut self, now: Duration) -> u64 {
+        self.next += 1;
+        self.asked.insert(self.next, now);
+        if self.asked.len() > MOST_ASKED {
+            self.asked.pop_first();
+        }
+        self.next
+    }
+
+    /// An ask was answered by one that has settled all up to here.
+    pub fn answered(&mut self, no: u64, settled: u64) {
+        let Some(at) = self.asked.remove(&no) else { return };
+        self.until = self.until.max(Some(at + self.lasts));
+        self.needs = self.needs.max(settled);
+    }
+
+    pub fn holds(&self, now: Duration, read: u64) -> bool {
+        self.until.is_some_and(|until| now < until) && read >= self.needs
+    }
+
+    /// Nothing was told yet, and it has not waited for long.
+    pub fn waits(&self, now: Duration) -> bool {
+        self.until.is_none() && now < self.begun + START_WAIT
+    }
+
+    /// The machines that are closed to this sidecar; none: all. Those that are granted or out; without a lease also those that
+    /// may be, for all that it knows; and all while nothing was told yet.
+    pub fn closed(&self, now: Duration, read: u64, turns: &Turns) -> Option<BTreeSet<String>> {
+        if self.waits(now) {
+            return None;
+        }
+        let granted = turns.closed().map(|(machine, _)| machine.name.clone());
+        let lists = turns.lists().values().filter(|list| !self.holds(now, read) && !list.over());
+        let listed = lists.flat_map(|list| &list.ways).map(|way| way.machine.name.clone());
+        Some(granted.chain(listed).collect())
+    }
+}
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -4,15 +4,18 @@
 //! How data flows: settled words (`Word`) go into `Turns::apply`, one after the other, each with its place in the log; those that
 //! can't hold there are refused, at every reader alike. So two that both believe they lead harm nothing: what decides is the
 //! place in the log, not who asked. `Turns::next` tells whoever leads which words to put up now; `limits` tells whether one
-//! more machine may be out. A grant's number is its word's place in the log: numbers only grow, and each is given once.
+//! more machine may be out. A grant's number is its word's place in the log: numbers only grow, and each is given once. A
+//! list's number is drawn by whoever takes it in: put up twice it is one list. `leases` tells which sidecars may still send.
 //!
 //! A machine's way: `Waits` -> `Granted` (all sidecars are to send nothing more there) -> `Out` (all have said so, or may not
 //! send any more: it may be worked on) -> `Back` (it was worked on; cold) -> `Done`. Or `Failed`: not worked on again for this list.
 
+mod leases;
 mod limits;
 mod turns;
 mod words;
 
+pub use leases::{Lease, Lessor, START_WAIT};
 pub use limits::{Seen, Why};
 pub use turns::{List, Refused, Step, Turns, Way};
-pub use words::{Limits, Machine, Number, Terms, Unreadable, Window, Word, MOST_LISTS, MOST_MACHINES};
+pub use words::{Limits, Machine, Number, Talk, Terms, Unreadable, Window, Word, MOST_LISTS, MOST_MACHINES};
--- a/crates/turns/src/limits.rs
+++ b/crates/turns/src/limits.rs
@@ -28,6 +28,8 @@
 pub enum Why {
     #[error("the list is held, withdrawn or not whole")]
     Held,
+    #[error("not all sidecars know the list yet")]
+    NotKnown,
     #[error("it is not in one of the list's windows")]
     Window,
     #[error("trouble in the fleet")]
--- a/crates/turns/src/turns.rs
+++ b/crates/turns/src/turns.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Sidecars that are known, at most.
+const MOST_SIDECARS: usize = 2048;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Step {
     Waits,
@@ -38,15 +41,20 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct List {
+    /// The place in the log where it was asked for.
+    pub asked: u64,
     pub terms: Terms,
     pub machines: u16,
+    /// The place in the log where its last machine came, and whether all sidecars know them.
+    pub whole_at: u64,
+    pub known: bool,
     pub held: bool,
     pub withdrawn: bool,
     pub ways: Vec<Way>,
 }
 
 impl List {
-    fn whole(&self) -> bool {
+    pub fn whole(&self) -> bool {
         self.ways.len() == usize::from(self.machines)
     }
 
@@ -64,6 +72,8 @@
 /// Why a settled word changes nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refused {
+    #[error("there is such a list")]
+    Known,
     #[error("no such list")]
     NoList,
     #[error("no such machine on the list, or not one that waits")]
@@ -72,7 +82,7 @@
     NoGrant,
     #[error("the machine is out for another list")]
     Taken,
-    #[error("more than {MOST_LISTS} lists, or more than {MOST_MACHINES} machines")]
+    #[error("more than {MOST_LISTS} lists, {MOST_MACHINES} machines or {MOST_SIDECARS} sidecars, or a later start is known")]
     Many,
     #[error("a part that does not follow the one before")]
     Part,
@@ -86,6 +96,8 @@
 pub struct Turns {
     now: u64,
     lists: BTreeMap<Number, List>,
+    /// Sidecars that may send, by name, each with its start.
+    sidecars: BTreeMap<String, u64>,
     seen: Option<Seen>,
 }
 
@@ -98,6 +110,10 @@
         &self.lists
     }
 
+    pub fn sidecars(&self) -> &BTreeMap<String, u64> {
+        &self.sidecars
+    }
+
     fn ways(&self) -> impl Iterator<Item = (Number, &Way)> {
         self.lists.iter().flat_map(|(list, of)| of.ways.iter().map(|way| (*list, way)))
     }
@@ -129,6 +145,9 @@
         if of.held || of.withdrawn || !of.whole() {
             return Err(Refused::NotNow(Why::Held));
         }
+        if !of.known {
+            return Err(Refused::NotNow(Why::NotKnown));
+        }
         let out = self.out();
         if out.iter().any(|other| other.name == machine) {
             return Err(Refused::Taken);
@@ -166,19 +185,31 @@
     pub fn apply(&mut self, index: u64, word: &Word) -> Result<(), Refused> {
         let no = Number(index);
         match word {
-            Word::Ask { terms, machines } => {
-                self.lists.retain(|_, list| !list.over());
+            Word::Ask { list, terms, machines } => {
+                if self.lists.contains_key(list) {
+                    return Err(Refused::Known);
+                }
+                // The oldest of those that are over make room.
+                let over = self.lists.iter().filter(|(_, list)| list.over());
+                let oldest = over.min_by_key(|(_, list)| list.asked).map(|(no, _)| *no);
+                if let Some(oldest) = oldest.filter(|_| self.lists.len() >= MOST_LISTS) {
+                    self.lists.remove(&oldest);
+                }
+                let asked = index;
                 if self.lists.len() >= MOST_LISTS || usize::from(*machines) > MOST_MACHINES {
                     return Err(Refused::Many);
                 }
-                let list = List {
+                let of = List {
+                    asked,
                     terms: terms.clone(),
                     machines: *machines,
+                    whole_at: index,
+                    known: false,
                     held: false,
                     withdrawn: false,
                     ways: Vec::new(),
                 };
-                self.lists.insert(no, list);
+                self.lists.insert(*list, of);
             }
             Word::Machines { list, first, machines } => {
                 let now = self.now;
@@ -198,7 +229,23 @@
                     stalled: false,
                 };
                 of.ways.extend(machines.iter().map(way));
+                of.whole_at = index;
             }
+            Word::Known { list } => {
+                let of = self.list(*list)?;
+                if !of.whole() {
+                    return Err(Refused::NotNow(Why::Held));
+                }
+                of.known = true;
+            }
+            Word::Here { name, start } => {
+                let full = self.sidecars.len() >= MOST_SIDECARS && !self.sidecars.contains_key(name);
+                if full || self.sidecars.get(name).is_some_and(|known| known >= start) {
+                    return Err(Refused::Many);
+                }
+                self.sidecars.insert(name.clone(), *start);
+            }
+            Word::Gone { name } => drop(self.sidecars.remove(name)),
             Word::Hold { list } => self.list(*list)?.held = true,
             Word::GoOn { list } => self.list(*list)?.held = false,
             Word::Withdraw { list } => self.list(*list)?.withdrawn = true,
@@ -278,7 +325,7 @@
         }
         let mut lists: Vec<(&Number, &List)> = self.lists.iter().collect();
         // The older of two of one priority first.
-        lists.sort_by_key(|(no, list)| (std::cmp::Reverse(list.terms.priority), **no));
+        lists.sort_by_key(|(no, list)| (std::cmp::Reverse(list.terms.priority), list.asked, **no));
         let mut waits = lists.into_iter().flat_map(|(no, list)| list.ways.iter().map(|way| (*no, way)));
         let goes = |(no, way): &(Number, &Way)| {
             way.step == Step::Waits && self.may_go(*no, &way.machine.name).is_ok()
@@ -287,6 +334,33 @@
         Some(Word::Grant { list, machine: way.machine.name.clone() })
     }
 
+    /// Whether all that a word is to bring about is so: it need not be put up again.
+    pub fn shows(&self, word: &Word) -> bool {
+        let of = |list: &Number| self.lists.get(list);
+        match word {
+            Word::Ask { list, .. } => of(list).is_some(),
+            Word::Machines { list, first, machines } => {
+                of(list).is_some_and(|of| of.ways.len() >= usize::from(*first) + machines.len())
+            }
+            Word::Hold { list } => of(list).is_none_or(|of| of.held),
+            Word::GoOn { list } => of(list).is_none_or(|of| !of.held),
+            Word::Withdraw { list } => of(list).is_none_or(|of| of.withdrawn),
+            Word::Began { grant } => {
+                self.of(*grant).is_none_or(|(_, way)| way.began || way.step != Step::Out)
+            }
+            Word::Worked { grant, .. } => {
+                self.of(*grant).is_none_or(|(_, way)| !matches!(way.step, Step::Granted | Step::Out))
+            }
+            Word::Gone { name } => !self.sidecars.contains_key(name),
+            Word::Known { .. } | Word::Here { .. } => true,
+            Word::Seen { .. }
+            | Word::Grant { .. }
+            | Word::Out { .. }
+            | Word::Warm { .. }
+            | Word::Recall { .. } => true,
+        }
+    }
+
     pub fn write(&self) -> Vec<u8> {
         postcard::to_allocvec(self).unwrap_or_default()
     }
--- a/crates/turns/src/words.rs
+++ b/crates/turns/src/words.rs
@@ -9,7 +9,7 @@
 const MOST_PAIRS: usize = 64;
 const VERSION: u8 = 1;
 
-/// A list's or a grant's number: the place in the log of the word that made it.
+/// A list's number, drawn by whoever takes it in, or a grant's: the place in the log of the word that made it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Number(pub u64);
 
@@ -59,6 +59,7 @@
 pub enum Word {
     /// A list with so many machines, which follow in parts.
     Ask {
+        list: Number,
         terms: Terms,
         machines: u16,
     },
@@ -67,6 +68,10 @@
         first: u16,
         machines: Vec<Machine>,
     },
+    /// All sidecars know the list's machines: those without a lease send to none of them.
+    Known {
+        list: Number,
+    },
     Hold {
         list: Number,
     },
@@ -86,6 +91,15 @@
         list: Number,
         machine: String,
     },
+    /// A sidecar of this start runs; an earlier start of its name does not any more.
+    Here {
+        name: String,
+        start: u64,
+    },
+    /// It runs no more: it said so, or an operator does.
+    Gone {
+        name: String,
+    },
     /// Nobody sends there any more: it may be worked on.
     Out {
         grant: Number,
@@ -108,6 +122,35 @@
     },
 }
 
+/// What sidecars and whoever leads say to each other about leases.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Talk {
+    /// A sidecar of this start asks for its lease; up to where it has read, and of which grants' machines it is clear.
+    Ask { start: u64, no: u64, read: u64, clear: Vec<Number> },
+    /// It has it, once it has read all up to here.
+    Lease { no: u64, settled: u64 },
+    /// It leaves, and sends nothing any more.
+    Leaves { start: u64 },
+    /// A word to be settled, from one that leads not.
+    Settle { word: Vec<u8> },
+}
+
+impl Talk {
+    pub fn write(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![VERSION]).unwrap_or_default()
+    }
+
+    /// # Errors
+    /// Why it can't be used.
+    pub fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
+        let (version, rest) = bytes.split_first().ok_or(Unreadable::Damaged)?;
+        if *version != VERSION {
+            return Err(Unreadable::Version);
+        }
+        postcard::from_bytes(rest).map_err(|_| Unreadable::Damaged)
+    }
+}
+
 /// Why a word can't be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unreadable {
@@ -146,10 +189,11 @@
         }
         let word: Self = postcard::from_bytes(rest).map_err(|_| Unreadable::Damaged)?;
         let sound = match &word {
-            Word::Ask { terms, machines } => terms_fit(terms) && usize::from(*machines) <= MOST_MACHINES,
+            Word::Ask { terms, machines, .. } => terms_fit(terms) && usize::from(*machines) <= MOST_MACHINES,
             Word::Machines { machines, .. } => machines.iter().all(machine_fits),
             Word::Seen { seen, .. } => seen.fits(),
             Word::Grant { machine, .. } => machine.len() <= MOST_NAME,
+            Word::Here { name, .. } | Word::Gone { name } => name.len() <= 64,
             _ => true,
         };
         sound.then_some(word).ok_or(Unreadable::Bounds)
