--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -4,6 +4,7 @@
 mod days;
 mod fleet;
 mod help;
+mod known_red;
 mod platform;
 mod wants;
 mod work;
