What came before a reset, or a failed write, is read; ends behind full buffers are told

Now the loss is told one round after the last input, which stays to be read; what is left with the system is read first, also more than one buffer of it. - A peer that closed behind a full input buffer was not told of (stir() read nothing more). Ruled out: that the system itself drops what came before a reset; it gives the bytes first and the error then. Tests of sockets moved to a file of their own.

--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -28,11 +28,12 @@
         from: SocketAddr,
     },
     Connected(SocketId),
-    /// There is input, or it has ended (see `ended`).
+    /// There is input, or it has ended (see `ended`), or the peer has hung up behind it (see `hung_up`).
     Readable(SocketId),
     /// All that was given to `send` is with the system, after some of it had to wait.
     Flushed(SocketId),
-    /// The connection is gone: refused, reset or failed. `written`: bytes given to the system before.
+    /// The connection is gone: refused, reset or failed. `written`: bytes given to the system before. What it had
+    /// brought is told before, in an earlier round, and stays to be read until then.
     Lost {
         socket: SocketId,
         written: u64,
@@ -67,6 +68,10 @@
     /// Closes when the output is gone; then what still comes in is thrown away until the peer closes.
     finishing: Option<Instant>,
     shut: bool,
+    /// What was thrown away since then, in bytes.
+    trashed: usize,
+    /// It is gone; its owner is told in the next round, and reads what came before until then.
+    lost: Option<ErrorKind>,
 }
 
 enum Socket {
@@ -80,6 +85,15 @@
     socket: Socket,
 }
 
+/// What is left in a listener's backlog.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Waits {
+    Nothing,
+    /// Others have their turn first.
+    ForOthers,
+    ForRoom,
+}
+
 /// Input held for one connection at most, in bytes.
 pub const MOST_INPUT: usize = 32 * 1024;
 /// Datagrams read in a row before others have their turn.
@@ -89,6 +103,9 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 /// How long a closing connection may take to send its last bytes and to be closed by the peer.
 const LINGER: Duration = Duration::from_secs(2);
+/// What a closing connection may still bring, in bytes. Guards against a peer that sends without end and holds the
+/// loop; hurts one that sends a large message while it is told no: it may see a reset instead.
+const MOST_TRASH: usize = 1024 * 1024;
 const SIGNALS: Token = Token(usize::MAX);
 
 pub struct Sockets {
@@ -98,6 +115,9 @@
     mark: u32,
     told: VecDeque<Happening>,
     finishing: VecDeque<SocketId>,
+    lingering: usize,
+    /// Connections that are gone: those whose last input is being told, and those whose end is told next.
+    lost: [Vec<SocketId>; 2],
     /// Connections that were accepted and are open, and how many there may be: of these, and of all.
     accepted: usize,
     most: (usize, usize),
@@ -119,6 +139,8 @@
             mark: 0,
             told: VecDeque::new(),
             finishing: VecDeque::new(),
+            lingering: 0,
+            lost: [Vec::new(), Vec::new()],
             accepted: 0,
             most: (usize::MAX, usize::MAX),
             accept_at: None,
@@ -241,14 +263,50 @@
         self.link(id).is_none_or(|link| link.ended)
     }
 
+    /// Whether the peer has closed its side or the connection is gone, though input may be left to read before it.
+    pub fn hung_up(&mut self, id: SocketId) -> bool {
+        self.link(id).is_none_or(|link| link.ended || link.closed || link.lost.is_some())
+    }
+
     /// Whether nothing has come in: no byte, and no end. Asks the system, which may know more than was told.
     pub fn is_quiet(&mut self, id: SocketId) -> bool {
-        let Some(link) = self.link(id).filter(|link| link.input.is_empty() && !link.ended) else {
+        let live = |link: &&mut Link| link.input.is_empty() && !link.ended && link.lost.is_none();
+        let Some(link) = self.link(id).filter(live) else {
             return false;
         };
         matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Whether bytes lie with the system that were not read yet.
+    pub fn has_unread(&mut self, id: SocketId) -> bool {
+        self.link(id).is_some_and(|link| matches!(link.stream.peek(&mut [0]), Ok(1..)))
+    }
+
+    /// Whether connections that were finished still send their last bytes or hear their peers out.
+    pub fn lingers(&self) -> bool {
+        self.lingering > 0
+    }
+
+    /// Lets in what waits at a listener, then closes it: what is left in a backlog would be reset unheard. Tells
+    /// whether it is closed: without room for one more connection it stays open, as one may wait.
+    pub fn stop_listening(&mut self, id: SocketId) -> bool {
+        loop {
+            let slot = self.slots.get(id.0 as u32 as usize).filter(|slot| u64::from(slot.mark) == id.0 >> 32);
+            if !matches!(slot, Some(Slot { socket: Socket::Listener { .. }, .. })) {
+                return true;
+            }
+            let before = self.accepted;
+            match self.accept(id) {
+                Waits::Nothing => {
+                    self.close(id);
+                    return true;
+                }
+                Waits::ForOthers if self.accepted > before => {}
+                Waits::ForOthers | Waits::ForRoom => return false,
+            }
+        }
+    }
+
     /// Bytes given to the system so far.
     pub fn written(&mut self, id: SocketId) -> u64 {
         self.link(id).map_or(0, |link| link.written)
@@ -275,7 +333,8 @@
 
     /// Queues bytes and sends what the system takes now.
     pub fn send(&mut self, id: SocketId, bytes: &[u8]) {
-        let Some(link) = self.link(id).filter(|link| link.finishing.is_none()) else { return };
+        let open = |link: &&mut Link| link.finishing.is_none() && link.lost.is_none();
+        let Some(link) = self.link(id).filter(open) else { return };
         // Straight to the system while nothing waits before it; what that does not take is kept.
         let mut rest = bytes;
         if !link.connecting && link.output.is_empty() {
@@ -304,6 +363,7 @@
                 Socket::Listener { listener, .. } => self.poll.registry().deregister(listener),
                 Socket::Link(link) => {
                     self.accepted -= usize::from(link.accepted);
+                    self.lingering -= usize::from(link.finishing.is_some());
                     self.poll.registry().deregister(&mut link.stream)
                 }
                 Socket::Datagrams(socket) => self.poll.registry().deregister(socket),
@@ -319,8 +379,12 @@
     /// answer its last bytes with a reset that destroys ours on the way.
     pub fn finish(&mut self, id: SocketId) {
         let Some(link) = self.link(id).filter(|link| link.finishing.is_none()) else { return };
+        if link.lost.is_some() {
+            return self.close(id);
+        }
         link.finishing = Some(Instant::now() + LINGER);
         link.input = BytesMut::new();
+        self.lingering += 1;
         self.finishing.push_back(id);
         self.wind_up(id);
     }
@@ -336,7 +400,12 @@
             loop {
                 match link.stream.read(&mut trash) {
                     Ok(0) => return self.close(id),
-                    Ok(_) => {}
+                    Ok(length) => {
+                        link.trashed += length;
+                        if link.trashed > MOST_TRASH {
+                            return self.close(id);
+                        }
+                    }
                     Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
                     Err(_) => return self.close(id),
@@ -345,11 +414,34 @@
         }
     }
 
+    /// A connection is gone. What it brought before is told first: a whole answer may stand before a reset, and be
+    /// with the system still when a write fails.
     fn lose(&mut self, id: SocketId, why: ErrorKind) {
-        let Some(link) = self.link(id) else { return };
-        let (written, quiet) = (link.written, link.finishing.is_some());
-        self.close(id);
-        if !quiet {
+        let Some(link) = self.link(id).filter(|link| link.lost.is_none()) else { return };
+        if link.finishing.is_some() {
+            return self.close(id);
+        }
+        link.lost = Some(why);
+        link.output = BytesMut::new();
+        let up = !link.connecting;
+        self.lost[0].push(id);
+        if up {
+            self.fill(id);
+        }
+    }
+
+    /// Tells of connections that are gone, once what they brought was there to be read.
+    fn tell_lost(&mut self) {
+        for id in std::mem::take(&mut self.lost[1]) {
+            let Some(link) = self.link(id) else { continue };
+            if link.more && link.input.len() < MOST_INPUT {
+                // The owner takes what comes and there is more.
+                self.fill(id);
+                self.lost[0].push(id);
+                continue;
+            }
+            let (written, why) = (link.written, link.lost.unwrap_or(ErrorKind::Other));
+            self.close(id);
             self.told.push_back(Happening::Lost { socket: id, written, why });
         }
     }
@@ -360,9 +452,10 @@
     /// The poll itself failed.
     pub fn wait(&mut self, most: Option<Duration>) -> io::Result<Vec<Happening>> {
         let soon = self.accept_at.map(|at| at.saturating_duration_since(Instant::now()));
-        let at_once = !self.told.is_empty() || !self.unread.is_empty();
+        self.tell_lost();
+        let at_once = !self.told.is_empty() || !self.unread.is_empty() || !self.lost[0].is_empty();
         let most = if at_once { Some(Duration::ZERO) } else { most };
-        let most = [most, soon, self.lingers()].into_iter().flatten().min();
+        let most = [most, soon, self.end_lingering()].into_iter().flatten().min();
         match self.poll.poll(&mut self.events, most) {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
             _ => {}
@@ -377,7 +470,9 @@
                 _ => None,
             };
             let waiting: Vec<SocketId> = self.slots.iter().filter_map(waits).collect();
-            waiting.into_iter().for_each(|id| self.accept(id));
+            waiting.into_iter().for_each(|id| {
+                self.accept(id);
+            });
         }
         let unread = std::mem::take(&mut self.unread);
         unread.into_iter().for_each(|id| self.read_datagrams(id));
@@ -390,16 +485,21 @@
                 continue;
             }
             let id = SocketId(token.0 as u64);
-            if let Some(link) = self.link(id) {
-                link.closed |= closed;
-            }
+            let hangs_up =
+                self.link(id).is_some_and(|link| closed && !std::mem::replace(&mut link.closed, true));
             self.stir(id, readable, writable);
+            // Behind a full buffer the end can't be read, and is told all the same.
+            if hangs_up && self.link(id).is_some_and(|link| link.more && link.finishing.is_none()) {
+                self.told.push_back(Happening::Readable(id));
+            }
         }
+        let gone = std::mem::take(&mut self.lost[0]);
+        self.lost[1].extend(gone);
         Ok(self.told.drain(..).collect())
     }
 
     /// Drops connections that linger too long; tells when the next one is due.
-    fn lingers(&mut self) -> Option<Duration> {
+    fn end_lingering(&mut self) -> Option<Duration> {
         let now = Instant::now();
         while let Some(id) = self.finishing.front().copied() {
             match self.link(id).and_then(|link| link.finishing) {
@@ -419,11 +519,14 @@
             return;
         }
         match slot.socket {
-            Socket::Listener { .. } => return self.accept(id),
+            Socket::Listener { .. } => {
+                self.accept(id);
+                return;
+            }
             Socket::Datagrams(_) => return self.read_datagrams(id),
             Socket::Link(_) => {}
         }
-        let Some(link) = self.link(id) else { return };
+        let Some(link) = self.link(id).filter(|link| link.lost.is_none()) else { return };
         if link.connecting {
             if let Ok(Some(error)) | Err(error) = link.stream.take_error() {
                 return self.lose(id, error.kind());
@@ -469,13 +572,15 @@
             }
             let room = scratch.len().min(MOST_INPUT - link.input.len());
             match link.stream.read(&mut scratch[..room]) {
+                // The end of what is gone is no end that the peer made.
+                Ok(0) if link.lost.is_some() => break,
                 Ok(0) => (link.ended, fresh) = (true, true),
                 Ok(length) => {
                     link.input.extend_from_slice(&scratch[..length]);
                     fresh = true;
                     // Less than asked for: nothing is left, and what comes next is told anew (epoll(7)). The end
                     // may have been told with these bytes already, and is then read now.
-                    if length < room && !link.closed {
+                    if length < room && !link.closed && link.lost.is_none() {
                         break;
                     }
                 }
@@ -496,16 +601,16 @@
         }
     }
 
-    fn accept(&mut self, id: SocketId) {
+    fn accept(&mut self, id: SocketId) -> Waits {
         for turn in 0..=ACCEPT_BATCH {
             let open = self.slots.len();
-            let Some(slot) = self.slots.get_mut(id.0 as u32 as usize) else { return };
-            let Socket::Listener { listener, waiting } = &mut slot.socket else { return };
+            let Some(slot) = self.slots.get_mut(id.0 as u32 as usize) else { return Waits::Nothing };
+            let Socket::Listener { listener, waiting } = &mut slot.socket else { return Waits::Nothing };
             if turn == ACCEPT_BATCH {
                 // The rest waits for the next round: others have their turn first.
                 *waiting = true;
                 self.accept_at = Some(Instant::now());
-                return;
+                return Waits::ForOthers;
             }
             *waiting = false;
             let (accepted, all) = self.most;
@@ -524,15 +629,16 @@
                         Err(e) => return self.pause(id, e.kind()),
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Waits::Nothing,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => return self.pause(id, e.kind()),
             }
         }
+        Waits::ForOthers
     }
 
     /// Edge-triggered: nobody tells again of what waits, so it is tried again after a while.
-    fn pause(&mut self, id: SocketId, why: ErrorKind) {
+    fn pause(&mut self, id: SocketId, why: ErrorKind) -> Waits {
         if let Some(Slot { socket: Socket::Listener { waiting, .. }, .. }) =
             self.slots.get_mut(id.0 as u32 as usize)
         {
@@ -540,6 +646,7 @@
         }
         self.accept_at = Some(Instant::now() + ACCEPT_AGAIN);
         self.told.push_back(Happening::Pressed { listener: id, why });
+        Waits::ForRoom
     }
 }
 
@@ -571,8 +678,22 @@
     fn new(stream: TcpStream, connecting: bool) -> Self {
         let (input, output) = (BytesMut::new(), BytesMut::new());
         let (more, ended, closed, accepted, written) = (false, false, false, false, 0);
-        let (finishing, shut) = (None, false);
-        Self { stream, input, output, connecting, more, ended, closed, accepted, written, finishing, shut }
+        let (finishing, shut, trashed, lost) = (None, false, 0, None);
+        Self {
+            stream,
+            input,
+            output,
+            connecting,
+            more,
+            ended,
+            closed,
+            accepted,
+            written,
+            finishing,
+            shut,
+            trashed,
+            lost,
+        }
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -607,18 +728,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::fs::File;
-    use std::os::fd::OwnedFd;
-
-    /// What the poll refuses to watch, here a file in place of a socket, leaves nothing behind.
-    #[test]
-    fn a_connection_that_cannot_be_registered_is_let_go() {
-        let mut sockets = Sockets::new().unwrap();
-        let file = OwnedFd::from(File::open("/dev/null").unwrap());
-        let stream = TcpStream::from_std(std::net::TcpStream::from(file));
-        let refused = sockets.insert(Socket::Link(Box::new(Link::new(stream, false))));
-        assert!(refused.is_err() && sockets.open() == 0 && sockets.accepted == 0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/net/src/sockets/tests.rs
@@ -0,0 +1,183 @@
+//! Connections that end while something else goes on, and what the poll refuses.
+
+use super::*;
+use std::fs::File;
+use std::net::{TcpListener as Listener, TcpStream as Stream};
+use std::os::fd::OwnedFd;
+use std::thread;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A connection that stands: its number here, and the other side.
+fn pair(sockets: &mut Sockets) -> (SocketId, Stream) {
+    let listener = Listener::bind("127.0.0.1:0").unwrap();
+    let id = sockets.connect(listener.local_addr().unwrap()).unwrap();
+    let (peer, _) = listener.accept().unwrap();
+    until(sockets, |what| matches!(what, Happening::Connected(at) if *at == id));
+    (id, peer)
+}
+
+/// Goes on until this happens; all that happened up to then.
+fn until(sockets: &mut Sockets, wanted: impl Fn(&Happening) -> bool) -> Vec<Happening> {
+    let end = Instant::now() + PATIENCE;
+    let mut all = Vec::new();
+    while !all.iter().any(&wanted) {
+        assert!(Instant::now() < end, "only {all:?}");
+        all.extend(sockets.wait(Some(PATIENCE)).unwrap());
+    }
+    all
+}
+
+/// The peer answers and resets at once: it closes with bytes unread.
+fn answers_and_resets(sockets: &mut Sockets, id: SocketId, mut peer: Stream, answer: &[u8]) {
+    sockets.send(id, b"ask");
+    peer.peek(&mut [0]).unwrap();
+    peer.write_all(answer).unwrap();
+}
+
+/// What is read up to the loss.
+fn read_until_lost(sockets: &mut Sockets, id: SocketId) -> Vec<u8> {
+    let end = Instant::now() + PATIENCE;
+    let mut read = Vec::new();
+    loop {
+        assert!(Instant::now() < end, "no loss is told");
+        for what in sockets.wait(Some(PATIENCE)).unwrap() {
+            match what {
+                Happening::Readable(at) if at == id => {
+                    read.extend_from_slice(&sockets.input(id).unwrap().split());
+                    sockets.read_on(id);
+                }
+                Happening::Lost { socket, .. } if socket == id => {
+                    assert_eq!(sockets.open(), 0);
+                    return read;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// An answer that stands before a reset is read, however long it is, and the loss is told behind it.
+#[test]
+fn what_came_before_a_reset_is_read() {
+    for length in [6, MOST_INPUT * 3] {
+        let mut sockets = Sockets::new().unwrap();
+        let (id, peer) = pair(&mut sockets);
+        let answer = vec![b'x'; length];
+        answers_and_resets(&mut sockets, id, peer, &answer);
+        assert_eq!(read_until_lost(&mut sockets, id).len(), length);
+    }
+}
+
+/// A write that fails takes nothing from the answer that waits with the system.
+#[test]
+fn what_came_before_a_failed_write_is_read() {
+    let mut sockets = Sockets::new().unwrap();
+    let (id, peer) = pair(&mut sockets);
+    answers_and_resets(&mut sockets, id, peer, b"answer");
+    sockets.send(id, b"more");
+    sockets.send(id, b"and more");
+    assert_eq!(read_until_lost(&mut sockets, id), b"answer");
+}
+
+/// One that was lost is not used again, and its owner may close it before it is told.
+#[test]
+fn a_lost_connection_is_neither_quiet_nor_told_after_its_close() {
+    let mut sockets = Sockets::new().unwrap();
+    let (id, peer) = pair(&mut sockets);
+    answers_and_resets(&mut sockets, id, peer, b"answer");
+    sockets.send(id, b"more");
+    assert!(!sockets.is_quiet(id) && sockets.hung_up(id));
+    sockets.close(id);
+    assert!(sockets
+        .wait(Some(Duration::ZERO))
+        .unwrap()
+        .iter()
+        .all(|what| !matches!(what, Happening::Lost { .. })));
+}
+
+/// A peer that closes is known to have, though its end stands behind more than is read ahead.
+#[test]
+fn an_end_behind_a_full_buffer_is_told() {
+    let mut sockets = Sockets::new().unwrap();
+    let (id, mut peer) = pair(&mut sockets);
+    let writes = thread::spawn(move || {
+        peer.write_all(&vec![b'x'; MOST_INPUT + 10]).unwrap();
+        peer
+    });
+    let readable = |what: &Happening| matches!(what, Happening::Readable(at) if *at == id);
+    until(&mut sockets, readable);
+    let peer = writes.join().unwrap();
+    // All of it has come, and what there is room for was read.
+    while sockets.input(id).unwrap().len() < MOST_INPUT {
+        sockets.wait(Some(PATIENCE)).unwrap();
+    }
+    assert!(!sockets.hung_up(id));
+    drop(peer);
+    until(&mut sockets, readable);
+    assert!(sockets.hung_up(id) && !sockets.ended(id));
+    assert_eq!(sockets.input(id).unwrap().split().len(), MOST_INPUT);
+    sockets.read_on(id);
+    assert_eq!(sockets.input(id).unwrap().len(), 10);
+    assert!(sockets.ended(id));
+}
+
+/// Connections that wait at a listener are let in before it closes, more than one turn lets in too.
+#[test]
+fn nobody_is_left_at_a_listener_that_closes() {
+    let mut sockets = Sockets::new().unwrap();
+    let (listener, at) = sockets.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let came: Vec<Stream> = (0..ACCEPT_BATCH + 36).map(|_| Stream::connect(at).unwrap()).collect();
+    assert!(sockets.stop_listening(listener));
+    let accepted = |what: &Happening| matches!(what, Happening::Accepted { .. });
+    assert_eq!(
+        sockets.wait(Some(PATIENCE)).unwrap().iter().filter(|what| accepted(what)).count(),
+        came.len()
+    );
+    assert!(Stream::connect(at).is_err());
+}
+
+/// Where there is no room for all of them it stays open until there is.
+#[test]
+fn a_listener_without_room_stays_open() {
+    let mut sockets = Sockets::new().unwrap();
+    let (listener, at) = sockets.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    sockets.accept_up_to(2, usize::MAX);
+    let _came: Vec<Stream> = (0..3).map(|_| Stream::connect(at).unwrap()).collect();
+    assert!(!sockets.stop_listening(listener));
+    let accepted = |what: &Happening| match what {
+        Happening::Accepted { socket, .. } => Some(*socket),
+        _ => None,
+    };
+    let first: Vec<SocketId> = sockets.wait(Some(PATIENCE)).unwrap().iter().filter_map(accepted).collect();
+    assert_eq!(first.len(), 2);
+    first.into_iter().for_each(|id| sockets.close(id));
+    assert!(sockets.stop_listening(listener));
+    assert!(sockets.wait(Some(PATIENCE)).unwrap().iter().filter_map(accepted).next().is_some());
+}
+
+/// A peer that sends without end does not hold a connection that closes.
+#[test]
+fn a_closing_connection_hears_its_peer_out_in_bounds() {
+    let mut sockets = Sockets::new().unwrap();
+    let (id, mut peer) = pair(&mut sockets);
+    sockets.finish(id);
+    assert!(sockets.lingers());
+    let sends = thread::spawn(move || while peer.write_all(&[0; 4096]).is_ok() {});
+    let end = Instant::now() + LINGER;
+    while sockets.lingers() {
+        sockets.wait(Some(PATIENCE)).unwrap();
+    }
+    assert!(Instant::now() < end && sockets.open() == 0);
+    sends.join().unwrap();
+}
+
+/// What the poll refuses to watch, here a file in place of a socket, leaves nothing behind.
+#[test]
+fn a_connection_that_cannot_be_registered_is_let_go() {
+    let mut sockets = Sockets::new().unwrap();
+    let file = OwnedFd::from(File::open("/dev/null").unwrap());
+    let stream = TcpStream::from_std(std::net::TcpStream::from(file));
+    let refused = sockets.insert(Socket::Link(Box::new(Link::new(stream, false))));
+    assert!(refused.is_err() && sockets.open() == 0 && sockets.accepted == 0);
+}
