Shutdown is one state machine; no statement is closed unread, all is answered before the end

Seen, by tests with processes that are stopped between the events (all fail on the text before): - platform: a statement that comes while the process stands still as its door closes, on a new connection or an idle one, was closed unread: client hears End instead of its row (close_door dropped each idle client and closed the listener with its backlog; settle looked at bytes already read alone). - platform: a request whose own deadline is beyond the settings' was open when Due::Leave ended the loop: client hears End. - sidecar: a request on a new connection that crosses the word to leave was reset in the backlog (leave closed the listener). Ruled out: the same on an idle connection of the HTTP sidecar, whose read comes in the same round; it has a test all the same. The process no longer ends while closing connections still linger: a reset would destroy answers on their way. Who waits to be let in makes others go only after all that was read in the round.

--- /dev/null
+++ b/crates/cli/tests/command/leaving.rs
@@ -0,0 +1,37 @@
+//! A sidecar in HTTP that is told to leave while requests are on their way to it.
+
+use crate::help::{settings, Running};
+use rstest::rstest;
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{Read, Write};
+use std::process::Stdio;
+
+const REQUEST: &str = "GET /quotes/1 HTTP/1.1\r\nhost: q\r\ncustomer: alder\r\nrouting-key: a\r\n\r\n";
+
+/// The word to leave comes with a request that the process has not read, on a new connection or on one that was idle: it
+/// has an answer. Without the mend the connection is closed with none.
+#[rstest]
+#[case::new(true)]
+#[case::idle(false)]
+fn a_request_that_crosses_the_word_to_leave_is_answered(#[case] new: bool) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut sidecar = Running::start("", &settings(folder.path(), "127.0.0.1:0"), Stdio::null());
+    let mut client = sidecar.connect();
+    let signal = |signal| kill_process(Pid::from_child(&sidecar.child), signal).unwrap();
+    // One that has been let in.
+    let mut first = sidecar.connect();
+    first.write_all(b"GET /limewing/status HTTP/1.1\r\nhost: q\r\n\r\n").unwrap();
+    assert!(first.read(&mut [0; 4096]).unwrap() > 0);
+    signal(Signal::STOP);
+    if new {
+        client = sidecar.connect();
+    }
+    signal(Signal::TERM);
+    client.write_all(REQUEST.as_bytes()).unwrap();
+    signal(Signal::CONT);
+    let mut answer = String::new();
+    let _ = client.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    drop((client, first));
+    assert!(sidecar.child.wait().unwrap().success());
+}
--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod help;
 mod known_red;
+mod leaving;
 mod platform;
 mod wants;
 mod work;
--- a/crates/cli/tests/command/platform.rs
+++ b/crates/cli/tests/command/platform.rs
@@ -57,6 +57,53 @@
     assert!(sidecar.ends());
 }
 
+/// The process stands still while its door is to close, and a statement comes meanwhile: on a new connection or on one
+/// that was idle. Without the mend the connection is closed with the statement unread.
+#[rstest]
+#[case::new(true)]
+#[case::idle(false)]
+fn a_statement_that_comes_as_the_door_closes_is_answered(#[case] new: bool) {
+    let (_pod, mut sidecar, mut client) = with_pod(vec![Does::Serves("red")]);
+    let mut told = Client::new(sidecar.at);
+    sidecar.signal(Signal::TERM);
+    // Whoever is served after the word to leave is closed: so it has been heard.
+    for id in 0.. {
+        told.asks(&ask("look", 0x100 + id));
+        if told.hears() == Answer::End {
+            break;
+        }
+    }
+    sidecar.signal(Signal::STOP);
+    sleep(DOOR_CLOSES);
+    if new {
+        client = Client::silent(sidecar.at);
+        client.begins();
+    }
+    client.asks(&ask("look", 1));
+    sidecar.signal(Signal::CONT);
+    assert_eq!(if new { client.hears_first() } else { client.hears() }, Answer::Row("red".into()));
+    assert!(client.hears_the_end());
+    assert!(sidecar.ends());
+}
+
+/// Longer than connections go on coming to a sidecar that was told to leave.
+const DOOR_CLOSES: Duration = Duration::from_millis(700);
+
+/// A request may bring a longer time than the settings have: it is answered before the process has to be gone. Without
+/// the mend the process ends with it open.
+#[test]
+fn a_leaving_sidecar_answers_all_before_it_ends() {
+    let pod = Pod::new(vec![Does::Waits]);
+    let config = Config { patience: 1.0, ..Config::new(vec![Listed::new("p1", pod.at)]) };
+    let mut sidecar = Platform::start(&config);
+    let mut client = Client::new(sidecar.at);
+    client.asks(&ask("pay", 1).replace("d=2000", "d=60000"));
+    assert!(pod.hears().starts_with("SELECT"));
+    sidecar.signal(Signal::TERM);
+    assert!(matches!(client.hears(), Answer::Error(code, _) if code == "58000"));
+    assert!(sidecar.ends());
+}
+
 #[test]
 fn a_leaving_sidecar_settles_what_waits() {
     let config = Config { patience: 1.0, ..Config::new(Vec::new()) };
--- a/crates/hosting/src/lib.rs
+++ b/crates/hosting/src/lib.rs
@@ -1,9 +1,10 @@
 //! What every host of the decision module on sockets needs, whatever protocol it speaks: hits that are open and
 //! forwards that end once (`open`), connections kept to pods (`kept`), who may have how many descriptors
-//! (`room`), when a lost service is asked again (`again`), the clock (`clock`). Nothing is decided here.
+//! (`room`), when a lost service is asked again (`again`), the clock (`clock`), how a process that is told to leave goes (`shutdown`). Nothing is decided here.
 
 pub mod again;
 pub mod clock;
 pub mod kept;
 pub mod open;
 pub mod room;
+pub mod shutdown;
--- a/crates/hosting/src/open.rs
+++ b/crates/hosting/src/open.rs
@@ -65,6 +65,19 @@
         self.hits.get_mut(&hit).filter(|open| !open.over)
     }
 
+    /// Those that are not over, in their order.
+    pub fn all_unsettled(&self) -> Vec<HitId> {
+        let open = self.hits.iter().filter(|(_, open)| !open.over).map(|(hit, _)| *hit);
+        let mut open: Vec<HitId> = open.collect();
+        open.sort_unstable();
+        open
+    }
+
+    /// Whether any is not over.
+    pub fn has_unsettled(&self) -> bool {
+        self.hits.values().any(|open| !open.over)
+    }
+
     /// The pods that forwards are out to, each as often as there are.
     pub fn pods_out(&self) -> impl Iterator<Item = PodId> + '_ {
         let forwards = self.hits.values().flat_map(|open| &open.forwards);
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -1,6 +1,7 @@
 //! What this host decides beside the module, with no I/O and no clock: how long a party is waited for and how much of
 //! it is borne, whose connection goes first, and what a connection that ends proves.
 
+use limewing_hosting::shutdown::Spans;
 use std::io::ErrorKind;
 use std::time::Duration;
 
@@ -33,6 +34,25 @@
 /// cross a forward.
 const KEPT_PART: f64 = 0.7;
 
+/// How long connections go on coming after a sidecar was told to leave (the protocol: 0.2 to 0.4 s), and a moment for
+/// those that are on their way.
+const STILL_FOUND: Duration = Duration::from_millis(550);
+/// A sidecar that was told to leave is killed no sooner than the longest deadline, counted as this where it is longer, and
+/// `KILLED_AFTER` more.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// So long before it may be killed all is answered, and it ends: answers still have to be read by their clients. Hurts
+/// requests that would have been answered in that time.
+const ANSWERED_BEFORE: Duration = Duration::from_millis(200);
+const ENDED_BEFORE: Duration = Duration::from_millis(50);
+
+/// The times of a shutdown, from the longest deadline that the settings name: what a request itself brings may be longer,
+/// and is cut short by them.
+pub fn shutdown(longest: Duration) -> Spans {
+    let killed = longest.min(LONGEST_COUNTED) + KILLED_AFTER;
+    Spans { found: STILL_FOUND, answered: killed - ANSWERED_BEFORE, ended: killed - ENDED_BEFORE }
+}
+
 /// What becomes of a forward whose connection ended or said what can't be an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -264,7 +264,7 @@
         timer.map(|timer| self.wheel.cancel(timer));
         // More bytes than an answer has: they would be taken for the next one's.
         let more = self.sockets.input(link).is_none_or(|input| !input.is_empty());
-        if more || self.closed && free {
+        if more || self.shutdown.closes() && free {
             return self.close_link(link);
         }
         if free {
--- a/crates/platform/src/service/front.rs
+++ b/crates/platform/src/service/front.rs
@@ -55,8 +55,8 @@
                 return;
             }
             if client.hit.is_some() {
-                // What comes behind waits its turn; a client that closed its side is gone.
-                return if ended { self.client_gone(id) } else { Default::default() };
+                // What comes behind waits its turn; a client that closed its side is gone, whatever it left unread.
+                return if self.sockets.hung_up(id) { self.client_gone(id) } else { Default::default() };
             }
             // Nothing more is taken off a client that does not read its answers.
             if self.sockets.unsent(id) > MOST_UNSENT {
@@ -189,15 +189,13 @@
         let Some(id) = client else { return };
         write::ready(&mut out);
         self.sockets.send(id, &out);
-        let (now, closed) = (self.now, self.leaving);
+        let (now, leaves) = (self.now, self.shutdown.is_told());
         let Some(client) = self.client(id) else { return };
         (client.hit, client.since, client.served) = (None, now, true);
         // Whoever is served by a sidecar that leaves is to find another one. What it sent behind is still served.
-        let more = self.sockets.input(id).is_some_and(|input| !input.is_empty());
-        if closed && !more {
-            return self.drop_client(id);
+        if !(leaves && self.let_go(id)) {
+            self.client_wrote(id);
         }
-        self.client_wrote(id);
     }
 
     pub(super) fn tidy(&mut self, hit: HitId) {
@@ -253,8 +251,23 @@
         self.wheel.arm(self.now + SWEEP_EVERY, Due::Sweep);
         let (now, clients, room) = (self.now, self.clients, self.room.accepted);
         let idle = self.idle_clients().into_iter();
-        let over: Vec<_> = idle.filter(|(idle, _)| bounds::overstays(idle, clients, room, now)).collect();
-        over.into_iter().for_each(|(_, id)| self.drop_client(id));
+        let over = |idle: &Idle| bounds::overstays(idle, clients, room, now) || self.shutdown.closes();
+        let over: Vec<_> = idle.filter(|(idle, _)| over(idle)).map(|(_, id)| id).collect();
+        for id in over {
+            self.let_go(id);
+        }
+    }
+
+    /// Closes a connection that has no hit, unless a statement has begun to come on it or lies with the system: its client
+    /// would have to ask again. Tells whether it did. A client that has not asked yet has its time to.
+    fn let_go(&mut self, id: SocketId) -> bool {
+        let Some(client) = self.client(id) else { return false };
+        let asks = client.hit.is_some() || client.silent.is_some() || client.frames.begun();
+        if asks || !self.sockets.is_quiet(id) {
+            return false;
+        }
+        self.drop_client(id);
+        true
     }
 
     fn idle_clients(&self) -> Vec<(Idle, SocketId)> {
@@ -271,6 +284,8 @@
         let go = bounds::make_room(self.idle_clients(), self.now);
         go.into_iter().for_each(|id| match self.client(id).map(|c| c.away.is_some()) {
             Some(true) => self.turn_away_now(id),
+            // What it said lies with the system: it is read next.
+            _ if self.sockets.has_unread(id) => {}
             _ => self.drop_client(id),
         });
         if self.sockets.open() >= self.room.shared {
@@ -278,13 +293,14 @@
         }
     }
 
-    /// Those that still came are in; from now on each connection is closed once nothing is open on it.
+    /// Those that still come are let in first; from now on each connection is closed once nothing is open on it.
     pub(super) fn close_door(&mut self) {
-        self.closed = true;
-        self.sockets.close(self.listener);
+        self.door = !self.sockets.stop_listening(self.listener);
         let mut idle = self.idle_clients();
         idle.sort_unstable();
-        idle.into_iter().for_each(|(_, id)| self.drop_client(id));
+        for (_, id) in idle {
+            self.let_go(id);
+        }
     }
 
     /// The client went: its hit is over, if it had one.
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -23,6 +23,7 @@
 use limewing_hosting::kept::{Kept, Lapses};
 use limewing_hosting::open::OpenHits;
 use limewing_hosting::room::Room;
+use limewing_hosting::shutdown::{Holds, Shutdown, Step};
 use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::Wheel;
@@ -37,8 +38,6 @@
 const HANG_UP: i32 = 1;
 /// SIGTERM and SIGINT.
 const LEAVE_ON: [i32; 2] = [15, 2];
-/// How long connections go on coming after a sidecar was told to leave: it serves them until then.
-const STILL_FOUND: Duration = Duration::from_millis(550);
 /// A turn of the loop that takes longer is told: hits that came meanwhile have waited for it.
 const LONG_TURN: Duration = Duration::from_millis(20);
 /// Bytes that wait for a client before it is read no further.
@@ -75,8 +74,6 @@
     AskNews,
     NewsQuiet(SocketId),
     VoteLate(SocketId),
-    CloseDoor,
-    Leave,
 }
 
 /// The settings as the few figures that the loop uses.
@@ -86,7 +83,6 @@
     idle_close: Duration,
     max_forwards: usize,
     vote_answer_within: Duration,
-    longest_hit: Duration,
 }
 
 pub struct Service {
@@ -117,10 +113,11 @@
     latest: Latest,
     lost_news: Again,
     room: Room,
-    leaving: bool,
-    /// No connection is accepted any more.
-    closed: bool,
-    left: bool,
+    shutdown: Shutdown,
+    /// Connections could not be let in, for want of room.
+    pressed: bool,
+    /// Connections wait at the listener, and there is no room for them.
+    door: bool,
 }
 
 impl Service {
@@ -157,8 +154,8 @@
             idle_close: told.sockets.idle_close,
             max_forwards: told.terms.max_forwards.into(),
             vote_answer_within: told.terms.release.vote_answer_within,
-            longest_hit: told.terms.groups.iter().map(|g| g.client_timeout).max().unwrap_or_default(),
         };
+        let longest = told.terms.groups.iter().map(|g| g.client_timeout).max().unwrap_or_default();
         let mut service = Self {
             file,
             sockets,
@@ -186,9 +183,9 @@
             latest: Latest::default(),
             lost_news: Again::new(told.seed),
             room,
-            leaving: false,
-            closed: false,
-            left: false,
+            shutdown: Shutdown::new(bounds::shutdown(longest)),
+            pressed: false,
+            door: false,
         };
         if let Some(state) = told.news {
             service.stands(state, None);
@@ -218,19 +215,24 @@
     /// # Errors
     /// The poll failed.
     pub fn run(mut self) -> io::Result<()> {
-        while !self.left {
+        while !self.shutdown.is_done() {
             self.turn()?;
         }
         Ok(())
     }
 
     fn turn(&mut self) -> io::Result<()> {
-        let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
+        let next = [self.wheel.next(), self.shutdown.next()].into_iter().flatten().min();
+        let next = next.map_or(self.wake, |at| at.min(self.wake));
         let wait =
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
         let happened = self.sockets.wait(Some(wait))?;
         self.now = self.clock.now();
         happened.into_iter().for_each(|what| self.happened(what));
+        // After all that was read: who has just asked is not taken for idle.
+        if std::mem::take(&mut self.pressed) {
+            self.make_room_for_clients();
+        }
         while let Some(due) = self.wheel.take(self.now) {
             self.is_due(due);
         }
@@ -244,8 +246,7 @@
             let ms = took.as_secs_f64() * 1e3;
             tracing::warn!(ms, open_hits = self.hits.len(), "a turn of the loop took long");
         }
-        // The last answers are with the system before the process goes.
-        self.left |= self.closed && self.hits.is_empty() && self.sockets.all_unsent() == 0;
+        self.shut_down();
         Ok(())
     }
 
@@ -285,7 +286,7 @@
             },
             Happening::Pressed { why, .. } => {
                 tracing::debug!(%why, open = self.sockets.open(), "can't accept; tried again in 100 ms");
-                self.make_room_for_clients();
+                self.pressed = true;
             }
             // No socket for datagrams is ever opened here: the platform tells of no peers.
             Happening::Datagram { .. } => {}
@@ -307,8 +308,6 @@
             Due::AskNews => self.ask_news(),
             Due::NewsQuiet(id) => self.news_lost(id, "the stream says nothing"),
             Due::VoteLate(id) => self.vote_over(id, VoteAnswer::Unanswered, None),
-            Due::CloseDoor => self.close_door(),
-            Due::Leave => self.left = true,
         }
     }
 
@@ -351,12 +350,39 @@
 
     /// Serves those that still come, then settles what is held and goes, in bounded time.
     fn leave(&mut self, signal: i32) {
-        if self.leaving {
+        if self.shutdown.tell(self.now) {
+            tracing::info!(signal, open_hits = self.hits.len(), "leaving");
+        }
+    }
+
+    fn shut_down(&mut self) {
+        if !self.shutdown.is_told() {
             return;
         }
-        tracing::info!(signal, open_hits = self.hits.len(), "leaving");
-        self.leaving = true;
-        self.wheel.arm(self.now + STILL_FOUND, Due::CloseDoor);
-        self.wheel.arm(self.now + STILL_FOUND + self.terms.longest_hit, Due::Leave);
+        if self.shutdown.closes() && self.door {
+            self.door = !self.sockets.stop_listening(self.listener);
+        }
+        loop {
+            let holds = Holds {
+                door: self.door,
+                requests: self.hits.has_unsettled(),
+                clients: self.clients > 0,
+                unsent: self.sockets.all_unsent() > 0 || self.sockets.lingers(),
+            };
+            match self.shutdown.step(self.now, holds) {
+                Some(Step::CloseDoor) => self.close_door(),
+                Some(Step::AnswerAll) => self.answer_all(),
+                Some(Step::End) | None => return,
+            }
+        }
+    }
+
+    /// The time to leave is up: every request that is held is answered now.
+    fn answer_all(&mut self) {
+        for hit in self.hits.all_unsettled() {
+            tracing::warn!(hit = hit.0, "not answered before the end");
+            self.events.push(Event::Left(hit));
+            self.fail(hit);
+        }
     }
 }
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -63,7 +63,7 @@
     }
 
     pub(super) fn ask_list(&mut self) {
-        if self.list_link.is_some() || self.leaving {
+        if self.list_link.is_some() || self.shutdown.is_told() {
             return;
         }
         if let Some(at) = self.others_turn(Asked::List) {
@@ -172,7 +172,9 @@
     }
 
     pub(super) fn ask_news(&mut self) {
-        let Some(installer) = self.terms.installer.as_ref().filter(|_| !self.leaving) else { return };
+        let Some(installer) = self.terms.installer.as_ref().filter(|_| !self.shutdown.is_told()) else {
+            return;
+        };
         let (patience, address) = (self.now + Duration::from(installer.quiet_at_most), installer.address);
         if let Some(at) = self.others_turn(Asked::Installer) {
             self.wheel.arm(at, Due::AskNews);
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -273,12 +273,12 @@
     fn answer_whole(&mut self, link: SocketId) {
         // An answer may come before all of the hit was sent: the rest of it must not be taken for another.
         let unsent = self.sockets.unsent(link) > 0 || self.body_comes_on(link);
-        let clean = !self.sockets.ended(link) && !unsent;
+        let clean = !self.sockets.hung_up(link) && !unsent;
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let pod = of.pod;
         let Some(job) = of.job.take() else { return };
         let Some((head, _)) = &job.answer else { return };
-        if clean && head.keep_alive && !self.leaving {
+        if clean && head.keep_alive && !self.shutdown.is_told() {
             self.keep(link, pod);
         } else {
             self.peers.remove(&link);
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -92,7 +92,7 @@
 
 impl Service {
     pub(super) fn client_came(&mut self, id: SocketId) {
-        if self.clients >= self.terms.clients || self.leaving {
+        if self.clients >= self.terms.clients || self.shutdown.is_told() {
             let status = self.proxy_status("bounced", true);
             self.say(id, 503, &[("retry-after", "1"), ("proxy-status", &status)], b"", false);
             return self.sockets.finish(id);
@@ -160,7 +160,7 @@
     }
 
     fn request(&mut self, id: SocketId, head: RequestHead, body: Bytes) {
-        let keep_alive = head.keep_alive && !self.leaving;
+        let keep_alive = head.keep_alive && !self.shutdown.is_told();
         let Some(client) = self.client(id) else { return };
         // Unless all of its body was read, what follows can't be told from it.
         client.close = !keep_alive || client.rest.is_some();
@@ -173,7 +173,7 @@
             ("POST", WORK) => return self.asked_for_work(id, &body),
             _ => {}
         }
-        if self.leaving {
+        if self.shutdown.is_told() {
             let fields = [("retry-after", "1"), ("proxy-status", &self.proxy_status("bounced", true)[..])];
             return self.reply(id, 503, &fields, b"");
         }
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -30,6 +30,7 @@
 use limewing_hosting::kept::Kept;
 use limewing_hosting::open::OpenHits;
 use limewing_hosting::room::Room;
+use limewing_hosting::shutdown::{Holds, Shutdown, Spans, Step};
 use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::Wheel;
@@ -104,7 +105,6 @@
     AskNews,
     NewsQuiet(SocketId),
     VoteLate(SocketId),
-    Leave,
 }
 
 /// The settings as the few figures that the loop uses.
@@ -123,7 +123,6 @@
     clients: usize,
     max_forwards: usize,
     vote_answer_within: Duration,
-    longest_hit: Duration,
     streamed: Vec<bool>,
 }
 
@@ -167,8 +166,9 @@
     listed: Vec<Row>,
     /// Parcels for it came.
     work_heard: bool,
-    leaving: bool,
-    left: bool,
+    shutdown: Shutdown,
+    /// Connections wait at the listener, and there is no room for them.
+    door: bool,
 }
 
 impl Service {
@@ -233,7 +233,6 @@
             clients: limits.clients,
             max_forwards: limits.max_forwards.into(),
             vote_answer_within: settings.releases.vote_answer_within.into(),
-            longest_hit,
             streamed: settings.path_groups.iter().map(|group| group.streamed).collect(),
         };
         let mut service = Self {
@@ -269,8 +268,8 @@
             copies,
             listed: Vec::new(),
             work_heard: false,
-            leaving: false,
-            left: false,
+            shutdown: Shutdown::new(shutdown_spans(longest_hit)),
+            door: false,
         };
         service.recall(settings.state_file.as_deref());
         service.ask_news();
@@ -287,7 +286,7 @@
     /// # Errors
     /// The poll failed.
     pub fn run(mut self) -> io::Result<()> {
-        while !self.left {
+        while !self.shutdown.is_done() {
             self.turn()?;
         }
         if let (Some(work), Some(fleet)) = (&mut self.work, &mut self.fleet) {
@@ -301,7 +300,8 @@
     }
 
     fn turn(&mut self) -> io::Result<()> {
-        let next = self.wheel.next().map_or(self.wake, |at| at.min(self.wake));
+        let next = [self.wheel.next(), self.shutdown.next()].into_iter().flatten().min();
+        let next = next.map_or(self.wake, |at| at.min(self.wake));
         let next = self.fleet.as_ref().map_or(next, |fleet| fleet.next().min(next));
         let next = self.copies.as_ref().map_or(next, |copies| copies.next().min(next));
         let next = self.work.as_ref().map_or(next, |work| work.wakes(self.clock.now()).min(next));
@@ -346,8 +346,7 @@
                 "a turn of the loop took long, in ms"
             );
         }
-        // The last answers are with the system before the process goes.
-        self.left |= self.leaving && self.hits.is_empty() && self.sockets.all_unsent() == 0;
+        self.shut_down();
         Ok(())
     }
 
@@ -493,7 +492,6 @@
             Due::AskNews => self.ask_news(),
             Due::NewsQuiet(id) => self.news_quiet(id),
             Due::VoteLate(id) => self.vote_over(id, VoteAnswer::Unanswered, None),
-            Due::Leave => self.left = true,
         }
     }
 
@@ -515,23 +513,73 @@
 
     /// Takes no new connection, settles what is held, and goes in bounded time.
     fn leave(&mut self, signal: i32) {
-        if self.leaving {
+        if !self.shutdown.tell(self.now) {
             return;
         }
         tracing::info!(signal, open_hits = self.hits.len(), "leaving: no new hits are taken");
-        self.leaving = true;
         // Where machines go out for work it is waited for until it has settled all: it says so at its end.
         if let Some(fleet) = self.fleet.as_mut().filter(|_| self.work.is_none()) {
             fleet.leave(self.now, &mut self.sockets);
         }
-        self.sockets.close(self.listener);
-        self.wheel.arm(self.now + self.terms.longest_hit + Duration::from_secs(1), Due::Leave);
+    }
+
+    fn shut_down(&mut self) {
+        if !self.shutdown.is_told() {
+            return;
+        }
+        if self.shutdown.closes() && self.door {
+            self.door = !self.sockets.stop_listening(self.listener);
+        }
+        loop {
+            let holds = Holds {
+                door: self.door,
+                requests: self.hits.has_unsettled(),
+                clients: self.clients > 0,
+                // What became of forwards that are still out is to be known, too.
+                unsent: !self.hits.is_empty() || self.sockets.all_unsent() > 0 || self.sockets.lingers(),
+            };
+            match self.shutdown.step(self.now, holds) {
+                Some(Step::CloseDoor) => self.close_door(),
+                Some(Step::AnswerAll) => self.answer_all(),
+                Some(Step::End) | None => return,
+            }
+        }
+    }
+
+    /// Those that have come are let in and told so; connections that carry nothing are closed.
+    fn close_door(&mut self) {
+        self.door = !self.sockets.stop_listening(self.listener);
         let clients = self.peers.iter().filter_map(|(id, peer)| match peer {
             Peer::Client(client) if client.idle() => Some(*id),
             _ => None,
         });
         let mut clients: Vec<SocketId> = clients.collect();
         clients.sort_unstable();
+        // A request that lies with the system, or has begun to come, is answered first.
+        clients.retain(|id| self.sockets.is_quiet(*id));
         clients.into_iter().for_each(|id| self.drop_client(id));
     }
+
+    /// The time to leave is up: every request that is held is answered now.
+    fn answer_all(&mut self) {
+        for hit in self.hits.all_unsettled() {
+            tracing::warn!(hit = hit.0, "not answered before the end");
+            let Some(open) = self.hits.get(hit) else { continue };
+            match open.client.filter(|_| open.of.passing.is_some()) {
+                // Its client sees that what was passed on is not whole.
+                Some(client) => self.client_gone(client),
+                None => {
+                    self.events.push(Event::Left(hit));
+                    self.fail(hit);
+                }
+            }
+        }
+    }
+}
+
+/// The times of a shutdown: the longest client timeout is waited out, and its answers' way. No connection is let in from
+/// the word to leave on.
+fn shutdown_spans(longest: Duration) -> Spans {
+    let second = Duration::from_secs(1);
+    Spans { found: Duration::ZERO, answered: longest + second / 2, ended: longest + second }
 }
--- a/crates/standins/src/platform/client.rs
+++ b/crates/standins/src/platform/client.rs
@@ -58,6 +58,13 @@
         Self { link, last: Instant::now(), patience: PATIENCE }
     }
 
+    /// Asks for its session, and does not wait for the welcome.
+    pub fn begins(&mut self) {
+        let mut out = BytesMut::new();
+        write::startup(&mut out, &[("user", "api"), ("database", "ledger")]);
+        self.sends(&out);
+    }
+
     /// Whether all of it could be sent.
     pub fn sends(&mut self, bytes: &[u8]) -> bool {
         self.link.stream.write_all(bytes).is_ok()
