Connections to pods rest after an answer, and lead to a pod's present life; unsent attempts end

Seen, by tests on real sockets (the first five fail on the text before, with these failures): - A second answer that comes after the next statement on its connection was served for it where both ask for the same row (client hears red, pod answered blue), and failed it elsewhere (58000): PodLink.last compared keys. - Pods that give equal values for several rows had every second answer on a connection taken for such a copy (58000): the same comparison. That hurts any customer with short values. - Half a notice on a kept connection left a timer armed that write_forward replaced without cancelling; it ran out in the middle of the next answer, which was given up as broken off (58000). - A client that went while its attempt waited for its pod's sign of life: the statement went out all the same where the settings do not allow attempts to be cancelled. - A connection to where a pod was, or to an earlier life of it, went back among those kept for it. Now a connection rests 50 ms after an answer, so that a copy comes while nothing waits and the comparison could go; it is kept by life (address, start, build); what has not gone out ends as never run when its request is over, its pod drains, moves or starts anew, or news lower the cap of its build. Ruled out by a test: the connections that one request can cost are bounded (four for each attempt).

--- a/crates/hosting/src/kept.rs
+++ b/crates/hosting/src/kept.rs
@@ -27,8 +27,13 @@
 
     /// The one that was used last: the others may grow old and close.
     pub fn take(&mut self, pod: PodId) -> Option<Link> {
+        self.take_if(pod, |_| true)
+    }
+
+    /// Of those that fit the one that was used last.
+    pub fn take_if(&mut self, pod: PodId, fits: impl Fn(&Link) -> bool) -> Option<Link> {
         let links = self.0.get_mut(&pod)?;
-        let last = links.pop();
+        let last = links.iter().rposition(fits).map(|place| links.remove(place));
         if links.is_empty() {
             self.0.remove(&pod);
         }
--- a/crates/hosting/src/open.rs
+++ b/crates/hosting/src/open.rs
@@ -78,6 +78,24 @@
         self.hits.values().any(|open| !open.over)
     }
 
+    /// The forwards that are out, in their order, each with its pod and connection.
+    pub fn all_out(&self) -> Vec<(HitId, ForwardNo, PodId, Option<SocketId>)> {
+        let of = |(hit, open): (&HitId, &Open<T>)| {
+            let (hit, out) = (*hit, (0..).zip(&open.forwards).filter(|(_, forward)| !forward.ended));
+            out.map(|(no, forward)| (hit, ForwardNo(no), forward.pod, forward.link)).collect::<Vec<_>>()
+        };
+        let mut all: Vec<_> = self.hits.iter().flat_map(of).collect();
+        all.sort_unstable();
+        all
+    }
+
+    /// The forwards of a hit that are out, each with its connection.
+    pub fn out_of(&self, hit: HitId) -> Vec<(ForwardNo, Option<SocketId>)> {
+        let forwards = self.hits.get(&hit).into_iter().flat_map(|open| &open.forwards);
+        let out = (0..).zip(forwards).filter(|(_, forward)| !forward.ended);
+        out.map(|(no, forward)| (ForwardNo(no), forward.link)).collect()
+    }
+
     /// The pods that forwards are out to, each as often as there are.
     pub fn pods_out(&self) -> impl Iterator<Item = PodId> + '_ {
         let forwards = self.hits.values().flat_map(|open| &open.forwards);
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -24,6 +24,10 @@
 /// An answer that has begun is whole within this time: a pod writes it in one go. Guards against lengths that
 /// don't fit, for which nothing more ever comes. Hurts where a pod stands still in the middle of an answer.
 pub const WHOLE_WITHIN: Duration = Duration::from_millis(150);
+/// A connection that has just carried an answer rests so long before it carries the next. Guards against a second copy of the
+/// answer, which comes some milliseconds after the first and would be taken for the next one's; what comes while it rests
+/// is seen, and the connection closed. Hurts by a connection more to a pod that is asked again within that time.
+pub const RESTS: Duration = Duration::from_millis(50);
 /// How long the last byte is held back once the empty query is answered: a reset that the first bytes brought
 /// about comes right behind that answer. Hurts each forward by that time.
 pub const HELD_BACK: Duration = Duration::from_millis(2);
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -43,10 +43,24 @@
     pub version_no: u16,
 }
 
+impl Entry {
+    fn life(&self) -> Life {
+        Life { dial: self.dial, born_ms: self.born_ms, build: BuildId(self.version_no) }
+    }
+}
+
 fn whole() -> f64 {
     1.0
 }
 
+/// One life of a pod: connections and forwards that were meant for another one are of no use to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life {
+    pub dial: SocketAddr,
+    pub born_ms: u64,
+    pub build: BuildId,
+}
+
 /// Longer than the module speaks of a pod that is gone.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(300);
 /// Entries of one object, at most.
@@ -76,8 +90,10 @@
 /// What a listing changed.
 pub struct Change {
     pub news: ListNews,
-    /// Pods whose connections lead to where they are no longer.
+    /// Pods whose connections lead to where they are no longer, or to an earlier life of theirs.
     pub moved: Vec<PodId>,
+    /// Pods that no longer want what was meant for them and has not gone out: those, and those that drain.
+    pub unwilling: Vec<PodId>,
 }
 
 impl List {
@@ -107,7 +123,7 @@
         if told.hosts.len() > MOST_ENTRIES {
             return Err(format!("{} entries, at most {MOST_ENTRIES}", told.hosts.len()));
         }
-        let (mut rows, mut moved) = (Vec::new(), Vec::new());
+        let (mut rows, mut moved, mut unwilling) = (Vec::new(), Vec::new(), Vec::new());
         if told.whole {
             let listed: Vec<&str> = told.hosts.iter().map(|entry| entry.host.as_str()).collect();
             let gone = self.rows.keys().filter(|host| !listed.contains(&host.as_str()));
@@ -124,12 +140,16 @@
                 rows.extend(self.remove(&entry.host, now, &mut moved));
                 continue;
             }
-            moved.extend(old.filter(|old| old.entry.dial != entry.dial).map(|old| old.pod));
+            moved.extend(old.filter(|old| old.entry.life() != entry.life()).map(|old| old.pod));
+            let drains =
+                old.filter(|old| old.entry.health != entry.health && entry.health != Health::InService);
+            unwilling.extend(drains.map(|old| old.pod));
             rows.push(self.put(entry, now, today));
         }
         self.forget(now);
         self.seq = told.seq;
-        Ok(Change { news: ListNews::Change(rows), moved })
+        unwilling.extend(&moved);
+        Ok(Change { news: ListNews::Change(rows), moved, unwilling })
     }
 
     fn remove(&mut self, host: &str, now: Duration, moved: &mut Vec<PodId>) -> Option<PodEntry> {
@@ -199,8 +219,9 @@
         pod
     }
 
-    pub fn address(&self, pod: PodId) -> Option<SocketAddr> {
-        self.rows.get(self.names.get(&pod)?).map(|row| row.entry.dial)
+    /// As it is listed now; none if it is not.
+    pub fn life(&self, pod: PodId) -> Option<Life> {
+        self.rows.get(self.names.get(&pod)?).map(|row| row.entry.life())
     }
 
     /// The pod that a forward was sent to then, if it still runs the build that it ran.
--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -6,9 +6,10 @@
 //! or that breaks under the first bytes, then proves that nothing ran, and another one carries the forward.
 
 use super::{Due, Peer, Service};
-use crate::bounds::{self, Next, HELD_BACK, READY_WITHIN, WHOLE_WITHIN};
+use crate::bounds::{self, Next, HELD_BACK, READY_WITHIN, RESTS, WHOLE_WITHIN};
+use crate::listing::{Life, List};
 use bytes::{Bytes, BytesMut};
-use limewing::interface::{Event, Fate, ForwardNo, HitId, KeyId, PodId};
+use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
 use limewing_hosting::kept::Link;
 use limewing_hosting::open::Forward;
 use limewing_net::sockets::{is_own_want, SocketId};
@@ -27,6 +28,8 @@
 
 pub struct PodLink {
     pod: PodId,
+    /// The life of the pod that it was made to.
+    life: Life,
     state: State,
     frames: Frames,
     /// While it comes up, settles, or has begun an answer.
@@ -34,8 +37,6 @@
     job: Option<Job>,
     /// How long it had been idle before the present forward, if it was kept.
     idle: Option<Duration>,
-    /// The statement's key and the row of the last answer.
-    last: Option<(Option<KeyId>, Bytes)>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -90,6 +91,9 @@
 
     /// Puts a forward on a connection.
     fn carry(&mut self, hit: HitId, no: ForwardNo, broken: u8) {
+        if self.hits.get(hit).is_none_or(|open| open.over) {
+            return self.end_forward(hit, no, Fate::Void);
+        }
         let Some(pod) = self.hits.out(hit, no).map(|forward| forward.pod) else { return };
         let link = match self.kept_link(pod) {
             Some(link) => link,
@@ -110,19 +114,20 @@
 
     /// A kept connection on which nothing has come since: what a pod says unasked would be taken for the answer.
     fn kept_link(&mut self, pod: PodId) -> Option<SocketId> {
-        while let Some(Link { id, timer, since }) = self.kept.take(pod) {
+        loop {
+            let now = self.now;
+            let Link { id, timer, since } = self.kept.take_if(pod, |link| now >= link.since + RESTS)?;
             self.wheel.cancel(timer);
-            let idle = self.now.saturating_sub(since);
-            if self.lapses.bears(idle) && self.sockets.is_quiet(id) {
-                if let Some(Peer::Pod(of)) = self.peers.get_mut(&id) {
-                    of.idle = Some(idle);
-                }
+            let idle = now.saturating_sub(since);
+            let good = self.lapses.bears(idle) && self.sockets.is_quiet(id);
+            let Some(Peer::Pod(of)) = self.peers.get_mut(&id) else { continue };
+            // Half a message that came unasked is none of the next answer.
+            if good && !of.frames.begun() && of.timer.is_none() {
+                of.idle = Some(idle);
                 return Some(id);
             }
-            self.peers.remove(&id);
-            self.sockets.close(id);
+            self.close_link(id);
         }
-        None
     }
 
     fn new_link(&mut self, pod: PodId) -> Result<SocketId, Fate> {
@@ -130,8 +135,8 @@
         if !self.makes_room() {
             return Err(Fate::Void);
         }
-        let to = self.list.address(pod).ok_or(Fate::Unreached)?;
-        let link = self.sockets.connect(to).map_err(|trouble| {
+        let life = self.list.life(pod).ok_or(Fate::Unreached)?;
+        let link = self.sockets.connect(life.dial).map_err(|trouble| {
             // Our own want is no sign of the pod: it must not be shut for it.
             let own = is_own_want(&trouble);
             tracing::warn!(%trouble, own, "no way to a pod");
@@ -143,7 +148,7 @@
         })?;
         let timer = Some(self.wheel.arm(self.now + self.terms.connect_timeout, Due::Connect(link)));
         let (state, frames) = (State::Opening, Frames::default());
-        let link_to = PodLink { pod, state, frames, timer, job: None, idle: None, last: None };
+        let link_to = PodLink { pod, life, state, frames, timer, job: None, idle: None };
         self.peers.insert(link, Peer::Pod(Box::new(link_to)));
         Ok(link)
     }
@@ -157,7 +162,7 @@
         write::query(&mut out, &open.of.waiting(open.due.saturating_sub(self.now)));
         job.until = self.sockets.written(link) + out.len() as u64;
         let late = self.wheel.arm(self.now + self.terms.connect_timeout, Due::Connect(link));
-        of.timer = Some(late);
+        of.timer.replace(late).map(|timer| self.wheel.cancel(timer));
         self.sockets.send(link, &out[..out.len() - LAST.len()]);
     }
 
@@ -260,11 +265,14 @@
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let timer = of.timer.take();
         of.state = State::Up;
-        let (free, pod) = (of.job.is_none(), of.pod);
+        let (free, pod, life) = (of.job.is_none(), of.pod, of.life);
         timer.map(|timer| self.wheel.cancel(timer));
         // More bytes than an answer has: they would be taken for the next one's.
-        let more = self.sockets.input(link).is_none_or(|input| !input.is_empty());
-        if more || self.shutdown.closes() && free {
+        let more =
+            self.sockets.input(link).is_none_or(|input| !input.is_empty()) || self.sockets.hung_up(link);
+        // One to where the pod was, or to an earlier life of it, is not for the next forward.
+        let stale = self.list.life(pod) != Some(life);
+        if more || (self.shutdown.closes() || stale) && free {
             return self.close_link(link);
         }
         if free {
@@ -288,13 +296,7 @@
 
     fn answer_whole(&mut self, link: SocketId, tag: &[u8]) {
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
-        let Some(Job { hit, row: Some(row), .. }) = &of.job else { return };
-        let key = self.hits.get(*hit).and_then(|open| open.of.key);
-        // The last answer once more, to a statement about something else: a copy that came late.
-        if of.last.as_ref().is_some_and(|(asked, last)| *asked != key && last == row) {
-            return self.spoilt(link);
-        }
-        of.last = Some((key, row.clone()));
+        let Some(Job { row: Some(_), .. }) = &of.job else { return };
         if let Some(idle) = of.idle.take() {
             self.lapses.note(idle, true, self.now);
         }
@@ -351,6 +353,36 @@
         self.end_forward(hit, no, fate);
     }
 
+    /// Ends the forwards to these pods that have not gone out: they never ran.
+    pub(super) fn call_off(&mut self, from: impl Fn(&List, PodId) -> bool) {
+        for (hit, no, pod, link) in self.hits.all_out() {
+            if from(&self.list, pod) {
+                self.call_off_one(hit, no, link);
+            }
+        }
+    }
+
+    /// Nothing more is sent for a hit that has its answer, or whose client is gone, whether or not a forward that has gone
+    /// out may be cancelled.
+    pub(super) fn call_off_rest(&mut self, hit: HitId) {
+        for (no, link) in self.hits.out_of(hit) {
+            self.call_off_one(hit, no, link);
+        }
+    }
+
+    fn call_off_one(&mut self, hit: HitId, no: ForwardNo, link: Option<SocketId>) {
+        let on = link.and_then(|link| match self.peers.get(&link) {
+            Some(Peer::Pod(of)) => Some(of),
+            _ => None,
+        });
+        let waits =
+            |of: &PodLink| of.state == State::Opening || of.job.as_ref().is_some_and(|job| job.checking);
+        if on.is_some_and(|of| waits(of)) {
+            self.drop_job(link);
+            self.end_forward(hit, no, Fate::Void);
+        }
+    }
+
     pub(super) fn cancel(&mut self, hit: HitId, no: ForwardNo) {
         let Some(forward) = self.hits.out(hit, no) else { return };
         let link = forward.link.take();
--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -81,6 +81,7 @@
         for pod in change.moved {
             self.kept.of(pod).into_iter().for_each(|link| self.close_link(link));
         }
+        self.call_off(|_, pod| change.unwilling.contains(&pod));
         Ok(())
     }
 
--- a/crates/platform/src/service/front.rs
+++ b/crates/platform/src/service/front.rs
@@ -185,6 +185,7 @@
         let Some(open) = self.hits.unsettled(hit) else { return };
         open.over = true;
         let client = open.client.take();
+        self.call_off_rest(hit);
         self.tidy(hit);
         let Some(id) = client else { return };
         write::ready(&mut out);
@@ -314,6 +315,7 @@
         if !open.over {
             open.over = true;
             self.events.push(Event::Left(hit));
+            self.call_off_rest(hit);
             self.tidy(hit);
         }
     }
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -3,9 +3,10 @@
 
 use super::{Due, Peer, Service};
 use crate::lines::Lines;
+use crate::listing::List;
 use crate::news::{self, State, Told};
 use bytes::Bytes;
-use limewing::interface::{BuildId, Event, GroupId, StageNo, Verdict, VoteAnswer};
+use limewing::interface::{BuildId, Event, GroupId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
 use limewing_net::call::{Call, Heard};
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
@@ -26,7 +27,10 @@
     pub(super) fn stands(&mut self, state: State, answer: Option<VoteAnswer>) {
         let news = self.latest.take(state);
         match news {
-            Some(news) => tracing::info!(?news, "news"),
+            Some(news) => {
+                tracing::info!(?news, "news");
+                self.lowers(news);
+            }
             None => tracing::warn!(?state, "old news left out"),
         }
         if news.is_some() || answer.is_some() {
@@ -34,6 +38,17 @@
         }
     }
 
+    /// A cap that was lowered binds soon, and a forward that was granted by the one before may be on its way to its pod
+    /// for longer: what has not gone out is called off, and the module grants it anew. Hurts by connections given up.
+    fn lowers(&mut self, news: StageNews) {
+        let before = self.told_cap.replace((news.build, news.cap));
+        let lower = before.is_some_and(|(build, cap)| build == news.build && news.cap < cap);
+        if lower || matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
+            let on_trial = |list: &List, pod| list.life(pod).is_some_and(|life| life.build >= news.build);
+            self.call_off(|list, pod| on_trial(list, pod));
+        }
+    }
+
     pub(super) fn ask_news(&mut self) {
         let Some(at) = self.places.rollouts.filter(|_| self.news.is_none()) else { return };
         let Ok(link) = self.sockets.connect(at) else {
--- a/crates/standins/src/platform/client.rs
+++ b/crates/standins/src/platform/client.rs
@@ -105,6 +105,15 @@
         }
     }
 
+    /// Whether something of an answer comes in that time.
+    pub fn has_come(&self, within: Duration) -> bool {
+        let stream = &self.link.stream;
+        let _ = stream.set_read_timeout(Some(within));
+        let came = !self.link.input.is_empty() || stream.peek(&mut [0]).is_ok();
+        let _ = stream.set_read_timeout(Some(PATIENCE));
+        came
+    }
+
     /// As `hears`, of a client that did not wait for its welcome.
     pub fn hears_first(&mut self) -> Answer {
         while self.link.hear().expect("a welcome").kind != b'Z' {}
