Lists may come over lines and older; new services are asked before the old ones are let go

Seen, by tests on real sockets (all fail on the text before): - lists: an object over several lines was taken for broken line by line, and the watch asked for again and again (services::a_list_may_come_over_many_lines). A trickle within one object renewed the clock of silence for good. - lists: one entry with an unknown health, a number beyond u16 or no address refused the whole list, and the watch was lost; now its pod alone counts as gone, and it is told which and why. The same in the list held before a start. - lists: an older one (another discovery, or one that began anew) brought back pods that had been told to drain or to be gone, and earlier starts of pods that are cold. A half written file was refused once for good; now it is read again, six times in 3.2 s. Another sidecar's file was followed; now it is refused and told. Other settings or another listener in the file are told: they wait for the next start.

--- a/crates/cli/tests/command/help.rs
+++ b/crates/cli/tests/command/help.rs
@@ -116,7 +116,11 @@
 
     /// Replaces its configuration.
     pub fn write(&self, config: &Config) {
-        std::fs::write(self.folder.path().join("config.json"), config.json()).unwrap();
+        self.write_text(&config.json());
+    }
+
+    pub fn write_text(&self, text: &str) {
+        std::fs::write(self.folder.path().join("config.json"), text).unwrap();
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/crates/cli/tests/command/platform.rs
+++ b/crates/cli/tests/command/platform.rs
@@ -150,6 +150,25 @@
     asks_until(sidecar.at, "red");
 }
 
+/// A configuration that is still being written when its signal comes is read again by itself. Without the mend it is
+/// refused once, and the old one stays for good.
+#[test]
+fn a_half_written_configuration_is_read_again() {
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let (first, second) = (Discovery::new(listing(8, false, &[])), Discovery::new(listing(9, false, &[])));
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.discovery = first.at;
+    let sidecar = Platform::start(&config);
+    first.is_asked();
+    config.discovery = second.at;
+    let whole = config.json();
+    sidecar.write_text(&whole[..whole.len() / 2]);
+    sidecar.signal(Signal::HUP);
+    asks_until(sidecar.at, "red");
+    sidecar.write_text(&whole);
+    assert!(second.is_asked().contains("since=8 "));
+}
+
 /// Killed outright and started under the same name, it goes by its old list at first; a pod that came back meanwhile
 /// with another build is served from as soon as the list says so.
 #[test]
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -38,6 +38,23 @@
 /// cross a forward.
 const KEPT_PART: f64 = 0.7;
 
+/// An empty line comes on a watch every two seconds: one that says nothing whole for longer is lost. What it misses binds
+/// 6 s after it fell silent, so this, the longest wait before it is asked for again (1 s, by the module) twice and
+/// `LIST_BEGINS_WITHIN` once, for a first try that fails, leave time for the second. Hurts by a call more where an empty
+/// line is late by half a second.
+pub const LIST_QUIET_AT_MOST: Duration = Duration::from_millis(2500);
+/// The first object of a watch is whole within this time. Hurts where a list is large and its way narrow.
+pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(1100);
+/// A new configuration may be half written when its signal comes: one that can't be used is read again after this, then
+/// after twice as long each time, so often. What it moves binds after 4 s.
+const READ_AGAIN_AFTER: Duration = Duration::from_millis(50);
+const MOST_READ_AGAIN: u32 = 6;
+
+/// When a configuration is read again that could not be used so many times; none if that is enough.
+pub fn read_again(tried: u32) -> Option<Duration> {
+    (tried < MOST_READ_AGAIN).then(|| READ_AGAIN_AFTER * (1 << tried))
+}
+
 /// How long connections go on coming after a sidecar was told to leave (the protocol: 0.2 to 0.4 s), and a moment for
 /// those that are on their way.
 const STILL_FOUND: Duration = Duration::from_millis(550);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -7,6 +7,7 @@
 use limewing_wire::SocketTerms;
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::path::Path;
 use thiserror::Error;
@@ -65,6 +66,8 @@
     pub known: Option<Listing>,
     pub terms: StartTerms,
     pub sockets: SocketTerms,
+    /// Tells the settings from others; spaces count.
+    pub mark: u64,
 }
 
 /// # Errors
@@ -82,6 +85,8 @@
     let seed = u64::from_str_radix(&told.seed, 16)
         .map_err(|_| format!("seed {:?}: expected up to 16 hexadecimal digits", told.seed))?;
     let settings = told.settings.get().as_bytes();
+    let mut hasher = DefaultHasher::new();
+    settings.hash(&mut hasher);
     let mut terms = limewing_wire::start_terms(seed, settings).map_err(|e| format!("settings: {e}"))?;
     // On sockets a list comes by no other way than a watch.
     terms.list_on_request = true;
@@ -103,5 +108,6 @@
         known: told.known,
         terms,
         sockets,
+        mark: hasher.finish(),
     })
 }
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -1,12 +1,36 @@
-//! HTTP answers that stay open and hold one JSON object a line.
+//! HTTP answers that stay open and hold one JSON object after the other: `Lines` one a line, `Objects` over as many
+//! lines as they like. They own what of an object has come; they never read a socket nor understand an object.
 
 use bytes::{Bytes, BytesMut};
 use limewing_net::body::BodyReader;
 use limewing_net::http::{self, HeadLimits};
 
-/// Reads such an answer off a connection's bytes.
+/// The content of such an answer, off a connection's bytes.
+#[derive(Default)]
+struct Content(Option<BodyReader>);
+
+impl Content {
+    fn next(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, String> {
+        if self.0.is_none() {
+            match http::response(input, false, HeadLimits::default()) {
+                Ok(Some(head)) if head.status == 200 => self.0 = Some(BodyReader::new(head.framing)),
+                Ok(Some(head)) => return Err(format!("status {}", head.status)),
+                Ok(None) => return Ok(None),
+                Err(why) => return Err(why.to_string()),
+            }
+        }
+        let Some(body) = &mut self.0 else { return Ok(None) };
+        body.next(input).map_err(|why| why.to_string())
+    }
+
+    fn ended(&self) -> bool {
+        self.0.as_ref().is_some_and(BodyReader::ended)
+    }
+}
+
+/// Reads an answer of one object a line.
 pub struct Lines {
-    body: Option<BodyReader>,
+    content: Content,
     held: BytesMut,
     /// A line may have so many bytes.
     most: usize,
@@ -14,7 +38,7 @@
 
 impl Lines {
     pub fn new(most: usize) -> Self {
-        Self { body: None, held: BytesMut::new(), most }
+        Self { content: Content::default(), held: BytesMut::new(), most }
     }
 
     /// The whole lines that have come.
@@ -22,17 +46,8 @@
     /// # Errors
     /// It is no such answer, or can't be read on: the connection is of no further use.
     pub fn take(&mut self, input: &mut BytesMut) -> Result<Vec<Bytes>, String> {
-        if self.body.is_none() {
-            match http::response(input, false, HeadLimits::default()) {
-                Ok(Some(head)) if head.status == 200 => self.body = Some(BodyReader::new(head.framing)),
-                Ok(Some(head)) => return Err(format!("status {}", head.status)),
-                Ok(None) => return Ok(Vec::new()),
-                Err(why) => return Err(why.to_string()),
-            }
-        }
         let mut lines = Vec::new();
-        let Some(body) = &mut self.body else { return Ok(lines) };
-        while let Some(piece) = body.next(input).map_err(|why| why.to_string())? {
+        while let Some(piece) = self.content.next(input)? {
             let mut rest = &piece[..];
             while let Some(end) = rest.iter().position(|b| *b == b'\n') {
                 self.held.extend_from_slice(&rest[..end]);
@@ -49,6 +64,94 @@
 
     /// The answer has come to its end.
     pub fn ended(&self) -> bool {
-        self.body.as_ref().is_some_and(BodyReader::ended)
+        self.content.ended()
+    }
+}
+
+/// What has come on a stream of objects.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Came {
+    pub objects: Vec<Bytes>,
+    /// An object, or an empty line between two: the other side lives. Bytes within an object are no sign of that.
+    pub alive: bool,
+}
+
+/// Reads an answer of objects that may go over several lines. Each is kept until it is whole, up to a bound.
+pub struct Objects {
+    content: Content,
+    held: BytesMut,
+    /// An object may have so many bytes.
+    most: usize,
+    /// How many brackets are open, and whether within a string, and behind a backslash there.
+    depth: u32,
+    text: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    pub fn new(most: usize) -> Self {
+        let (content, held) = (Content::default(), BytesMut::new());
+        Self { content, held, most, depth: 0, text: false, escaped: false }
+    }
+
+    /// The whole objects that have come.
+    ///
+    /// # Errors
+    /// It is no such answer, or can't be read on: the connection is of no further use.
+    pub fn take(&mut self, input: &mut BytesMut) -> Result<Came, String> {
+        let mut came = Came::default();
+        while let Some(piece) = self.content.next(input)? {
+            let mut from = 0;
+            for (at, byte) in piece.iter().enumerate() {
+                if self.depth == 0 && !byte.is_ascii_whitespace() {
+                    if *byte != b'{' {
+                        return Err(format!("byte {byte:#04x} between objects, expected {{"));
+                    }
+                    from = at;
+                }
+                came.alive |= self.depth == 0 && *byte == b'\n';
+                if self.ends_object(*byte) {
+                    self.held.extend_from_slice(&piece[from..=at]);
+                    came.objects.push(self.held.split().freeze());
+                    came.alive = true;
+                    from = at + 1;
+                }
+            }
+            if self.depth > 0 {
+                self.held.extend_from_slice(&piece[from..]);
+            }
+            if self.held.len() > self.most {
+                return Err(format!("an object of over {} bytes", self.most));
+            }
+        }
+        Ok(came)
+    }
+
+    /// Whether an object is whole with this byte.
+    fn ends_object(&mut self, byte: u8) -> bool {
+        if self.text {
+            let escaped = std::mem::replace(&mut self.escaped, false);
+            match byte {
+                b'\\' if !escaped => self.escaped = true,
+                b'"' if !escaped => self.text = false,
+                _ => {}
+            }
+            return false;
+        }
+        match byte {
+            b'"' if self.depth > 0 => self.text = true,
+            b'{' | b'[' => self.depth = self.depth.saturating_add(1),
+            b'}' | b']' if self.depth > 0 => {
+                self.depth -= 1;
+                return self.depth == 0;
+            }
+            _ => {}
+        }
+        false
+    }
+
+    /// The answer has come to its end.
+    pub fn ended(&self) -> bool {
+        self.content.ended()
     }
 }
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -3,8 +3,9 @@
 use limewing::interface::{BuildId, CellId, KindId, ListNews, PodEntry, PodId, PodState, ZoneId};
 use limewing_hosting::clock;
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
-use std::collections::{BTreeMap, VecDeque};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
@@ -13,7 +14,32 @@
 pub struct Listing {
     pub seq: u64,
     pub whole: bool,
-    pub hosts: Vec<Entry>,
+    #[serde(deserialize_with = "entries")]
+    pub hosts: Vec<Told>,
+}
+
+/// An entry, or of one that can't be used its host, if that can be read, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Entry(Entry),
+    Unusable { host: Option<String>, why: String },
+}
+
+/// One entry that can't be understood spoils none of the others.
+fn entries<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Told>, D::Error> {
+    #[derive(Deserialize)]
+    struct Named {
+        host: String,
+    }
+    let read = |raw: Box<RawValue>| match serde_json::from_str(raw.get()) {
+        Ok(entry) => Told::Entry(entry),
+        Err(why) => {
+            let host = serde_json::from_str(raw.get()).ok().map(|named: Named| named.host);
+            let why = format!("host {}: {why}", host.as_deref().unwrap_or("unknown"));
+            Told::Unusable { host, why }
+        }
+    };
+    Ok(Vec::<Box<RawValue>>::deserialize(from)?.into_iter().map(read).collect())
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -74,6 +100,12 @@
     since: Duration,
 }
 
+struct Left {
+    at: Duration,
+    host: String,
+    born_ms: u64,
+}
+
 /// The list as it is held, and the numbers that the module knows pods by.
 pub struct List {
     zones: Vec<String>,
@@ -81,8 +113,8 @@
     rows: BTreeMap<String, Row>,
     names: FxHashMap<PodId, String>,
     numbers: BTreeMap<String, PodId>,
-    /// Who left, and when, in order.
-    left: VecDeque<(Duration, String)>,
+    /// Who left, when, in order, and when that one had started.
+    left: VecDeque<Left>,
     next: u64,
     pub seq: u64,
 }
@@ -92,6 +124,8 @@
     pub news: ListNews,
     /// Pods whose connections lead to where they are no longer, or to an earlier life of theirs.
     pub moved: Vec<PodId>,
+    /// Why entries can't be used; their pods count as gone.
+    pub unusable: Vec<String>,
     /// Pods that no longer want what was meant for them and has not gone out: those, and those that drain.
     pub unwilling: Vec<PodId>,
 }
@@ -106,7 +140,13 @@
     /// The list as it was held last, before the start.
     pub fn recall(&mut self, known: Listing, now: Duration, today: SystemTime) -> ListNews {
         let seq = known.seq;
-        let entries = known.hosts.into_iter().filter(|entry| entry.health != Health::Terminated);
+        let entries = known.hosts.into_iter().filter_map(|told| match told {
+            Told::Entry(entry) => Some(entry).filter(|entry| entry.health != Health::Terminated),
+            Told::Unusable { why, .. } => {
+                tracing::warn!(why, "an entry of the list that was held can't be used");
+                None
+            }
+        });
         // It has been there for who knows how long.
         let entries = entries.map(|entry| self.put(entry, now, today)).collect();
         self.rows.values_mut().for_each(|row| row.since = Duration::ZERO);
@@ -117,6 +157,9 @@
     /// Takes what a watch told. What is told again though nothing changed is left out: it would have the
     /// module draw its luck with a cold pod anew.
     ///
+    /// A list of an earlier version than the one held comes from another discovery, or one that began anew. Nothing that
+    /// was told before is unlearned by it: a pod that left or drains stays so, unless it has started since.
+    ///
     /// # Errors
     /// More entries than a list can have.
     pub fn take(&mut self, told: Listing, now: Duration, today: SystemTime) -> Result<Change, String> {
@@ -124,14 +167,29 @@
             return Err(format!("{} entries, at most {MOST_ENTRIES}", told.hosts.len()));
         }
         let (mut rows, mut moved, mut unwilling) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut entries, mut unusable) = (Vec::new(), Vec::new());
+        for told in told.hosts {
+            match told {
+                Told::Entry(entry) => entries.push(entry),
+                Told::Unusable { host, why } => {
+                    unusable.push(why);
+                    let host = host.unwrap_or_default();
+                    rows.extend(self.remove(&host, now, &mut moved));
+                }
+            }
+        }
+        let older = told.seq < self.seq;
         if told.whole {
-            let listed: Vec<&str> = told.hosts.iter().map(|entry| entry.host.as_str()).collect();
-            let gone = self.rows.keys().filter(|host| !listed.contains(&host.as_str()));
+            let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.host.as_str()).collect();
+            let gone = self.rows.keys().filter(|host| !listed.contains(host.as_str()));
             for host in gone.cloned().collect::<Vec<_>>() {
                 rows.extend(self.remove(&host, now, &mut moved));
             }
         }
-        for entry in told.hosts {
+        for entry in entries {
+            if older && self.knows_better(&entry) {
+                continue;
+            }
             let old = self.rows.get(&entry.host);
             if old.is_some_and(|old| old.entry == entry) {
                 continue;
@@ -149,21 +207,34 @@
         self.forget(now);
         self.seq = told.seq;
         unwilling.extend(&moved);
-        Ok(Change { news: ListNews::Change(rows), moved, unwilling })
+        Ok(Change { news: ListNews::Change(rows), moved, unwilling, unusable })
+    }
+
+    /// Whether an entry of an older list would unlearn what was told of that life of its pod, or a later one.
+    fn knows_better(&self, entry: &Entry) -> bool {
+        let (born, build) = (entry.born_ms, entry.version_no);
+        match self.rows.get(&entry.host).map(|row| &row.entry) {
+            Some(held) if born == held.born_ms => {
+                build < held.version_no
+                    || (held.health != Health::InService && entry.health == Health::InService)
+            }
+            Some(held) => born < held.born_ms,
+            None => self.left.iter().any(|left| left.host == entry.host && born <= left.born_ms),
+        }
     }
 
     fn remove(&mut self, host: &str, now: Duration, moved: &mut Vec<PodId>) -> Option<PodEntry> {
         let row = self.rows.remove(host)?;
-        self.left.push_back((now, host.to_owned()));
+        self.left.push_back(Left { at: now, host: host.to_owned(), born_ms: row.entry.born_ms });
         moved.push(row.pod);
         Some(PodEntry { state: PodState::Gone, ..self.entry(&row) })
     }
 
     /// Gives back the numbers of pods that left long ago: a name that returns later is a new pod's.
     fn forget(&mut self, now: Duration) {
-        let old = |left: &mut (Duration, String)| now >= left.0 + FORGOTTEN_AFTER;
-        while let Some((_, host)) = self.left.pop_front_if(old) {
-            let again = self.rows.contains_key(&host) || self.left.iter().any(|(_, left)| *left == host);
+        let old = |left: &mut Left| now >= left.at + FORGOTTEN_AFTER;
+        while let Some(Left { host, .. }) = self.left.pop_front_if(old) {
+            let again = self.rows.contains_key(&host) || self.left.iter().any(|left| left.host == host);
             if !again {
                 self.numbers.remove(&host).map(|pod| self.names.remove(&pod));
             }
--- a/crates/platform/src/news.rs
+++ b/crates/platform/src/news.rs
@@ -2,6 +2,7 @@
 
 use limewing::interface::{BuildId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -77,6 +78,48 @@
     pub age_ms: f64,
 }
 
+/// The reports told lately. While a stream to where rollouts were before stands beside the new one, each may tell the
+/// same wrong answer. `B` names a stream.
+pub struct Reports<B>(VecDeque<Heard<B>>);
+
+struct Heard<B> {
+    by: B,
+    report: (String, String),
+    sent: Duration,
+    at: Duration,
+}
+
+/// One wrong answer told by two streams is told within this time, and of forwards sent no further apart.
+const TOLD_TWICE_WITHIN: Duration = Duration::from_secs(3);
+const SENT_ALIKE: Duration = Duration::from_millis(20);
+const MOST_REPORTS: usize = 256;
+
+impl<B> Default for Reports<B> {
+    fn default() -> Self {
+        Self(VecDeque::new())
+    }
+}
+
+impl<B: PartialEq> Reports<B> {
+    /// Whether no other stream has told of it.
+    pub fn is_new(&mut self, by: B, report: &Report, sent: Duration, now: Duration) -> bool {
+        while self.0.pop_front_if(|heard| now > heard.at + TOLD_TWICE_WITHIN).is_some() {}
+        let report = (report.instance_id.clone(), report.lane.clone());
+        let same = |heard: &Heard<B>| {
+            heard.by != by && heard.report == report && heard.sent.abs_diff(sent) <= SENT_ALIKE
+        };
+        if let Some(place) = self.0.iter().position(same) {
+            self.0.remove(place);
+            return false;
+        }
+        if self.0.len() >= MOST_REPORTS {
+            self.0.pop_front();
+        }
+        self.0.push_back(Heard { by, report, sent, at: now });
+        true
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
     News(State),
--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -2,7 +2,8 @@
 //! module asks again.
 
 use super::{Due, Peer, Service};
-use crate::lines::Lines;
+use crate::bounds::{LIST_BEGINS_WITHIN, LIST_QUIET_AT_MOST};
+use crate::lines::Objects;
 use crate::listing::Listing;
 use bytes::{Bytes, BytesMut};
 use limewing::interface::{Event, ListNews};
@@ -10,17 +11,13 @@
 use limewing_net::http;
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
 /// One object of a watch is no longer than this, in bytes.
 const LONGEST_LISTING: usize = 4 * 1024 * 1024;
-/// An empty line comes every two seconds: a watch that says less is lost.
-const QUIET_AT_MOST: Duration = Duration::from_millis(3500);
-/// The answer to a watch begins within this time.
-const BEGINS_WITHIN: Duration = Duration::from_millis(1500);
 
 pub struct WatchLink {
-    lines: Lines,
+    objects: Objects,
     quiet: TimerKey,
 }
 
@@ -41,9 +38,9 @@
         let Ok(link) = self.sockets.connect(self.places.discovery) else {
             return self.events.push(Event::List(ListNews::Failed));
         };
-        let quiet = self.wheel.arm(self.now + BEGINS_WITHIN, Due::WatchQuiet(link));
-        let lines = Lines::new(LONGEST_LISTING);
-        self.peers.insert(link, Peer::Watch(Box::new(WatchLink { lines, quiet })));
+        let quiet = self.wheel.arm(self.now + LIST_BEGINS_WITHIN, Due::WatchQuiet(link));
+        let objects = Objects::new(LONGEST_LISTING);
+        self.peers.insert(link, Peer::Watch(Box::new(WatchLink { objects, quiet })));
         self.watch = Some(link);
     }
 
@@ -55,13 +52,16 @@
 
     pub(super) fn watch_wrote(&mut self, link: SocketId) {
         let ended = self.sockets.ended(link);
-        let fresh = self.wheel.arm(self.now + QUIET_AT_MOST, Due::WatchQuiet(link));
         let Some(Peer::Watch(of)) = self.peers.get_mut(&link) else { return };
-        self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         let Some(input) = self.sockets.input(link) else { return };
-        let read = of.lines.take(input);
-        let over = ended || of.lines.ended();
-        let told = read.and_then(|lines| lines.into_iter().try_for_each(|line| self.listed(line)));
+        let read = of.objects.take(input);
+        let over = ended || of.objects.ended();
+        // A trickle within one object is no sign of life: what it should tell is not told.
+        if read.as_ref().is_ok_and(|came| came.alive) {
+            let fresh = self.wheel.arm(self.now + LIST_QUIET_AT_MOST, Due::WatchQuiet(link));
+            self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
+        }
+        let told = read.and_then(|came| came.objects.into_iter().try_for_each(|object| self.listed(&object)));
         match told {
             Err(why) => self.watch_lost(link, &why),
             Ok(()) if over => self.watch_lost(link, "the watch ended"),
@@ -69,13 +69,17 @@
         }
     }
 
-    fn listed(&mut self, line: Bytes) -> Result<(), String> {
-        if line.trim_ascii().is_empty() {
-            return Ok(());
-        }
+    fn listed(&mut self, object: &Bytes) -> Result<(), String> {
         let told: Listing =
-            serde_json::from_slice(&line).map_err(|e| format!("an object of the list: {e}"))?;
+            serde_json::from_slice(object).map_err(|e| format!("an object of the list: {e}"))?;
+        let (seq, held) = (told.seq, self.list.seq);
+        if seq < held {
+            tracing::warn!(seq, held, "an older list: only what makes more careful is taken from it");
+        }
         let change = self.list.take(told, self.now, SystemTime::now())?;
+        for why in &change.unusable {
+            tracing::warn!(seq, why, "an entry of the list can't be used: its pod gets nothing more");
+        }
         tracing::debug!(seq = self.list.seq, pods = self.list.len(), "the list");
         self.events.push(Event::List(change.news));
         for pod in change.moved {
@@ -85,8 +89,7 @@
         Ok(())
     }
 
-    pub(super) fn drop_watch(&mut self) {
-        let Some(link) = self.watch.take() else { return };
+    pub(super) fn close_watch(&mut self, link: SocketId) {
         if let Some(Peer::Watch(of)) = self.peers.remove(&link) {
             self.wheel.cancel(of.quiet);
         }
@@ -94,11 +97,14 @@
     }
 
     pub(super) fn watch_lost(&mut self, link: SocketId, why: &str) {
-        if self.watch != Some(link) {
-            return;
+        self.close_watch(link);
+        if self.old_watch == Some(link) {
+            tracing::info!(why, "the old watch is over");
+            self.old_watch = None;
+        } else if self.watch == Some(link) {
+            tracing::warn!(why, "no watch on the list; the old one stays");
+            self.watch = None;
+            self.events.push(Event::List(ListNews::Failed));
         }
-        tracing::warn!(why, "no watch on the list; the old one stays");
-        self.drop_watch();
-        self.events.push(Event::List(ListNews::Failed));
     }
 }
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -11,7 +11,7 @@
 use crate::bounds;
 use crate::config::{self, Places, Told, Unusable};
 use crate::listing::List;
-use crate::news::Latest;
+use crate::news::{Latest, Reports};
 use crate::statement::{Names, Statement};
 use back::PodLink;
 use discovery::WatchLink;
@@ -26,7 +26,7 @@
 use limewing_hosting::shutdown::{Holds, Shutdown, Step};
 use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
-use limewing_net::wheel::Wheel;
+use limewing_net::wheel::{TimerKey, Wheel};
 use rollouts::NewsLink;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::io;
@@ -71,6 +71,7 @@
     Speak(SocketId),
     Sweep,
     WatchQuiet(SocketId),
+    ReadAgain,
     AskNews,
     NewsQuiet(SocketId),
     VoteLate(SocketId),
@@ -79,6 +80,9 @@
 /// The settings as the few figures that the loop uses.
 struct Terms {
     name: String,
+    listen: SocketAddr,
+    /// Tells the settings from others.
+    mark: u64,
     connect_timeout: Duration,
     idle_close: Duration,
     max_forwards: usize,
@@ -108,8 +112,16 @@
     kept: Kept,
     lapses: Lapses,
     list: List,
+    /// The watch, and the one to where discovery was before, until it ends.
     watch: Option<SocketId>,
+    old_watch: Option<SocketId>,
+    /// The stream of news, and the one to where rollouts were before, until it ends.
     news: Option<SocketId>,
+    old_news: Option<SocketId>,
+    reports: Reports<SocketId>,
+    /// A configuration that could not be used is read again: when, and how often it was.
+    reread: Option<TimerKey>,
+    reread_tried: u32,
     latest: Latest,
     /// The build that news last spoke of, and its cap.
     told_cap: Option<(BuildId, f64)>,
@@ -152,6 +164,8 @@
         let tagged: Vec<bool> = told.terms.groups.iter().map(|group| tagged(group.repeat)).collect();
         let terms = Terms {
             name: told.name,
+            listen: at,
+            mark: told.mark,
             connect_timeout: told.sockets.connect_timeout,
             idle_close: told.sockets.idle_close,
             max_forwards: told.terms.max_forwards.into(),
@@ -181,7 +195,12 @@
             lapses: Lapses::default(),
             list: List::new(&told.sockets.zones, &told.sockets.kinds),
             watch: None,
+            old_watch: None,
             news: None,
+            old_news: None,
+            reports: Reports::default(),
+            reread: None,
+            reread_tried: 0,
             latest: Latest::default(),
             told_cap: None,
             lost_news: Again::new(told.seed),
@@ -308,6 +327,7 @@
             Due::Speak(id) => self.turn_away_now(id),
             Due::Sweep => self.sweep(),
             Due::WatchQuiet(id) => self.watch_lost(id, "the watch says nothing"),
+            Due::ReadAgain => self.read_again(),
             Due::AskNews => self.ask_news(),
             Due::NewsQuiet(id) => self.news_lost(id, "the stream says nothing"),
             Due::VoteLate(id) => self.vote_over(id, VoteAnswer::Unanswered, None),
@@ -327,12 +347,35 @@
         }
     }
 
-    /// The configuration was replaced: the services may be elsewhere. One that can't be used changes nothing.
+    /// The configuration was replaced: the services may be elsewhere.
     fn told_anew(&mut self) {
+        self.reread.take().map(|timer| self.wheel.cancel(timer));
+        self.reread_tried = 0;
+        self.read_again();
+    }
+
+    /// A configuration that can't be used changes nothing; it may be half written, and is read again some times.
+    fn read_again(&mut self) {
+        self.reread = None;
         match config::read(&self.file) {
-            Ok(told) => self.moves(told.places),
+            Ok(told) if told.name != self.terms.name => {
+                let (found, expected) = (&told.name, &self.terms.name);
+                let file = self.file.display();
+                tracing::warn!(%file, found, expected, "name: the configuration is another sidecar's; the old one stays");
+            }
+            Ok(told) => {
+                if told.listen != self.terms.listen || told.mark != self.terms.mark {
+                    let (listen, found) = (self.terms.listen, told.listen);
+                    let settings = told.mark != self.terms.mark;
+                    tracing::warn!(%listen, %found, settings, "listen and settings stay as they are until the next start");
+                }
+                self.moves(told.places);
+            }
             Err(trouble) => {
-                tracing::warn!(%trouble, "the new configuration can't be used; the old one stays")
+                let again = bounds::read_again(self.reread_tried);
+                tracing::warn!(%trouble, ?again, "the new configuration can't be used; the old one stays");
+                self.reread_tried += 1;
+                self.reread = again.map(|wait| self.wheel.arm(self.now + wait, Due::ReadAgain));
             }
         }
     }
@@ -340,12 +383,16 @@
     fn moves(&mut self, places: Places) {
         tracing::info!(?places, "a new configuration");
         let old = std::mem::replace(&mut self.places, places);
+        // The new ones are asked first, and the old ones read to their end: what they tell meanwhile counts as told, and
+        // is not told again.
         if old.discovery != places.discovery {
-            self.drop_watch();
+            let old = std::mem::replace(&mut self.old_watch, self.watch.take());
+            old.into_iter().for_each(|link| self.close_watch(link));
             self.ask_watch();
         }
         if old.rollouts != places.rollouts {
-            self.drop_news();
+            let old = std::mem::replace(&mut self.old_news, self.news.take());
+            old.into_iter().for_each(|link| self.close_news(link));
             self.lost_news.answered();
             self.ask_news();
         }
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -68,20 +68,23 @@
 
     pub(super) fn news_wrote(&mut self, link: SocketId) {
         let ended = self.sockets.ended(link);
-        let fresh = self.wheel.arm(self.now + QUIET_AT_MOST, Due::NewsQuiet(link));
         let Some(Peer::News(of)) = self.peers.get_mut(&link) else { return };
-        self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         let Some(input) = self.sockets.input(link) else { return };
         let read = of.lines.take(input);
         let over = ended || of.lines.ended();
-        match read.and_then(|lines| lines.into_iter().try_for_each(|line| self.news_line(&line))) {
+        // A trickle within one line is no sign of life.
+        if read.as_ref().is_ok_and(|lines| !lines.is_empty()) {
+            let fresh = self.wheel.arm(self.now + QUIET_AT_MOST, Due::NewsQuiet(link));
+            self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
+        }
+        match read.and_then(|lines| lines.into_iter().try_for_each(|line| self.news_line(link, &line))) {
             Err(why) => self.news_lost(link, &why),
             Ok(()) if over => self.news_lost(link, "the stream ended"),
             Ok(()) => self.sockets.read_on(link),
         }
     }
 
-    fn news_line(&mut self, line: &Bytes) -> Result<(), String> {
+    fn news_line(&mut self, link: SocketId, line: &Bytes) -> Result<(), String> {
         match news::read_line(line)? {
             Told::News(state) => {
                 self.lost_news.answered();
@@ -89,7 +92,11 @@
             }
             Told::Report(report) => {
                 let age = Duration::from_millis(report.age_ms.clamp(0.0, 1e9) as u64);
-                let pod = self.list.number(&report.instance_id, self.now.saturating_sub(age));
+                let sent = self.now.saturating_sub(age);
+                if !self.reports.is_new(link, &report, sent, self.now) {
+                    return Ok(());
+                }
+                let pod = self.list.number(&report.instance_id, sent);
                 let group = self.groups.iter().position(|name| *name == report.lane);
                 if let (Some(pod), Some(group)) = (pod, group) {
                     self.events.push(Event::Flagged { pod, group: GroupId(group as u16) });
@@ -100,8 +107,7 @@
         Ok(())
     }
 
-    pub(super) fn drop_news(&mut self) {
-        let Some(link) = self.news.take() else { return };
+    pub(super) fn close_news(&mut self, link: SocketId) {
         if let Some(Peer::News(of)) = self.peers.remove(&link) {
             self.wheel.cancel(of.quiet);
         }
@@ -109,8 +115,12 @@
     }
 
     pub(super) fn news_lost(&mut self, link: SocketId, why: &str) {
-        if self.news == Some(link) {
-            self.drop_news();
+        self.close_news(link);
+        if self.old_news == Some(link) {
+            tracing::info!(why, "the old stream of news is over");
+            self.old_news = None;
+        } else if self.news == Some(link) {
+            self.news = None;
             self.news_again(why);
         }
     }
--- a/crates/platform/tests/sockets/services.rs
+++ b/crates/platform/tests/sockets/services.rs
@@ -1,25 +1,28 @@
 //! Discovery, rollouts, and new configurations.
 
-use crate::help::{ask, sidecar, sidecar_of};
+use crate::help::{ask, ask_of, sidecar, sidecar_of};
 use limewing_platform::service::Service;
 use limewing_standins::platform::{
     listing, state, Answer, Client, Config, Discovery, Does, Listed, Pod, Rollouts, Vote,
 };
 use rstest::rstest;
+use std::net::TcpListener;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SOON: Duration = Duration::from_secs(15);
 
 /// Asks until the answer is that one.
 fn asks_until(at: std::net::SocketAddr, wanted: &str) {
     let mut client = Client::new(at);
-    loop {
+    let end = Instant::now() + SOON;
+    while Instant::now() < end {
         client.asks(&ask("look", 1000));
         if client.hears() == Answer::Row(wanted.into()) {
             return;
         }
     }
+    panic!("never {wanted}");
 }
 
 #[test]
@@ -143,3 +146,181 @@
     let trouble = Service::start(PathBuf::from("nowhere.json")).map(|_| ()).unwrap_err();
     assert!(trouble.to_string().starts_with("nowhere.json: "));
 }
+
+fn hang_up() {
+    signal_hook::low_level::raise(signal_hook::consts::SIGHUP).unwrap();
+}
+
+/// What discovery writes to the old watch after a new configuration has come counts as told: it is read until it ends.
+/// Without the mend the old watch is closed at once.
+#[test]
+fn an_old_watch_is_read_to_its_end() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    let (old, new) = (Pod::new(vec![Does::Serves("old")]), Pod::new(vec![Does::Serves("new")]));
+    let first = Discovery::new(listing(8, false, &[]));
+    // Takes connections and says nothing.
+    let second = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = Config::new(vec![Listed::new("p1", old.at)]);
+    config.discovery = first.at;
+    let at = sidecar_of(file.clone(), &config);
+    first.is_asked();
+    asks_until(at, "old");
+    config.discovery = second.local_addr().unwrap();
+    std::fs::write(&file, config.json()).unwrap();
+    hang_up();
+    let _asked = second.accept().unwrap();
+    let gone = Listed { health: "terminated", ..Listed::new("p1", old.at) };
+    first.says(&listing(9, false, &[gone, Listed::new("p2", new.at)]));
+    asks_until(at, "new");
+}
+
+/// The same of news.
+#[test]
+fn an_old_stream_of_news_is_read_to_its_end() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let counts = || vec![Vote::Says(200, state(2, 0, "Progressing", 0.5))];
+    let (first, second) = (Rollouts::new("{}", counts()), Rollouts::new("{}", counts()));
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.rollouts = Some(first.at);
+    sidecar_of(file.clone(), &config);
+    first.is_asked();
+    config.rollouts = Some(second.at);
+    std::fs::write(&file, config.json()).unwrap();
+    hang_up();
+    second.is_asked();
+    first.says(&news(2, 0));
+    assert!(second.vote(SOON).is_some(), "what the old stream told is not known");
+}
+
+/// One that is another sidecar's is not followed.
+#[test]
+fn another_sidecars_configuration_is_not_followed() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let discovery = || Discovery::new(listing(8, false, &[]));
+    let (first, second, third) = (discovery(), discovery(), discovery());
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.discovery = first.at;
+    let at = sidecar_of(file.clone(), &config);
+    first.is_asked();
+    let others = Config { discovery: second.at, sidecars: (2, 1), ..Config::new(Vec::new()) };
+    std::fs::write(&file, others.json()).unwrap();
+    hang_up();
+    asks_until(at, "red");
+    config.discovery = third.at;
+    std::fs::write(&file, config.json()).unwrap();
+    hang_up();
+    third.is_asked();
+    assert!(second.calls.try_recv().is_err());
+}
+
+/// An object over many lines is as good as one on a line. Without the mend each line is taken for an object, and the watch
+/// is asked for again and again.
+#[test]
+fn a_list_may_come_over_many_lines() {
+    let (old, new) = (Pod::new(vec![Does::Serves("old")]), Pod::new(vec![Does::Serves("new")]));
+    let told = listing(8, true, &[Listed::new("p2", new.at)]);
+    let value: serde_json::Value = serde_json::from_str(&told).unwrap();
+    let discovery = Discovery::new(serde_json::to_string_pretty(&value).unwrap());
+    let mut config = Config::new(vec![Listed::new("p1", old.at)]);
+    config.discovery = discovery.at;
+    let at = sidecar(&config);
+    discovery.is_asked();
+    asks_until(at, "new");
+    assert!(discovery.calls.try_recv().is_err());
+}
+
+/// Bytes within one object are no sign of life. Without the mend each renews the wait.
+#[test]
+fn a_trickle_within_an_object_does_not_keep_a_watch() {
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.discovery = discovery.at;
+    sidecar(&config);
+    discovery.is_asked();
+    discovery.says_part("{");
+    let end = Instant::now() + SOON;
+    while discovery.calls.recv_timeout(Duration::from_millis(100)).is_err() {
+        assert!(Instant::now() < end, "the watch is kept");
+        discovery.says_part(" ");
+    }
+}
+
+/// A connection to where a pod was is not kept for where it is. Without the mend it goes back among those of the pod.
+#[test]
+fn a_connection_to_where_a_pod_was_is_not_used_again() {
+    let (old, new) =
+        (Pod::new(vec![Does::ServesLater("old"), Does::Serves("old")]), Pod::new(vec![Does::Serves("new")]));
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let mut config = Config::new(vec![Listed::new("p1", old.at)]);
+    config.discovery = discovery.at;
+    let at = sidecar(&config);
+    discovery.is_asked();
+    let mut client = Client::new(at);
+    client.asks(&ask("look", 10_000));
+    assert!(old.hears().starts_with("SELECT"));
+    discovery.says(&listing(9, false, &[Listed::new("p1", new.at)]));
+    asks_until(at, "new");
+    old.go_on.send(()).unwrap();
+    assert_eq!(client.hears(), Answer::Row("old".into()));
+    for _ in 0..5 {
+        client.asks(&ask("look", 2000));
+        assert_eq!(client.hears(), Answer::Row("new".into()));
+    }
+}
+
+/// What has not gone out to a pod when it is told to drain goes to it no more. Without the mend it waits for the pod.
+#[test]
+fn what_has_not_gone_out_does_not_go_to_a_pod_that_drains() {
+    let old = Pod::new(vec![Does::LivesLater("old"), Does::Waits]);
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let mut config = Config { connect: 30.0, ..Config::new(vec![Listed::new("p1", old.at)]) };
+    config.discovery = discovery.at;
+    let at = sidecar(&config);
+    discovery.is_asked();
+    let mut client = Client::new(at);
+    client.asks(&ask_of("first", "pay", 10_000));
+    assert_eq!(old.hears(), "empty");
+    discovery.says(&listing(9, false, &[Listed { health: "terminating", ..Listed::new("p1", old.at) }]));
+    // No pod is left for it. That it never ran is known, long before its time is up.
+    assert!(client.has_come(Duration::from_secs(5)));
+    assert!(matches!(client.hears(), Answer::Error(code, _) if code == "53300"));
+    old.go_on.send(()).unwrap();
+    assert_eq!(old.hears(), "gone");
+}
+
+/// Nor to a build whose cap was lowered meanwhile.
+#[test]
+fn what_has_not_gone_out_does_not_go_to_a_build_that_goes_back() {
+    let rollouts = Rollouts::new(&news(2, 0), vec![Vote::Says(200, state(2, 0, "Progressing", 0.5))]);
+    let base = Pod::new(vec![Does::Serves("base")]);
+    let trial = Pod::new(vec![Does::LivesLater("trial"), Does::Waits]);
+    let on_trial = Listed { build: 2, ..Listed::new("p2", trial.at) };
+    let mut config = Config { connect: 30.0, ..Config::new(vec![Listed::new("p1", base.at), on_trial]) };
+    config.rollouts = Some(rollouts.at);
+    let at = sidecar(&config);
+    rollouts.vote(SOON).expect("a vote to hold");
+    let mut client = Client::new(at);
+    let end = Instant::now() + SOON;
+    // Others are served by the base, until one is meant for the trial.
+    'asks: loop {
+        client.asks(&ask("look", 10_000));
+        while !client.has_come(Duration::from_millis(20)) {
+            assert!(Instant::now() < end, "nothing is meant for the trial");
+            if trial.seen.try_recv().is_ok() {
+                break 'asks;
+            }
+        }
+        client.hears();
+    }
+    rollouts.says(&format!(r#"{{"type":"news","object":{}}}"#, state(2, 0, "Aborting", 0.0)));
+    assert!(client.has_come(Duration::from_secs(5)));
+    assert_ne!(client.hears(), Answer::Row("trial".into()));
+    trial.go_on.send(()).unwrap();
+    assert_eq!(trial.hears(), "gone");
+}
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -2,9 +2,9 @@
 
 use limewing::interface::{ListNews, Phase, PodState, StageNo, VoteAnswer};
 use limewing_platform::config;
-use limewing_platform::lines::Lines;
+use limewing_platform::lines::{Lines, Objects};
 use limewing_platform::listing::{List, Listing};
-use limewing_platform::news::{read_line, vote_answer, Latest, State, Told};
+use limewing_platform::news::{read_line, vote_answer, Latest, Report, Reports, State, Told};
 use limewing_platform::statement::{Names, Statement};
 use limewing_standins::platform::{listing, state, Config, Listed};
 use proptest::prelude::*;
@@ -190,3 +190,146 @@
     let trouble = config::understand(good.replacen(from, to, 9).as_bytes()).unwrap_err();
     assert!(trouble.contains(why), "{trouble}");
 }
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunked(piece: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat()
+}
+
+proptest! {
+    /// However objects are laid out and cut into pieces, they are the same; brackets in their texts end none.
+    #[test]
+    fn objects_are_told_apart_however_they_come(
+        texts in prop::collection::vec("[a-z{}\\[\\]\"\\\\ ]{0,12}", 1..5),
+        pretty in any::<bool>(),
+        cuts in prop::collection::vec(1usize..40, 1..30),
+    ) {
+        let values: Vec<serde_json::Value> = texts.iter().map(|text| serde_json::json!({"seq": 1, "hosts": [{"host": text}]})).collect();
+        let text = |value| if pretty { serde_json::to_string_pretty(value) } else { serde_json::to_string(value) };
+        let all: String = values.iter().map(|value| text(value).unwrap() + "\n\n").collect();
+        let (mut objects, mut came, mut rest) = (Objects::new(4096), Vec::new(), all.as_bytes());
+        let mut input = bytes::BytesMut::from(HEAD);
+        for cut in cuts.iter().cycle() {
+            let piece = &rest[..(*cut).min(rest.len())];
+            if piece.is_empty() {
+                break;
+            }
+            rest = &rest[piece.len()..];
+            input.extend_from_slice(&chunked(piece));
+            came.extend(objects.take(&mut input).unwrap().objects);
+        }
+        let came: Vec<serde_json::Value> = came.iter().map(|object| serde_json::from_slice(object).unwrap()).collect();
+        prop_assert_eq!(came, values);
+    }
+
+    #[test]
+    fn any_bytes_are_objects_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut objects = Objects::new(50);
+        for input in [&bytes[..], &[HEAD, &chunked(&bytes)].concat()] {
+            if let Ok(came) = objects.take(&mut input.into()) {
+                prop_assert!(came.objects.iter().all(|object| object.len() <= 50 + 200));
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::empty_line(b"\n", true)]
+#[case::object(b"{}", true)]
+#[case::half(b"{\"seq\":", false)]
+#[case::lines_within(b"{\n\n", false)]
+#[case::blank(b"  ", false)]
+fn what_is_a_sign_of_life(#[case] piece: &[u8], #[case] alive: bool) {
+    let mut input = bytes::BytesMut::from(&[HEAD, &chunked(piece)].concat()[..]);
+    assert_eq!(Objects::new(100).take(&mut input).unwrap().alive, alive);
+}
+
+#[rstest]
+#[case::noise(b"\x00\xff")]
+#[case::other(b"[1]")]
+#[case::too_long(&[b'{'; 200])]
+fn what_is_no_object_is_refused(#[case] piece: &[u8]) {
+    let mut input = bytes::BytesMut::from(&[HEAD, &chunked(piece)].concat()[..]);
+    assert!(Objects::new(100).take(&mut input).is_err());
+}
+
+fn change(list: &mut List, told: Listing) -> Vec<(u64, PodState)> {
+    let ListNews::Change(rows) = list.take(told, Duration::from_secs(3610), SystemTime::now()).unwrap().news
+    else {
+        panic!("a change")
+    };
+    rows.iter().map(|row| (row.pod.0, row.state)).collect()
+}
+
+fn drains(of: &Listed) -> Listed {
+    Listed { health: "terminating", ..of.clone() }
+}
+
+/// A list of an earlier version, of a discovery that began anew or lags behind, unlearns nothing: what drains, left or
+/// started since stays so; a pod that has started since is as it is told.
+#[test]
+fn an_older_list_brings_nothing_back() {
+    let [one, two, three] = [("p1", 1), ("p2", 2), ("p3", 3)].map(|(host, port)| Listed::new(host, at(port)));
+    let mut list = list_of(&[one.clone(), two.clone(), three.clone()]);
+    let started = Listed { born_ms: 5000, build: 2, ..three.clone() };
+    change(&mut list, told(9, true, &[drains(&one), started.clone()]));
+    assert_eq!(change(&mut list, told(3, true, &[one.clone(), two.clone(), three])), []);
+    assert_eq!(list.seq, 3);
+    let again = Listed { born_ms: 6000, ..one };
+    assert_eq!(change(&mut list, told(2, true, &[again, started])), [(1, PodState::Ready)]);
+    // From then on it is followed as any other.
+    assert_eq!(change(&mut list, told(4, false, &[two])), [(2, PodState::Ready)]);
+}
+
+/// What it says to be careful about counts.
+#[test]
+fn an_older_list_still_takes_pods_away() {
+    let (one, two) = (Listed::new("p1", at(1)), Listed::new("p2", at(2)));
+    let mut list = list_of(&[one.clone(), two]);
+    let told = change(&mut list, told(3, true, &[drains(&one)]));
+    assert_eq!(told, [(2, PodState::Gone), (1, PodState::Draining)]);
+}
+
+/// One entry that can't be understood costs its pod alone, and is told.
+#[rstest]
+#[case::health("\"in_service\"", "\"resting\"")]
+#[case::build("\"version_no\":1", "\"version_no\":70000")]
+#[case::address("127.0.0.1:2", "somewhere")]
+#[case::negative("\"born_ms\":0", "\"born_ms\":-1")]
+fn an_entry_that_cannot_be_used_spoils_no_other(#[case] from: &str, #[case] to: &str) {
+    let (one, two) = (Listed::new("p1", at(1)), Listed::new("p2", at(2)));
+    let entry = |of: &Listed| listing(1, false, std::slice::from_ref(of));
+    let entry = |of: &Listed| entry(of).split_once('[').unwrap().1.trim_end_matches("]}").to_owned();
+    let (good, bad) = (entry(&one), entry(&two).replacen(from, to, 1));
+    let text = format!(r#"{{"seq":9,"whole":true,"hosts":[{good},{bad},17]}}"#);
+    let read: Listing = serde_json::from_str(&text).unwrap();
+    let mut list = list_of(&[one, two]);
+    let changed = list.take(read.clone(), Duration::from_secs(3610), SystemTime::now()).unwrap();
+    assert!(
+        matches!(&changed.news, ListNews::Change(rows) if rows.len() == 1 && rows[0].state == PodState::Gone)
+    );
+    assert!(
+        changed.unusable[0].starts_with("host p2: ") && changed.unusable[1].starts_with("host unknown: ")
+    );
+    // Nor does one in the list that was held before the start.
+    let mut list = List::new(&[], &[]);
+    let held = list.recall(read, Duration::from_secs(3600), SystemTime::now());
+    assert!(matches!(held, ListNews::Remembered(rows) if rows.len() == 1));
+}
+
+/// While the stream to where rollouts were before stands beside the new one, each tells of a wrong answer: it counts once.
+/// One stream that tells of two alike tells of two.
+#[test]
+fn a_report_told_by_two_streams_counts_once() {
+    let report = |pod: &str| Report { instance_id: pod.into(), lane: "look".into(), age_ms: 0.0 };
+    let ms = |ms| Duration::from_millis(ms);
+    let mut reports = Reports::default();
+    assert!(reports.is_new("old", &report("p1"), ms(1000), ms(2000)));
+    assert!(reports.is_new("old", &report("p1"), ms(1001), ms(2001)));
+    assert!(reports.is_new("new", &report("p2"), ms(1000), ms(2002)));
+    assert!(reports.is_new("new", &report("p1"), ms(1500), ms(2003)));
+    assert!(!reports.is_new("new", &report("p1"), ms(1003), ms(2004)));
+    assert!(!reports.is_new("new", &report("p1"), ms(1003), ms(2004)));
+    assert!(reports.is_new("new", &report("p1"), ms(1003), ms(2005)));
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -99,6 +99,8 @@
     /// Client timeout of all path groups, in seconds.
     pub patience: f64,
     pub second_copies: bool,
+    /// How long a connection to a pod may take to come up, in seconds.
+    pub connect: f64,
     /// Whether a forward that has gone out may be cancelled.
     pub cancel: bool,
     pub listen: SocketAddr,
@@ -112,12 +114,25 @@
         let discovery = SocketAddr::from(([127, 0, 0, 1], 1));
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let (rollouts, descriptors, patience, sidecars) = (None, 256, 5.0, (1, 0));
-        let (second_copies, cancel) = (false, true);
-        Self { discovery, rollouts, known, descriptors, patience, second_copies, cancel, listen, sidecars }
+        let (second_copies, cancel, connect) = (false, true, 1.0);
+        Self {
+            connect,
+            discovery,
+            rollouts,
+            known,
+            descriptors,
+            patience,
+            second_copies,
+            cancel,
+            listen,
+            sidecars,
+        }
     }
 
     pub fn json(&self) -> String {
-        let Self { discovery, descriptors, patience, second_copies, cancel, listen, sidecars, .. } = self;
+        let Self {
+            discovery, descriptors, patience, second_copies, connect, cancel, listen, sidecars, ..
+        } = self;
         let (sidecars, own) = sidecars;
         let known = listing(7, true, &self.known);
         let rollouts = self.rollouts.map_or(String::new(), |at| {
@@ -137,7 +152,7 @@
               "profiles":[{groups}],"realms":[{{"name":"acme"}}],
               "rules":{{"cold_from":0.5,"cold_s":1,"fall_multiple":2,"fall_s":1,"stop_sending_within_s":0.5}},
               "limits":{{"cancel":{cancel},"max_attempts":4,"max_retry_after_s":0.5,"retry_after":true,"second_copies":{second_copies},
-                "connect_timeout_s":1,"idle_close_s":15}},
+                "connect_timeout_s":{connect},"idle_close_s":15}},
               "domain":{{"api_timeout_s":1,"counted_by":"all","gate_mode":"timer","most_shares":[0.5],"span_s":2,"stage_share":[0.5],
                 "uncounted":1,"vote_ttl_s":4,"votes_to_revert":1}}}}}}"#
         )
--- a/crates/standins/src/platform/services.rs
+++ b/crates/standins/src/platform/services.rs
@@ -75,6 +75,11 @@
         say(&self.streams, &chunk(object));
     }
 
+    /// Says these bytes, with no end of a line.
+    pub fn says_part(&self, bytes: &str) {
+        say(&self.streams, &format!("{:x}\r\n{bytes}\r\n", bytes.len()));
+    }
+
     /// Ends all watches.
     pub fn cuts(&self) {
         cut(&self.streams);
