Floods that come in parts are turned away; clients that went behind unread input have gone

Seen, by tests on real sockets: statements by the dozen that came while the first was out waited for it as long as it took (clients::a_flood_that_comes_in_parts, no word in 20 s); the HTTP sidecar kept a hit whose client had closed behind more than is read ahead, up to the hit's time (10 s in the test). Looked for and not found, each with a test that passes on the text before too: a connection that comes up when its request is over carries nothing for it; nothing goes out for a client that went while its request waited for any pod; a first statement that comes as the time of silence ends is read before that counts; a vote that crosses a new configuration is cast again; a pod's earlier life is served to its end and its connection let go.

--- a/crates/cli/tests/command/platform.rs
+++ b/crates/cli/tests/command/platform.rs
@@ -86,6 +86,18 @@
     assert!(sidecar.ends());
 }
 
+/// The process stands still for longer than a client may be silent, and its first statement comes just then: what was read
+/// counts before what is due.
+#[test]
+fn a_first_statement_that_comes_as_silence_is_over_is_answered() {
+    let (_pod, sidecar, mut client) = with_pod(vec![Does::Serves("red")]);
+    sidecar.signal(Signal::STOP);
+    sleep(Duration::from_millis(1600));
+    client.asks(&ask("look", 1));
+    sidecar.signal(Signal::CONT);
+    assert_eq!(client.hears(), Answer::Row("red".into()));
+}
+
 /// Longer than connections go on coming to a sidecar that was told to leave.
 const DOOR_CLOSES: Duration = Duration::from_millis(700);
 
--- a/crates/platform/src/service/front.rs
+++ b/crates/platform/src/service/front.rs
@@ -17,6 +17,7 @@
 const FAILED: &str = "58000";
 const BAD_STATEMENT: &str = "42601";
 const BAD_MESSAGE: &str = "08P01";
+const TOO_MANY: &str = "too many statements at once";
 
 pub struct Client {
     frames: Frames,
@@ -56,7 +57,12 @@
             }
             if client.hit.is_some() {
                 // What comes behind waits its turn; a client that closed its side is gone, whatever it left unread.
-                return if self.sockets.hung_up(id) { self.client_gone(id) } else { Default::default() };
+                if self.sockets.hung_up(id) {
+                    return self.client_gone(id);
+                }
+                let behind = self.sockets.input(id).map_or(0, |input| waiting(input, MOST_WAITING + 1));
+                // A flood that comes in parts is turned away as one that comes at once.
+                return if behind > MOST_WAITING { self.give_up(id) } else { Default::default() };
             }
             // Nothing more is taken off a client that does not read its answers.
             if self.sockets.unsent(id) > MOST_UNSENT {
@@ -151,7 +157,7 @@
         }
         let behind = self.sockets.input(id).map_or(0, |input| waiting(input, MOST_WAITING + 1));
         if behind > MOST_WAITING {
-            return self.turn_away(id, "54000", "too many statements at once".into());
+            return self.turn_away(id, "54000", TOO_MANY.into());
         }
         self.spoke(id);
         let due = self.now + statement.waits.saturating_sub(MARGIN);
@@ -309,6 +315,17 @@
         let hit = self.client(id).and_then(|client| client.hit.take());
         self.forget_client(id);
         self.sockets.close(id);
+        self.left(hit);
+    }
+
+    /// The client floods while its hit is out: that is over, and it is turned away.
+    fn give_up(&mut self, id: SocketId) {
+        let hit = self.client(id).and_then(|client| client.hit.take());
+        self.left(hit);
+        self.turn_away(id, "54000", TOO_MANY.into());
+    }
+
+    fn left(&mut self, hit: Option<HitId>) {
         let Some(hit) = hit else { return };
         let Some(open) = self.hits.get_mut(hit) else { return };
         open.client = None;
--- a/crates/platform/tests/sockets/clients.rs
+++ b/crates/platform/tests/sockets/clients.rs
@@ -149,3 +149,18 @@
     assert_eq!(client.hears(), Answer::Row("red".into()));
     drop(silent);
 }
+
+/// The same where the first statement is out before the others come. Without the mend it is waited for as long as it takes.
+#[test]
+fn a_flood_that_comes_in_parts_is_turned_away_whole() {
+    let (pod, at) = with_pod(vec![Does::Waits]);
+    let mut client = Client::new(at);
+    client.asks(&ask("look", 60_000));
+    assert!(pod.hears().starts_with("SELECT"));
+    for _ in 0..50 {
+        client.asks(&ask("look", 60_000));
+    }
+    assert!(is_error(&client.hears(), "54000"));
+    assert!(client.hears_the_end());
+    assert_eq!(pod.hears(), "gone");
+}
--- a/crates/platform/tests/sockets/pods.rs
+++ b/crates/platform/tests/sockets/pods.rs
@@ -3,7 +3,7 @@
 use crate::help::{ask, ask_of, sidecar, with_pod};
 use limewing_pg::write;
 use limewing_platform::bounds::{RESTS, WHOLE_WITHIN};
-use limewing_standins::platform::{answer, Answer, Client, Config, Does, Listed, Pod};
+use limewing_standins::platform::{answer, listing, Answer, Client, Config, Discovery, Does, Listed, Pod};
 use rstest::rstest;
 use std::net::TcpListener;
 use std::thread::sleep;
@@ -261,3 +261,39 @@
     drop(client);
     assert_eq!(pod.hears(), "gone");
 }
+
+/// A connection that comes up when its request is over carries nothing for that one.
+#[test]
+fn a_connection_that_comes_up_late_carries_nothing_for_a_request_that_is_over() {
+    let (pod, at) = with_pod(vec![Does::WelcomesLater, Does::Serves("red")]);
+    let mut client = Client::new(at);
+    client.asks(&ask_of("over", "pay", 300));
+    assert_eq!(pod.hears(), "came");
+    assert!(matches!(client.hears(), Answer::Error(code, _) if code == "53300"));
+    pod.go_on.send(()).unwrap();
+    client.asks(&ask_of("next", "pay", 5000));
+    assert_eq!(client.hears(), Answer::Row("red".into()));
+    assert!(pod.hears().contains("'next'"));
+}
+
+/// A client that goes while its request waits for any pod at all: the first pod that comes does not get it.
+#[test]
+fn nothing_goes_out_later_for_a_client_that_went_while_it_waited() {
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let at = sidecar(&Config { discovery: discovery.at, ..Config::new(Vec::new()) });
+    discovery.is_asked();
+    let mut client = Client::new(at);
+    client.asks(&ask_of("gone", "look", 4000));
+    // It has been taken: another one behind it on the loop has its answer.
+    let mut other = Client::new(at);
+    other.asks("");
+    assert_eq!(other.hears(), Answer::Empty);
+    drop(client);
+    other.asks("");
+    assert_eq!(other.hears(), Answer::Empty);
+    discovery.says(&listing(9, false, &[Listed::new("p1", pod.at)]));
+    other.asks(&ask_of("other", "look", 4000));
+    assert_eq!(other.hears(), Answer::Row("red".into()));
+    assert!(pod.hears().contains("'other'") && pod.heard_nothing());
+}
--- a/crates/platform/tests/sockets/services.rs
+++ b/crates/platform/tests/sockets/services.rs
@@ -324,3 +324,43 @@
     trial.go_on.send(()).unwrap();
     assert_eq!(trial.hears(), "gone");
 }
+
+/// A pod that left and is back under the same address with another build: what an attempt of its earlier life answers still
+/// counts, and its connection is not kept for the new one.
+#[test]
+fn a_connection_to_an_earlier_life_of_a_pod_is_not_kept() {
+    let pod = Pod::new(vec![Does::ServesLater("old"), Does::Serves("new")]);
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.discovery = discovery.at;
+    let at = sidecar(&config);
+    discovery.is_asked();
+    let mut client = Client::new(at);
+    client.asks(&ask("look", 10_000));
+    assert!(pod.hears().starts_with("SELECT"));
+    discovery.says(&listing(9, false, &[Listed { health: "terminated", ..Listed::new("p1", pod.at) }]));
+    discovery.says(&listing(10, false, &[Listed { build: 2, ..Listed::new("p1", pod.at) }]));
+    asks_until(at, "new");
+    pod.go_on.send(()).unwrap();
+    assert_eq!(client.hears(), Answer::Row("old".into()));
+    while pod.hears() != "gone" {}
+}
+
+/// A vote that was out to where rollouts were before, and has no answer, is cast again where they are now.
+#[test]
+fn a_vote_that_crosses_a_new_configuration_is_cast_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let first = Rollouts::new(&news(2, 0), vec![Vote::Waits]);
+    let second = Rollouts::new("{}", vec![Vote::Says(200, state(2, 0, "Progressing", 0.5))]);
+    let mut config = Config::new(vec![Listed::new("p1", pod.at)]);
+    config.rollouts = Some(first.at);
+    sidecar_of(file.clone(), &config);
+    first.vote(SOON).expect("a vote to hold");
+    config.rollouts = Some(second.at);
+    std::fs::write(&file, config.json()).unwrap();
+    hang_up();
+    let again = second.vote(SOON).expect("the vote once more");
+    assert!(again.contains("pause"), "{again}");
+}
--- a/crates/sidecar/src/service/front.rs
+++ b/crates/sidecar/src/service/front.rs
@@ -118,8 +118,8 @@
                 if client.rest.is_some() {
                     return self.pass_body(id);
                 }
-                // What is pipelined waits its turn; a client that closed its side is gone.
-                return if ended { self.client_gone(id) } else { Default::default() };
+                // What is pipelined waits its turn; a client that closed its side is gone, whatever it left unread.
+                return if self.sockets.hung_up(id) { self.client_gone(id) } else { Default::default() };
             }
             // Nothing more is taken off a client that does not read its answers, and it is not waited for forever.
             if self.sockets.unsent(id) > MOST_UNSENT {
--- a/crates/sidecar/tests/sockets/hard_cases.rs
+++ b/crates/sidecar/tests/sockets/hard_cases.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
+use std::time::{Duration, Instant};
 
 const HALF: &str = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf";
 const NOT_BEGUN: &str = "HTTP/1.1 503 Busy\r\nLimewing-Not-Begun: 1\r\nContent-Length: 0\r\n\r\n";
@@ -119,6 +120,21 @@
     assert_eq!(pod.hears(), "gone");
 }
 
+/// Also where it has sent more than is read ahead of it: its end stands behind that.
+#[test]
+fn a_client_that_goes_behind_unread_requests_takes_its_hit_back() {
+    let pod = Pod::new(vec![Does::Waits]);
+    let mut client = Client::new(sidecar(&[pod.at]));
+    client.says(QUOTE);
+    assert!(pod.hears().starts_with("GET"));
+    client.says(&QUOTE.repeat(60 * 1024 / QUOTE.len()));
+    let went = Instant::now();
+    client.0.shutdown(Shutdown::Both).unwrap();
+    assert_eq!(pod.hears(), "gone");
+    // Long before the hit's time is up, at which it ends in any case.
+    assert!(went.elapsed() < Duration::from_secs(5));
+}
+
 #[rstest]
 #[case::two_lengths(
     "POST /charges HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
--- a/crates/standins/src/platform/pod.rs
+++ b/crates/standins/src/platform/pod.rs
@@ -36,6 +36,8 @@
     ClosesEarly,
     /// Says nothing from the first bytes on.
     WaitsEarly,
+    /// Welcomes a connection, of which it tells `came`, only after a word of the test.
+    WelcomesLater,
     /// Answers the empty query before the statement only after a word of the test, of which it is asked by `empty`; then
     /// the statement, if it comes.
     LivesLater(&'static str),
@@ -94,6 +96,11 @@
     script: &Mutex<Vec<Does>>,
     word: &Mutex<Receiver<()>>,
 ) -> Option<()> {
+    if matches!(script.lock().unwrap().first(), Some(Does::WelcomesLater)) {
+        script.lock().unwrap().remove(0);
+        let _ = tell.send("came".into());
+        let _ = word.lock().unwrap().recv_timeout(Duration::from_secs(20));
+    }
     let mut link = welcome(stream)?;
     let (mut own, mut rest): (Option<Does>, &[u8]) = (None, &[]);
     let mut last = BytesMut::new();
@@ -187,7 +194,7 @@
                 return None;
             }
             Does::Closes => return None,
-            Does::Waits | Does::ClosesEarly | Does::WaitsEarly => {}
+            Does::Waits | Does::ClosesEarly | Does::WaitsEarly | Does::WelcomesLater => {}
         }
         link.stream.write_all(&out).ok()?;
         last = out;
