An answer of discovery may take 1.5 s to begin again; silence is known after 2.3 s

Discovery that has too many callers answers after a second: calls were given up before and made again, which kept it crowded.

--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -14,8 +14,14 @@
 pub const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// Statements that may wait behind the one that is served: more are no client's that means well.
 pub const MOST_WAITING: usize = 8;
-/// Before a hit's time is up its final answer must be on its way.
-pub const MARGIN: Duration = Duration::from_millis(30);
+/// Before a hit's time is up its final answer must be on its way, so long before or an eighth of the time, if that is
+/// less.
+const MARGIN: Duration = Duration::from_millis(30);
+
+pub fn margin(waits: Duration) -> Duration {
+    MARGIN.min(waits / 8)
+}
+
 /// A client that can't be understood hears so after this time, and is read no further meanwhile. Guards against
 /// one that says the same again as soon as it is turned away. Hurts a client with a fault by that wait.
 pub const TURNED_AWAY_AFTER: Duration = Duration::from_millis(1000);
@@ -40,11 +46,12 @@
 
 /// An empty line comes on a watch every two seconds: one that says nothing whole for longer is lost. What it misses binds
 /// 6 s after it fell silent, so this, the longest wait before it is asked for again (1 s, by the module) twice and
-/// `LIST_BEGINS_WITHIN` once, for a first try that fails, leave time for the second. Hurts by a call more where an empty
-/// line is late by half a second.
-pub const LIST_QUIET_AT_MOST: Duration = Duration::from_millis(2500);
-/// The first object of a watch is whole within this time. Hurts where a list is large and its way narrow.
-pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(1100);
+/// `LIST_BEGINS_WITHIN` once, for a first try that is silent too, leave time for the second. Hurts by a call more where an
+/// empty line is late by a third of a second.
+pub const LIST_QUIET_AT_MOST: Duration = Duration::from_millis(2300);
+/// The answer to a watch begins within this time; its first object is then waited for as any other. Discovery that has too
+/// many callers answers or refuses after a second: a call that is given up sooner costs it the work, and is made again.
+pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(1500);
 /// A new configuration may be half written when its signal comes: one that can't be used is read again after this, then
 /// after twice as long each time, so often. What it moves binds after 4 s.
 const READ_AGAIN_AFTER: Duration = Duration::from_millis(50);
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -72,7 +72,8 @@
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Came {
     pub objects: Vec<Bytes>,
-    /// An object, or an empty line between two: the other side lives. Bytes within an object are no sign of that.
+    /// The answer's head, an object, or an empty line between two: the other side lives. Bytes within an object are no sign
+    /// of that.
     pub alive: bool,
 }
 
@@ -99,7 +100,7 @@
     /// # Errors
     /// It is no such answer, or can't be read on: the connection is of no further use.
     pub fn take(&mut self, input: &mut BytesMut) -> Result<Came, String> {
-        let mut came = Came::default();
+        let (mut came, begun) = (Came::default(), self.content.0.is_some());
         while let Some(piece) = self.content.next(input)? {
             let mut from = 0;
             for (at, byte) in piece.iter().enumerate() {
@@ -124,6 +125,7 @@
                 return Err(format!("an object of over {} bytes", self.most));
             }
         }
+        came.alive |= !begun && self.content.0.is_some();
         Ok(came)
     }
 
--- a/crates/platform/src/service/front.rs
+++ b/crates/platform/src/service/front.rs
@@ -1,7 +1,7 @@
 //! The clients' side: statements become hits, and each hit gets one final answer.
 
 use super::{Due, Peer, Service, MOST_UNSENT};
-use crate::bounds::{self, Idle, MARGIN, MOST_WAITING, SPEAKS_WITHIN, SWEEP_EVERY, TURNED_AWAY_AFTER};
+use crate::bounds::{self, Idle, MOST_WAITING, SPEAKS_WITHIN, SWEEP_EVERY, TURNED_AWAY_AFTER};
 use crate::statement;
 use bytes::BytesMut;
 use limewing::interface::{Event, Hit, HitId};
@@ -160,7 +160,7 @@
             return self.turn_away(id, "54000", TOO_MANY.into());
         }
         self.spoke(id);
-        let due = self.now + statement.waits.saturating_sub(MARGIN);
+        let due = self.now + statement.waits - bounds::margin(statement.waits);
         let (group, customer, key) = (statement.group, statement.customer, statement.key);
         self.ids.insert(statement.id.clone());
         let hit = self.hits.open(id, due, statement);
