What comes whole before noise on the ways of lists and news is told

Found by reading: Objects::take and Lines::take gave back an error in place of what they had read, so that a list or news right before a byte that can't be read was thrown away, though it counts as told. Test on sockets and in words: fails to build on the text before, where take() has no way to say both. Looked for elsewhere: a vote's answer before a reset is read (net).

--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -28,6 +28,17 @@
     }
 }
 
+/// What has come on such an answer.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Came {
+    /// Whole objects, or lines.
+    pub objects: Vec<Bytes>,
+    /// The other side lives: the answer's head, an object or a line has come. Bytes within one are no sign of that.
+    pub alive: bool,
+    /// Why nothing more can be read of it; what came before is good.
+    pub broken: Option<String>,
+}
+
 /// Reads an answer of one object a line.
 pub struct Lines {
     content: Content,
@@ -42,16 +53,19 @@
     }
 
     /// The whole lines that have come.
-    ///
-    /// # Errors
-    /// It is no such answer, or can't be read on: the connection is of no further use.
-    pub fn take(&mut self, input: &mut BytesMut) -> Result<Vec<Bytes>, String> {
-        let mut lines = Vec::new();
+    pub fn take(&mut self, input: &mut BytesMut) -> Came {
+        let mut came = Came::default();
+        came.broken = self.read(input, &mut came).err();
+        came
+    }
+
+    fn read(&mut self, input: &mut BytesMut, came: &mut Came) -> Result<(), String> {
         while let Some(piece) = self.content.next(input)? {
             let mut rest = &piece[..];
             while let Some(end) = rest.iter().position(|b| *b == b'\n') {
                 self.held.extend_from_slice(&rest[..end]);
-                lines.push(self.held.split().freeze());
+                came.objects.push(self.held.split().freeze());
+                came.alive = true;
                 rest = &rest[end + 1..];
             }
             self.held.extend_from_slice(rest);
@@ -59,7 +73,7 @@
                 return Err(format!("a line of over {} bytes", self.most));
             }
         }
-        Ok(lines)
+        Ok(())
     }
 
     /// The answer has come to its end.
@@ -68,15 +82,6 @@
     }
 }
 
-/// What has come on a stream of objects.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Came {
-    pub objects: Vec<Bytes>,
-    /// The answer's head, an object, or an empty line between two: the other side lives. Bytes within an object are no sign
-    /// of that.
-    pub alive: bool,
-}
-
 /// Reads an answer of objects that may go over several lines. Each is kept until it is whole, up to a bound.
 pub struct Objects {
     content: Content,
@@ -96,11 +101,14 @@
     }
 
     /// The whole objects that have come.
-    ///
-    /// # Errors
-    /// It is no such answer, or can't be read on: the connection is of no further use.
-    pub fn take(&mut self, input: &mut BytesMut) -> Result<Came, String> {
+    pub fn take(&mut self, input: &mut BytesMut) -> Came {
         let (mut came, begun) = (Came::default(), self.content.0.is_some());
+        came.broken = self.read(input, &mut came).err();
+        came.alive |= !begun && self.content.0.is_some();
+        came
+    }
+
+    fn read(&mut self, input: &mut BytesMut, came: &mut Came) -> Result<(), String> {
         while let Some(piece) = self.content.next(input)? {
             let mut from = 0;
             for (at, byte) in piece.iter().enumerate() {
@@ -125,8 +133,7 @@
                 return Err(format!("an object of over {} bytes", self.most));
             }
         }
-        came.alive |= !begun && self.content.0.is_some();
-        Ok(came)
+        Ok(())
     }
 
     /// Whether an object is whole with this byte.
--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -54,15 +54,16 @@
         let ended = self.sockets.ended(link);
         let Some(Peer::Watch(of)) = self.peers.get_mut(&link) else { return };
         let Some(input) = self.sockets.input(link) else { return };
-        let read = of.objects.take(input);
+        let came = of.objects.take(input);
         let over = ended || of.objects.ended();
         // A trickle within one object is no sign of life: what it should tell is not told.
-        if read.as_ref().is_ok_and(|came| came.alive) {
+        if came.alive {
             let fresh = self.wheel.arm(self.now + LIST_QUIET_AT_MOST, Due::WatchQuiet(link));
             self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         }
-        let told = read.and_then(|came| came.objects.into_iter().try_for_each(|object| self.listed(&object)));
-        match told {
+        // What came whole before something that can't be read is told.
+        let told = came.objects.iter().try_for_each(|object| self.listed(object));
+        match told.and(came.broken.map_or(Ok(()), Err)) {
             Err(why) => self.watch_lost(link, &why),
             Ok(()) if over => self.watch_lost(link, "the watch ended"),
             Ok(()) => self.sockets.read_on(link),
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -70,14 +70,15 @@
         let ended = self.sockets.ended(link);
         let Some(Peer::News(of)) = self.peers.get_mut(&link) else { return };
         let Some(input) = self.sockets.input(link) else { return };
-        let read = of.lines.take(input);
+        let came = of.lines.take(input);
         let over = ended || of.lines.ended();
         // A trickle within one line is no sign of life.
-        if read.as_ref().is_ok_and(|lines| !lines.is_empty()) {
+        if came.alive {
             let fresh = self.wheel.arm(self.now + QUIET_AT_MOST, Due::NewsQuiet(link));
             self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         }
-        match read.and_then(|lines| lines.into_iter().try_for_each(|line| self.news_line(link, &line))) {
+        let told = came.objects.iter().try_for_each(|line| self.news_line(link, line));
+        match told.and(came.broken.map_or(Ok(()), Err)) {
             Err(why) => self.news_lost(link, &why),
             Ok(()) if over => self.news_lost(link, "the stream ended"),
             Ok(()) => self.sockets.read_on(link),
--- a/crates/platform/tests/sockets/services.rs
+++ b/crates/platform/tests/sockets/services.rs
@@ -364,3 +364,15 @@
     let again = second.vote(SOON).expect("the vote once more");
     assert!(again.contains("pause"), "{again}");
 }
+
+/// A list right before noise counts: the watch is asked for again from there. Without the mend both are thrown away.
+#[test]
+fn a_list_right_before_noise_is_told() {
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let first = listing(8, true, &[Listed::new("p1", pod.at)]);
+    let discovery = Discovery::new(format!("{first}\u{0}noise"));
+    let at = sidecar(&Config { discovery: discovery.at, ..Config::new(Vec::new()) });
+    discovery.is_asked();
+    assert!(discovery.is_asked().contains("since=8 "));
+    asks_until(at, "red");
+}
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -172,7 +172,7 @@
         let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         let whole = [&head[..], format!("{:x}\r\n", bytes.len()).as_bytes(), &bytes, b"\r\n"].concat();
         for input in [&bytes[..], &whole] {
-            for line in lines.take(&mut input.into()).unwrap_or_default() {
+            for line in lines.take(&mut input.into()).objects {
                 let _ = read_line(&line);
             }
         }
@@ -217,7 +217,9 @@
             }
             rest = &rest[piece.len()..];
             input.extend_from_slice(&chunked(piece));
-            came.extend(objects.take(&mut input).unwrap().objects);
+            let read = objects.take(&mut input);
+            prop_assert_eq!(read.broken, None);
+            came.extend(read.objects);
         }
         let came: Vec<serde_json::Value> = came.iter().map(|object| serde_json::from_slice(object).unwrap()).collect();
         prop_assert_eq!(came, values);
@@ -227,9 +229,8 @@
     fn any_bytes_are_objects_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let mut objects = Objects::new(50);
         for input in [&bytes[..], &[HEAD, &chunked(&bytes)].concat()] {
-            if let Ok(came) = objects.take(&mut input.into()) {
-                prop_assert!(came.objects.iter().all(|object| object.len() <= 50 + 200));
-            }
+            let came = objects.take(&mut input.into());
+            prop_assert!(came.objects.iter().all(|object| object.len() <= 50 + 200));
         }
     }
 }
@@ -243,9 +244,9 @@
 fn what_is_a_sign_of_life(#[case] piece: &[u8], #[case] alive: bool) {
     let mut objects = Objects::new(100);
     // The head of the answer is one.
-    assert!(objects.take(&mut bytes::BytesMut::from(HEAD)).unwrap().alive);
+    assert!(objects.take(&mut bytes::BytesMut::from(HEAD)).alive);
     let mut input = bytes::BytesMut::from(&chunked(piece)[..]);
-    assert_eq!(objects.take(&mut input).unwrap().alive, alive);
+    assert_eq!(objects.take(&mut input).alive, alive);
 }
 
 #[rstest]
@@ -254,7 +255,7 @@
 #[case::too_long(&[b'{'; 200])]
 fn what_is_no_object_is_refused(#[case] piece: &[u8]) {
     let mut input = bytes::BytesMut::from(&[HEAD, &chunked(piece)].concat()[..]);
-    assert!(Objects::new(100).take(&mut input).is_err());
+    assert!(Objects::new(100).take(&mut input).broken.is_some());
 }
 
 fn change(list: &mut List, told: Listing) -> Vec<(u64, PodState)> {
@@ -336,3 +337,16 @@
     assert!(!reports.is_new("new", &report("p1"), ms(1003), ms(2004)));
     assert!(reports.is_new("new", &report("p1"), ms(1003), ms(2005)));
 }
+
+/// What came whole before something that can't be read is good, in the same piece or one before.
+#[test]
+fn what_came_before_noise_is_told() {
+    let noisy = || bytes::BytesMut::from(&[HEAD, &chunked(b"{\"seq\":1}\n"), b"noise\r\n"].concat()[..]);
+    for came in [Objects::new(100).take(&mut noisy()), Lines::new(100).take(&mut noisy())] {
+        assert_eq!(came.objects, [&b"{\"seq\":1}"[..]]);
+        assert!(came.broken.is_some());
+    }
+    let mut input = bytes::BytesMut::from(&[HEAD, &chunked(b"{\"seq\":1}\nnoise")].concat()[..]);
+    let came = Objects::new(100).take(&mut input);
+    assert!(came.objects.len() == 1 && came.broken.is_some());
+}
