A key whose answer may have been whole stays with the build that met it

Ruled out: keys known as delivered, which stayed until the build went back, and late news. At fault: Gate::end_forward noted a key as met for Fate::Delivered alone. Now it is met by whatever may have run and was not failed by the pod's own word. Hurts where keys go one way: after such an end they can go to the build on trial only, as the design has it, until it goes back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -377,11 +377,11 @@
         let (pod, build, at) = (sent.pod, sent.build, sent.at);
         let was_open = !account.over;
         account.over |= outcome.over;
-        if outcome.fate == Fate::Delivered {
-            self.answered.add(round.now, RATE_OVER);
-            let key = account.key.filter(|_| round.figures.keys_stay);
-            key.into_iter().for_each(|key| round.mail.put(To::Gate, Note::Met(key, build)));
-        }
+        (outcome.fate == Fate::Delivered).then(|| self.answered.add(round.now, RATE_OVER));
+        // An answer may have been whole though its connection broke or was given up under it: it counts as had.
+        let had = !outcome.fate.never_ran() && outcome.fate != Fate::Errored;
+        let key = account.key.filter(|_| round.figures.keys_stay && had);
+        key.into_iter().for_each(|key| round.mail.put(To::Gate, Note::Met(key, build)));
         let (hit, group, open) = (outcome.hit, account.group, was_open && !account.over);
         let customer = account.customer;
         let learn = !outcome.fate.never_ran() && self.cap(build, &round.figures).is_none();
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -224,6 +224,31 @@
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(1.0)), Err(Refusal::KeyStays));
 }
 
+/// A whole answer may have come though its connection broke under it or was given up: its key stays all the same. What never
+/// ran, or failed by the pod's word, binds nothing. Without the mend only what was delivered does.
+#[rstest]
+#[case::delivered(Fate::Delivered, true)]
+#[case::broken(Fate::Broken, true)]
+#[case::timed_out(Fate::TimedOut, true)]
+#[case::cancelled(Fate::Cancelled, true)]
+#[case::failed(Fate::Errored, false)]
+#[case::turned_away(Fate::TurnedAway, false)]
+#[case::unreached(Fate::Unreached, false)]
+fn a_key_whose_answer_may_have_come_stays(#[case] fate: Fate, #[case] stays: bool) {
+    let mut gate = gate(0, Phase::OnTrial, 1.0);
+    let mut round = round(1.0);
+    gate.send(HitId(0), PodId(3), &mut round);
+    let (hit, no, pod, took) = (HitId(0), ForwardNo(0), PodId(3), at(0.1));
+    gate.end_forward(Outcome { hit, no, pod, fate, took, over: false }, &mut round);
+    while let Some((to, note)) = round.mail.take() {
+        if to == To::Gate {
+            gate.take(note, &mut round);
+        }
+    }
+    let want = if stays { Err(Refusal::KeyStays) } else { Ok(()) };
+    assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
+}
+
 /// A judge on build 2 with pods 3 and 5 on trial; each entry is (pod, errors, outcomes, time).
 fn judge(new: &[(u64, usize, usize, f64)], old: (usize, usize, f64)) -> Judge {
     let mut judge = Judge { news: Some(news(Phase::OnTrial, 0.2)), ..Judge::default() };
