After a standstill what has come is read before what is due

A process that is stopped and goes on has its epoll_wait interrupted (signal(7)); Sockets::wait took that for a round with nothing in it, and the timers that had run out meanwhile came first, in both hosts. Now the poll is asked once more, without waiting.

--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -456,7 +456,13 @@
         let at_once = !self.told.is_empty() || !self.unread.is_empty() || !self.lost[0].is_empty();
         let most = if at_once { Some(Duration::ZERO) } else { most };
         let most = [most, soon, self.end_lingering()].into_iter().flatten().min();
-        match self.poll.poll(&mut self.events, most) {
+        let mut polled = self.poll.poll(&mut self.events, most);
+        // Interrupted, as a process is that stood still and goes on (signal(7)), it tells nothing of what has come
+        // meanwhile, which is to be known before what is due.
+        if polled.as_ref().is_err_and(|e| e.kind() == ErrorKind::Interrupted) {
+            polled = self.poll.poll(&mut self.events, Some(Duration::ZERO));
+        }
+        match polled {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
             _ => {}
         }
