--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -15,29 +15,28 @@
     pub seq: u64,
     pub whole: bool,
     #[serde(deserialize_with = "entries")]
-    pub hosts: Vec<Told>,
+    pub hosts: Vec<Result<Entry, Unusable>>,
 }
 
-/// An entry, or of one that can't be used its host, if that can be read, and why.
+/// An entry that can't be used: its host, if that can be read, and why.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Told {
-    Entry(Entry),
-    Unusable { host: Option<String>, why: String },
+pub struct Unusable {
+    pub host: Option<String>,
+    pub why: String,
 }
 
 /// One entry that can't be understood spoils none of the others.
-fn entries<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Told>, D::Error> {
+fn entries<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Result<Entry, Unusable>>, D::Error> {
     #[derive(Deserialize)]
     struct Named {
         host: String,
     }
-    let read = |raw: Box<RawValue>| match serde_json::from_str(raw.get()) {
-        Ok(entry) => Told::Entry(entry),
-        Err(why) => {
+    let read = |raw: Box<RawValue>| {
+        serde_json::from_str(raw.get()).map_err(|why| {
             let host = serde_json::from_str(raw.get()).ok().map(|named: Named| named.host);
             let why = format!("host {}: {why}", host.as_deref().unwrap_or("unknown"));
-            Told::Unusable { host, why }
-        }
+            Unusable { host, why }
+        })
     };
     Ok(Vec::<Box<RawValue>>::deserialize(from)?.into_iter().map(read).collect())
 }
@@ -141,8 +140,8 @@
     pub fn recall(&mut self, known: Listing, now: Duration, today: SystemTime) -> ListNews {
         let seq = known.seq;
         let entries = known.hosts.into_iter().filter_map(|told| match told {
-            Told::Entry(entry) => Some(entry).filter(|entry| entry.health != Health::Terminated),
-            Told::Unusable { why, .. } => {
+            Ok(entry) => Some(entry).filter(|entry| entry.health != Health::Terminated),
+            Err(Unusable { why, .. }) => {
                 tracing::warn!(why, "an entry of the list that was held can't be used");
                 None
             }
@@ -170,8 +169,8 @@
         let (mut entries, mut unusable) = (Vec::new(), Vec::new());
         for told in told.hosts {
             match told {
-                Told::Entry(entry) => entries.push(entry),
-                Told::Unusable { host, why } => {
+                Ok(entry) => entries.push(entry),
+                Err(Unusable { host, why }) => {
                     unusable.push(why);
                     let host = host.unwrap_or_default();
                     rows.extend(self.remove(&host, now, &mut moved));
--- a/crates/platform/src/news.rs
+++ b/crates/platform/src/news.rs
@@ -59,12 +59,16 @@
 pub struct Latest(Option<State>);
 
 impl Latest {
-    pub fn take(&mut self, state: State) -> Option<StageNews> {
+    /// The news, if it is none that was overtaken, and the build that it closes to what has not gone out: one that goes
+    /// back, or whose cap was lowered. That binds soon, and an attempt that was granted before may be on its way for longer.
+    pub fn take(&mut self, state: State) -> Option<(StageNews, Option<BuildId>)> {
         if self.0.is_some_and(|old| old.progress() > state.progress()) {
             return None;
         }
-        self.0 = Some(state);
-        Some(state.news())
+        let (old, news) = (self.0.replace(state).map(State::news), state.news());
+        let lower = old.is_some_and(|old| old.build == news.build && news.cap < old.cap);
+        let closes = lower || matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+        Some((news, closes.then_some(news.build)))
     }
 }
 
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -16,7 +16,7 @@
 use back::PodLink;
 use discovery::WatchLink;
 use front::Client;
-use limewing::interface::{Action, BuildId, Event, ForwardNo, HitId, Repeat, VoteAnswer};
+use limewing::interface::{Action, Event, ForwardNo, HitId, Repeat, VoteAnswer};
 use limewing::sidecar::Sidecar;
 use limewing_hosting::again::Again;
 use limewing_hosting::clock::Clock;
@@ -123,8 +123,6 @@
     reread: Option<TimerKey>,
     reread_tried: u32,
     latest: Latest,
-    /// The build that news last spoke of, and its cap.
-    told_cap: Option<(BuildId, f64)>,
     lost_news: Again,
     room: Room,
     shutdown: Shutdown,
@@ -202,7 +200,6 @@
             reread: None,
             reread_tried: 0,
             latest: Latest::default(),
-            told_cap: None,
             lost_news: Again::new(told.seed),
             room,
             shutdown: Shutdown::new(bounds::shutdown(longest)),
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -3,10 +3,9 @@
 
 use super::{Due, Peer, Service};
 use crate::lines::Lines;
-use crate::listing::List;
 use crate::news::{self, State, Told};
 use bytes::Bytes;
-use limewing::interface::{BuildId, Event, GroupId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
+use limewing::interface::{BuildId, Event, GroupId, StageNo, Verdict, VoteAnswer};
 use limewing_net::call::{Call, Heard};
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
@@ -25,30 +24,20 @@
 impl Service {
     /// How the newest build stands, told by the stream, or by the answer to a vote.
     pub(super) fn stands(&mut self, state: State, answer: Option<VoteAnswer>) {
-        let news = self.latest.take(state);
+        let (news, closes) = self.latest.take(state).unzip();
         match news {
-            Some(news) => {
-                tracing::info!(?news, "news");
-                self.lowers(news);
-            }
+            Some(news) => tracing::info!(?news, "news"),
             None => tracing::warn!(?state, "old news left out"),
         }
+        // What was granted by the news before and has not gone out is called off; the module grants it anew.
+        if let Some(closed) = closes.flatten() {
+            self.call_off(|list, pod| list.life(pod).is_some_and(|life| life.build >= closed));
+        }
         if news.is_some() || answer.is_some() {
             self.events.push(Event::Stage { news, answer });
         }
     }
 
-    /// A cap that was lowered binds soon, and a forward that was granted by the one before may be on its way to its pod
-    /// for longer: what has not gone out is called off, and the module grants it anew. Hurts by connections given up.
-    fn lowers(&mut self, news: StageNews) {
-        let before = self.told_cap.replace((news.build, news.cap));
-        let lower = before.is_some_and(|(build, cap)| build == news.build && news.cap < cap);
-        if lower || matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
-            let on_trial = |list: &List, pod| list.life(pod).is_some_and(|life| life.build >= news.build);
-            self.call_off(|list, pod| on_trial(list, pod));
-        }
-    }
-
     pub(super) fn ask_news(&mut self) {
         let Some(at) = self.places.rollouts.filter(|_| self.news.is_none()) else { return };
         let Ok(link) = self.sockets.connect(at) else {
