--- a/crates/account/src/across.rs
+++ b/crates/account/src/across.rs
@@ -65,8 +65,10 @@
                 if stays && newest > build {
                     found.keys_back += 1;
                     if found.keys_back == 1 {
-                        let text =
-                            format!("{sidecar:?} sent key {key} to build {build}, which had met {newest}");
+                        let met = since.as_secs_f64();
+                        let text = format!(
+                            "{sidecar:?} sent key {key} to build {build}, which had met {newest} at {met:.3} s"
+                        );
                         found.first.push((at, text));
                     }
                 }
