--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -51,7 +51,7 @@
 pub const LIST_QUIET_AT_MOST: Duration = Duration::from_millis(2300);
 /// The answer to a watch begins within this time; its first object is then waited for as any other. Discovery that has too
 /// many callers answers or refuses after a second: a call that is given up sooner costs it the work, and is made again.
-pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(1500);
+pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(8000);
 /// A new configuration may be half written when its signal comes: one that can't be used is read again after this, then
 /// after twice as long each time, so often. What it moves binds after 4 s.
 const READ_AGAIN_AFTER: Duration = Duration::from_millis(50);
--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -11,7 +11,7 @@
 use limewing_net::http;
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 /// One object of a watch is no longer than this, in bytes.
 const LONGEST_LISTING: usize = 4 * 1024 * 1024;
@@ -19,6 +19,10 @@
 pub struct WatchLink {
     objects: Objects,
     quiet: TimerKey,
+    /// When its call was made.
+    asked: Duration,
+    /// The answer has begun.
+    answered: bool,
 }
 
 impl Service {
@@ -40,7 +44,8 @@
         };
         let quiet = self.wheel.arm(self.now + LIST_BEGINS_WITHIN, Due::WatchQuiet(link));
         let objects = Objects::new(LONGEST_LISTING);
-        self.peers.insert(link, Peer::Watch(Box::new(WatchLink { objects, quiet })));
+        let (asked, answered) = (self.now, false);
+        self.peers.insert(link, Peer::Watch(Box::new(WatchLink { objects, quiet, asked, answered })));
         self.watch = Some(link);
     }
 
@@ -61,6 +66,10 @@
             let fresh = self.wheel.arm(self.now + LIST_QUIET_AT_MOST, Due::WatchQuiet(link));
             self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         }
+        if came.alive && !std::mem::replace(&mut of.answered, true) {
+            let waited_ms = (self.now - of.asked).as_millis() as u64;
+            tracing::debug!(waited_ms, objects = came.objects.len(), "discovery answers");
+        }
         // What came whole before something that can't be read is told.
         let told = came.objects.iter().try_for_each(|object| self.listed(object));
         match told.and(came.broken.map_or(Ok(()), Err)) {
@@ -98,6 +107,10 @@
     }
 
     pub(super) fn watch_lost(&mut self, link: SocketId, why: &str) {
+        if let Some(Peer::Watch(of)) = self.peers.get(&link) {
+            let waited_ms = (self.now - of.asked).as_millis() as u64;
+            tracing::debug!(waited_ms, answered = of.answered, why, "a watch ends");
+        }
         self.close_watch(link);
         if self.old_watch == Some(link) {
             tracing::info!(why, "the old watch is over");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,6 @@
 use crate::interface::*;
 use crate::ledger::{drawn, excess, median, part, tail, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -190,9 +189,7 @@
 #[derive(Default)]
 pub struct Gate {
     news: Option<StageNews>,
-    places: BTreeMap<PodId, Place>,
-    whole: Cell<Option<(Duration, f64)>>, // the strength of all, as last summed up
-    lowest: Option<BuildId>,              // that runs at a place which neither drains nor is gone
+    places: Places,
     accounts: BTreeMap<HitId, Account>,
     taken: BTreeMap<usize, Window>,
     exposed: BTreeMap<(BuildId, usize), Window>,
@@ -207,14 +204,9 @@
         match note {
             Note::Listed(entry) => {
                 let luck = round.chance();
-                self.places
-                    .entry(entry.pod)
-                    .or_insert_with(|| Place::of(&entry))
-                    .list(entry, round.now, luck);
-                self.lowest = self.lowest_build();
-                self.whole.set(None);
+                self.places.list(entry, round.now, luck);
             }
-            Note::Forget(pod) => drop(self.places.remove(&pod)),
+            Note::Forget(pod) => self.places.remove(pod),
             Note::Taken(hit) => self.open(hit, round),
             Note::Ask { hit, mut bids, turn } => {
                 // Nearly always the best may have it: only if not, the others are put in order.
@@ -261,10 +253,6 @@
         }
     }
 
-    fn lowest_build(&self) -> Option<BuildId> {
-        self.places.values().filter(|p| p.ended.is_none()).map(|p| p.entry.build).min()
-    }
-
     /// Once a build is released and nothing older can be sent to, its keys need not be told apart: an older
     /// pod that came back would get no hit with a key. Guards against a million keys a day; may hurt when old
     /// machines come back by hand after a release: they serve hits without keys only.
@@ -293,7 +281,7 @@
     fn allow(&self, hit: HitId, (pod, part): (PodId, f64), round: &Round) -> Result<(), Refusal> {
         let (now, figures) = (round.now, &round.figures);
         let account = self.accounts.get(&hit).ok_or(Refusal::Over)?;
-        let place = self.places.get(&pod).ok_or(Refusal::Drained)?;
+        let place = self.places.get(pod).ok_or(Refusal::Drained)?;
         let spent = account.forwards.len() >= figures.max_forwards;
         let open = !account.over && !account.streams && now < account.due && !spent;
         open.then_some(()).ok_or(Refusal::Over)?;
@@ -312,14 +300,7 @@
         if strength >= 1.0 {
             return Ok(());
         }
-        let whole = self.whole.get().filter(|(at, _)| *at == now).map_or_else(
-            || {
-                let ready = self.places.values().filter(|p| p.entry.state == PodState::Ready);
-                ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum()
-            },
-            |(_, whole)| whole,
-        );
-        self.whole.set(Some((now, whole)));
+        let whole = self.places.strength(now, figures);
         // What it uses but a part of gets so much more from it, and nothing from sidecars that use others.
         let fair = self.answered.now(now, RATE_OVER) / (whole * part).max(0.01);
         let load = COLD_LOAD.min(figures.fall_multiple);
@@ -332,7 +313,7 @@
     }
 
     fn cap(&self, build: BuildId, figures: &Figures) -> Option<(f64, u8)> {
-        cap(build, self.lowest, self.news, figures)
+        cap(build, self.places.lowest(), self.news, figures)
     }
 
     /// Rule 5. A lower cap is kept from the moment it is told, without the grace.
@@ -355,7 +336,7 @@
     }
 
     fn send(&mut self, hit: HitId, pod: PodId, round: &mut Round) {
-        let found = (self.accounts.get_mut(&hit), self.places.get_mut(&pod));
+        let found = (self.accounts.get_mut(&hit), self.places.get_mut(pod));
         let (Some(account), Some(place)) = found else { return };
         let (no, build) = (account.sent(&place.entry, round.now), place.entry.build);
         place.sends.note(round.now);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -75,14 +75,19 @@
 fn gate(of: u16, phase: Phase, cap: f64) -> Gate {
     let mut gate = Gate { news: Some(news(phase, cap)), ..Gate::default() };
     for entry in [pod(0, 1), pod(1, 1), pod(2, 1), pod(3, 2)] {
-        gate.places.insert(entry.pod, Place::of(&entry));
+        gate.places.list(entry, Duration::ZERO, 0.0);
     }
-    gate.lowest = gate.lowest_build();
     let hit = Hit { id: HitId(0), group: GroupId(of), customer: None, key: Some(KeyId(5)), due: at(9.0) };
     gate.accounts.insert(hit.id, Account::of(&hit));
     gate
 }
 
+fn remove_builds_below(gate: &mut Gate, lowest: u16) {
+    let older = |place: &&Place| place.entry.build < BuildId(lowest);
+    let older: Vec<PodId> = gate.places.values().filter(older).map(|place| place.entry.pod).collect();
+    older.into_iter().for_each(|pod| gate.places.remove(pod));
+}
+
 fn sent(to: PodEntry, when: f64, fate: Option<Fate>) -> Sent {
     Sent { pod: to.pod, build: to.build, zone: to.zone, cell: to.cell, at: at(when), fate }
 }
@@ -130,7 +135,7 @@
 #[case::after(2.1, Err(Refusal::Drained))]
 fn a_draining_pod_gets_nothing_after_the_grace(#[case] now: f64, #[case] want: Result<(), Refusal>) {
     let mut gate = gate(0, Phase::Released, 1.0);
-    gate.places.get_mut(&PodId(0)).unwrap().ended = Some(at(1.0));
+    gate.places.get_mut(PodId(0)).unwrap().ended = Some(at(1.0));
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(now)), want);
 }
 
@@ -151,7 +156,7 @@
         gate.answered.add(at(0.05 * f64::from(n)), RATE_OVER);
     }
     round.now = at(8.95);
-    let place = gate.places.get_mut(&PodId(0)).unwrap();
+    let place = gate.places.get_mut(PodId(0)).unwrap();
     place.entry.started = Some(at(started));
     (0..sent).for_each(|_| place.sends.note(at(8.9)));
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
@@ -419,7 +424,7 @@
 ) {
     let (mut gate, round) = (gate(0, Phase::Released, 1.0), round(8.0));
     gate.answered.add(at(8.0), RATE_OVER);
-    let place = gate.places.get_mut(&PodId(0)).unwrap();
+    let place = gate.places.get_mut(PodId(0)).unwrap();
     (place.entry.started, place.luck) = (Some(at(7.9)), luck);
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
 }
@@ -539,11 +544,11 @@
     let mut gate = gate(0, Phase::Released, 1.0);
     gate.met.insert(KeyId(5), BuildId(2));
     gate.accounts.get_mut(&HitId(0)).unwrap().key = key;
-    gate.places.retain(|_, place| place.entry.build >= BuildId(lowest));
+    remove_builds_below(&mut gate, lowest);
     gate.forget_keys(&round(1.0));
     assert_eq!(gate.met.is_empty(), lowest == 2);
     // An older machine comes back.
-    gate.places.insert(PodId(0), Place::of(&pod(0, 1)));
+    gate.places.list(pod(0, 1), at(1.0), 0.0);
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(1.0)), want);
 }
 
@@ -610,7 +615,7 @@
 fn keys_of_a_build_not_announced_yet_are_kept() {
     let mut gate = gate(0, Phase::Released, 1.0);
     gate.met.insert(KeyId(5), BuildId(3));
-    gate.places.retain(|_, place| place.entry.build == BuildId(2));
+    remove_builds_below(&mut gate, 2);
     gate.forget_keys(&round(1.0));
     let news = StageNews { build: BuildId(3), ..news(Phase::OnTrial, 0.5) };
     gate.take(Note::Stage(news), &mut round(1.1));
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -5,6 +5,7 @@
 use crate::interface::*;
 use crate::ledger::{median, rank, DueTimes, Mean, Window};
 use nanorand::{Rng, WyRand};
+use std::cell::Cell;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -413,6 +414,57 @@
     }
 }
 
+/// The gate's record of all pods, with what is derived from it.
+#[derive(Default)]
+pub struct Places {
+    places: BTreeMap<PodId, Place>,
+    /// The lowest build that runs on a pod which neither drains nor is gone.
+    lowest: Option<BuildId>,
+    /// The strength of all ready pods together, and the time for which it was summed up.
+    strength: Cell<Option<(Duration, f64)>>,
+}
+
+impl Places {
+    pub fn get(&self, pod: PodId) -> Option<&Place> {
+        self.places.get(&pod)
+    }
+
+    pub fn get_mut(&mut self, pod: PodId) -> Option<&mut Place> {
+        self.places.get_mut(&pod)
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Place> {
+        self.places.values()
+    }
+
+    pub fn remove(&mut self, pod: PodId) {
+        self.places.remove(&pod);
+    }
+
+    pub fn list(&mut self, entry: PodEntry, now: Duration, luck: f64) {
+        let place = self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry));
+        place.list(entry, now, luck);
+        let present = self.places.values().filter(|place| place.ended.is_none());
+        self.lowest = present.map(|place| place.entry.build).min();
+        self.strength.set(None);
+    }
+
+    pub fn lowest(&self) -> Option<BuildId> {
+        self.lowest
+    }
+
+    /// The strength of all ready pods together, summed up once for each time that it is asked for.
+    pub fn strength(&self, now: Duration, figures: &Figures) -> f64 {
+        if let Some((_, known)) = self.strength.get().filter(|(at, _)| *at == now) {
+            return known;
+        }
+        let ready = self.places.values().filter(|place| place.entry.state == PodState::Ready);
+        let sum = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
+        self.strength.set(Some((now, sum)));
+        sum
+    }
+}
+
 /// What a pod has seen of itself since its start.
 #[derive(Default)]
 pub struct Health {
