--- /dev/null
+++ b/crates/hosting/src/permit.rs
@@ -0,0 +1,30 @@
+//! Permission to write an attempt to its pod. Between the decision to send and the first byte a connection has to come up,
+//! or to show that it lives; meanwhile the pod may be told to leave.
+
+use limewing::interface::{ForwardNo, HitId};
+use limewing::sidecar::Sidecar;
+use std::time::Duration;
+
+/// What a permission is asked of.
+pub trait Permits {
+    /// Whether the first byte of an attempt may leave now.
+    fn may_begin(&self, now: Duration, hit: HitId, no: ForwardNo) -> bool;
+}
+
+impl Permits for Sidecar {
+    fn may_begin(&self, now: Duration, hit: HitId, no: ForwardNo) -> bool {
+        Sidecar::may_begin(self, now, hit, no)
+    }
+}
+
+/// Proof that an attempt may be written now. It can't be kept: whoever writes later asks again.
+#[derive(Debug)]
+#[must_use]
+pub struct SendPermit(());
+
+impl SendPermit {
+    /// Asks whether an attempt may be written to its pod now; none if it may not.
+    pub fn ask(decisions: &impl Permits, now: Duration, hit: HitId, no: ForwardNo) -> Option<Self> {
+        decisions.may_begin(now, hit, no).then_some(Self(()))
+    }
+}
--- a/crates/platform/src/bounds.rs
+++ b/crates/platform/src/bounds.rs
@@ -44,14 +44,19 @@
 /// cross a forward.
 const KEPT_PART: f64 = 0.7;
 
-/// An empty line comes on a watch every two seconds: one that says nothing whole for longer is lost. What it misses binds
-/// 6 s after it fell silent, so this, the longest wait before it is asked for again (1 s, by the module) twice and
-/// `LIST_BEGINS_WITHIN` once, for a first try that is silent too, leave time for the second. Hurts by a call more where an
-/// empty line is late by a third of a second.
+/// What discovery has to tell counts as told after this time, whether it arrived or not: a list that is no longer heard of
+/// is relied on for so long.
+pub const LIST_LEASE: Duration = Duration::from_secs(6);
+/// The same once a new configuration has moved discovery.
+pub const MOVED_LEASE: Duration = Duration::from_secs(4);
+/// An empty line comes on a watch every two seconds: one that says nothing whole for longer is lost. Hurts by a call more
+/// where an empty line is late by a third of a second.
 pub const LIST_QUIET_AT_MOST: Duration = Duration::from_millis(2300);
-/// The answer to a watch begins within this time; its first object is then waited for as any other. Discovery that has too
-/// many callers answers or refuses after a second: a call that is given up sooner costs it the work, and is made again.
-pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(8000);
+/// The answer to a watch begins within this time; its first object is then waited for as any other. Discovery works through
+/// its calls in turn, and one that waits too long there is refused by discovery itself after two seconds. A caller that
+/// gives up sooner leaves its call in the queue: the work is done for nobody, and it calls again. Guards against a discovery
+/// that is no more than silent; hurts by the time that it takes to try once more.
+pub const LIST_BEGINS_WITHIN: Duration = Duration::from_millis(2100);
 /// A new configuration may be half written when its signal comes: one that can't be used is read again after this, then
 /// after twice as long each time, so often. What it moves binds after 4 s.
 const READ_AGAIN_AFTER: Duration = Duration::from_millis(50);
--- a/crates/platform/src/bounds/tests.rs
+++ b/crates/platform/src/bounds/tests.rs
@@ -1,6 +1,7 @@
 //! What this host decides beside the module, and that its times fit those of the protocol.
 
 use super::*;
+use limewing::choice::ASK_AGAIN;
 use rstest::rstest;
 
 #[rstest]
@@ -54,12 +55,11 @@
     Duration::from_millis(ms)
 }
 
-/// What a silent watch misses binds after 6 s: a first try that is silent too leaves time for a second one. The module waits
-/// a second at most before each.
+/// What a silent watch misses binds after 6 s: a first try that is silent too leaves time for a second one.
 #[test]
 fn a_silent_watch_is_asked_for_twice_in_time() {
-    let second = LIST_QUIET_AT_MOST + ms(1000) + LIST_BEGINS_WITHIN + ms(1000);
-    assert!(second < ms(6000), "{second:?}");
+    let second = LIST_QUIET_AT_MOST + ASK_AGAIN + LIST_BEGINS_WITHIN + ASK_AGAIN;
+    assert!(second < LIST_LEASE, "{second:?}");
 }
 
 /// What a new configuration moves binds after 4 s: the last look at a file that is half written comes before.
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a sidecar in a file: names of files and sockets, limits, the settings, and what is
 //! known at the start.
 
+use crate::bounds;
 use crate::listing::Listing;
 use crate::news::State;
 use limewing::interface::StartTerms;
@@ -90,6 +91,7 @@
     let mut terms = limewing_wire::start_terms(seed, settings).map_err(|e| format!("settings: {e}"))?;
     // On sockets a list comes by no other way than a watch.
     terms.list_on_request = true;
+    terms.list_lease = Some(bounds::LIST_LEASE);
     let sockets = limewing_wire::socket_terms(settings).map_err(|e| format!("settings: {e}"))?;
     if sockets.groups.iter().any(String::is_empty) {
         return Err("settings: a class has no name".into());
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -4,23 +4,41 @@
 use bytes::{Bytes, BytesMut};
 use limewing_net::body::BodyReader;
 use limewing_net::http::{self, HeadLimits};
+use thiserror::Error;
+
+/// Why nothing more can be read of such an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Broken {
+    /// The service answered with another status than 200.
+    #[error("status {0}")]
+    Status(u16),
+    #[error("{0}")]
+    Unreadable(String),
+}
+
+impl Broken {
+    /// The service has too much to do, or is not up yet: it said so itself.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Status(429 | 503))
+    }
+}
 
 /// The content of such an answer, off a connection's bytes.
 #[derive(Default)]
 struct Content(Option<BodyReader>);
 
 impl Content {
-    fn next(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, String> {
+    fn next(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, Broken> {
         if self.0.is_none() {
             match http::response(input, false, HeadLimits::default()) {
                 Ok(Some(head)) if head.status == 200 => self.0 = Some(BodyReader::new(head.framing)),
-                Ok(Some(head)) => return Err(format!("status {}", head.status)),
+                Ok(Some(head)) => return Err(Broken::Status(head.status)),
                 Ok(None) => return Ok(None),
-                Err(why) => return Err(why.to_string()),
+                Err(why) => return Err(Broken::Unreadable(why.to_string())),
             }
         }
         let Some(body) = &mut self.0 else { return Ok(None) };
-        body.next(input).map_err(|why| why.to_string())
+        body.next(input).map_err(|why| Broken::Unreadable(why.to_string()))
     }
 
     fn ended(&self) -> bool {
@@ -36,7 +54,7 @@
     /// The other side lives: the answer's head, an object or a line has come. Bytes within one are no sign of that.
     pub alive: bool,
     /// Why nothing more can be read of it; what came before is good.
-    pub broken: Option<String>,
+    pub broken: Option<Broken>,
 }
 
 /// Reads an answer of one object a line.
@@ -59,7 +77,7 @@
         came
     }
 
-    fn read(&mut self, input: &mut BytesMut, came: &mut Came) -> Result<(), String> {
+    fn read(&mut self, input: &mut BytesMut, came: &mut Came) -> Result<(), Broken> {
         while let Some(piece) = self.content.next(input)? {
             let mut rest = &piece[..];
             while let Some(end) = rest.iter().position(|b| *b == b'\n') {
@@ -70,7 +88,7 @@
             }
             self.held.extend_from_slice(rest);
             if self.held.len() > self.most {
-                return Err(format!("a line of over {} bytes", self.most));
+                return Err(Broken::Unreadable(format!("a line of over {} bytes", self.most)));
             }
         }
         Ok(())
@@ -108,13 +126,14 @@
         came
     }
 
-    fn read(&mut self, input: &mut BytesMut, came: &mut Came) -> Result<(), String> {
+    fn read(&mut self, input: &mut BytesMut, came: &mut Came) -> Result<(), Broken> {
         while let Some(piece) = self.content.next(input)? {
             let mut from = 0;
             for (at, byte) in piece.iter().enumerate() {
                 if self.depth == 0 && !byte.is_ascii_whitespace() {
                     if *byte != b'{' {
-                        return Err(format!("byte {byte:#04x} between objects, expected {{"));
+                        let why = format!("byte {byte:#04x} between objects, expected {{");
+                        return Err(Broken::Unreadable(why));
                     }
                     from = at;
                 }
@@ -130,7 +149,7 @@
                 self.held.extend_from_slice(&piece[from..]);
             }
             if self.held.len() > self.most {
-                return Err(format!("an object of over {} bytes", self.most));
+                return Err(Broken::Unreadable(format!("an object of over {} bytes", self.most)));
             }
         }
         Ok(())
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -289,6 +289,11 @@
         pod
     }
 
+    /// The name that a pod is listed by.
+    pub fn host(&self, pod: PodId) -> Option<&str> {
+        self.names.get(&pod).map(String::as_str)
+    }
+
     /// As it is listed now; none if it is not.
     pub fn life(&self, pod: PodId) -> Option<Life> {
         self.rows.get(self.names.get(&pod)?).map(|row| row.entry.life())
--- a/crates/platform/src/service/back.rs
+++ b/crates/platform/src/service/back.rs
@@ -12,6 +12,7 @@
 use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
 use limewing_hosting::kept::Link;
 use limewing_hosting::open::Forward;
+use limewing_hosting::permit::SendPermit;
 use limewing_net::sockets::{is_own_want, SocketId};
 use limewing_net::wheel::TimerKey;
 use limewing_pg::{read, write, Frame, Frames};
@@ -86,12 +87,24 @@
         if open.over || spent || now >= due {
             return self.end_forward(hit, no, Fate::Void);
         }
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let (id, list) = (open.of.id.as_str(), self.list.seq);
+            tracing::debug!(
+                id,
+                hit = hit.0,
+                no = no.0,
+                pod = pod.0,
+                host = self.list.host(pod),
+                list,
+                "permitted"
+            );
+        }
         self.carry(hit, no, 0);
     }
 
     /// Puts a forward on a connection.
     fn carry(&mut self, hit: HitId, no: ForwardNo, broken: u8) {
-        if self.hits.get(hit).is_none_or(|open| open.over) {
+        if SendPermit::ask(&self.module, self.now, hit, no).is_none() {
             return self.end_forward(hit, no, Fate::Void);
         }
         let Some(pod) = self.hits.out(hit, no).map(|forward| forward.pod) else { return };
@@ -153,10 +166,16 @@
         Ok(link)
     }
 
+    /// The first bytes of a forward leave: all but its last one.
     fn write_forward(&mut self, link: SocketId) {
+        let Some(_permit) = self.permit(link) else { return self.withdraw_from(link) };
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let Some(job) = &mut of.job else { return };
         let Some(open) = self.hits.get(job.hit) else { return };
+        if let Some(sent) = self.hits.forward(job.hit, job.no) {
+            let waited_ms = (self.now - sent.sent).as_millis() as u64;
+            tracing::debug!(hit = job.hit.0, no = job.no.0, pod = of.pod.0, waited_ms, "first byte");
+        }
         let mut out = BytesMut::with_capacity(open.of.text.len() + 24);
         write::query(&mut out, "");
         write::query(&mut out, &open.of.waiting(open.due.saturating_sub(self.now)));
@@ -175,8 +194,10 @@
 
     /// The connection lives: the last byte goes, and the pod begins.
     pub(super) fn write_rest(&mut self, link: SocketId) {
+        let Some(_permit) = self.permit(link) else { return self.withdraw_from(link) };
         let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
         let Some(job) = &mut of.job else { return };
+        tracing::debug!(hit = job.hit.0, no = job.no.0, pod = of.pod.0, "last byte");
         job.checking = false;
         of.timer = None;
         self.sockets.send(link, LAST);
@@ -276,9 +297,7 @@
             return self.close_link(link);
         }
         if free {
-            let most = self.lapses.keeps(bounds::kept(self.terms.idle_close));
-            let timer = self.wheel.arm(self.now + most, Due::Idle(link));
-            self.kept.put(pod, Link { id: link, timer, since: self.now });
+            self.keep_link(link);
         } else {
             self.write_forward(link);
         }
@@ -353,6 +372,45 @@
         self.end_forward(hit, no, fate);
     }
 
+    /// Permission for the forward on a connection to begin or to end now.
+    fn permit(&self, link: SocketId) -> Option<SendPermit> {
+        let Some(Peer::Pod(of)) = self.peers.get(&link) else { return None };
+        let job = of.job.as_ref()?;
+        SendPermit::ask(&self.module, self.now, job.hit, job.no)
+    }
+
+    /// The forward on a connection is no longer allowed: it never ran. A connection that carries nothing of it yet is kept.
+    fn withdraw_from(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let Some(job) = &of.job else { return };
+        let (hit, no) = (job.hit, job.no);
+        tracing::debug!(hit = hit.0, no = no.0, pod = of.pod.0, "withdrawn before it was written");
+        if of.state == State::Up && job.until == u64::MAX {
+            of.job = None;
+            self.keep_link(link);
+        } else {
+            self.drop_job(Some(link));
+        }
+        self.end_forward(hit, no, Fate::Void);
+    }
+
+    /// Keeps a connection that carries nothing for the next forward to its pod.
+    fn keep_link(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get(&link) else { return };
+        let most = self.lapses.keeps(bounds::kept(self.terms.idle_close));
+        let timer = self.wheel.arm(self.now + most, Due::Idle(link));
+        self.kept.put(of.pod, Link { id: link, timer, since: self.now });
+    }
+
+    /// Ends the forwards that have not gone out and are no longer allowed.
+    pub(super) fn withdraw(&mut self) {
+        for (hit, no, _, link) in self.hits.all_out() {
+            if SendPermit::ask(&self.module, self.now, hit, no).is_none() {
+                self.call_off_one(hit, no, link);
+            }
+        }
+    }
+
     /// Ends the forwards to these pods that have not gone out: they never ran.
     pub(super) fn call_off(&mut self, from: impl Fn(&List, PodId) -> bool) {
         for (hit, no, pod, link) in self.hits.all_out() {
--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -3,15 +3,16 @@
 
 use super::{Due, Peer, Service};
 use crate::bounds::{LIST_BEGINS_WITHIN, LIST_QUIET_AT_MOST};
-use crate::lines::Objects;
+use crate::lines::{Broken, Objects};
 use crate::listing::Listing;
 use bytes::{Bytes, BytesMut};
-use limewing::interface::{Event, ListNews};
+use limewing::interface::{Event, ListLoss, ListNews};
 use limewing_net::body::Framing;
 use limewing_net::http;
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
 use std::time::{Duration, SystemTime};
+use thiserror::Error;
 
 /// One object of a watch is no longer than this, in bytes.
 const LONGEST_LISTING: usize = 4 * 1024 * 1024;
@@ -25,6 +26,21 @@
     answered: bool,
 }
 
+/// Why a watch is over.
+#[derive(Debug, Error)]
+pub enum WatchEnd {
+    #[error("the connection was lost")]
+    Lost,
+    #[error("the watch ended")]
+    Ended,
+    #[error("the watch says nothing")]
+    Silent,
+    #[error(transparent)]
+    Broken(#[from] Broken),
+    #[error("{0}")]
+    Unusable(String),
+}
+
 impl Service {
     pub(super) fn request(&self, method: &str, target: &str, host: String, body: &[u8]) -> BytesMut {
         let fields = [("host", &host[..]), ("user-agent", "limewing"), ("accept", "application/json")];
@@ -40,7 +56,7 @@
             return;
         }
         let Ok(link) = self.sockets.connect(self.places.discovery) else {
-            return self.events.push(Event::List(ListNews::Failed));
+            return self.list_fails(false);
         };
         let quiet = self.wheel.arm(self.now + LIST_BEGINS_WITHIN, Due::WatchQuiet(link));
         let objects = Objects::new(LONGEST_LISTING);
@@ -63,6 +79,7 @@
         let over = ended || of.objects.ended();
         // A trickle within one object is no sign of life: what it should tell is not told.
         if came.alive {
+            self.list_heard = self.now;
             let fresh = self.wheel.arm(self.now + LIST_QUIET_AT_MOST, Due::WatchQuiet(link));
             self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         }
@@ -72,21 +89,21 @@
         }
         // What came whole before something that can't be read is told.
         let told = came.objects.iter().try_for_each(|object| self.listed(object));
-        match told.and(came.broken.map_or(Ok(()), Err)) {
+        match told.and(came.broken.map_or(Ok(()), |broken| Err(broken.into()))) {
             Err(why) => self.watch_lost(link, &why),
-            Ok(()) if over => self.watch_lost(link, "the watch ended"),
+            Ok(()) if over => self.watch_lost(link, &WatchEnd::Ended),
             Ok(()) => self.sockets.read_on(link),
         }
     }
 
-    fn listed(&mut self, object: &Bytes) -> Result<(), String> {
-        let told: Listing =
-            serde_json::from_slice(object).map_err(|e| format!("an object of the list: {e}"))?;
+    fn listed(&mut self, object: &Bytes) -> Result<(), WatchEnd> {
+        let unusable = |why: String| WatchEnd::Unusable(format!("an object of the list: {why}"));
+        let told: Listing = serde_json::from_slice(object).map_err(|why| unusable(why.to_string()))?;
         let (seq, held) = (told.seq, self.list.seq);
         if seq < held {
             tracing::warn!(seq, held, "an older list: only what makes more careful is taken from it");
         }
-        let change = self.list.take(told, self.now, SystemTime::now())?;
+        let change = self.list.take(told, self.now, SystemTime::now()).map_err(unusable)?;
         for why in &change.unusable {
             tracing::warn!(seq, why, "an entry of the list can't be used: its pod gets nothing more");
         }
@@ -106,19 +123,24 @@
         self.sockets.close(link);
     }
 
-    pub(super) fn watch_lost(&mut self, link: SocketId, why: &str) {
+    pub(super) fn watch_lost(&mut self, link: SocketId, why: &WatchEnd) {
         if let Some(Peer::Watch(of)) = self.peers.get(&link) {
             let waited_ms = (self.now - of.asked).as_millis() as u64;
-            tracing::debug!(waited_ms, answered = of.answered, why, "a watch ends");
+            tracing::debug!(waited_ms, answered = of.answered, %why, "a watch ends");
         }
         self.close_watch(link);
         if self.old_watch == Some(link) {
-            tracing::info!(why, "the old watch is over");
+            tracing::info!(%why, "the old watch is over");
             self.old_watch = None;
         } else if self.watch == Some(link) {
-            tracing::warn!(why, "no watch on the list; the old one stays");
+            tracing::warn!(%why, "no watch on the list; the old one stays");
             self.watch = None;
-            self.events.push(Event::List(ListNews::Failed));
+            self.list_fails(matches!(why, WatchEnd::Broken(broken) if broken.is_refusal()));
         }
     }
+
+    fn list_fails(&mut self, refused: bool) {
+        let silent = self.now.saturating_sub(self.list_heard);
+        self.events.push(Event::List(ListNews::Failed(ListLoss { silent, refused })));
+    }
 }
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -14,7 +14,7 @@
 use crate::news::{Latest, Reports};
 use crate::statement::{Names, Statement};
 use back::PodLink;
-use discovery::WatchLink;
+use discovery::{WatchEnd, WatchLink};
 use front::Client;
 use limewing::interface::{Action, Event, ForwardNo, HitId, Repeat, VoteAnswer};
 use limewing::sidecar::Sidecar;
@@ -115,6 +115,8 @@
     /// The watch, and the one to where discovery was before, until it ends.
     watch: Option<SocketId>,
     old_watch: Option<SocketId>,
+    /// When discovery was last heard. What it tells from then on may be missed.
+    list_heard: Duration,
     /// The stream of news, and the one to where rollouts were before, until it ends.
     news: Option<SocketId>,
     old_news: Option<SocketId>,
@@ -194,6 +196,7 @@
             list: List::new(&told.sockets.zones, &told.sockets.kinds),
             watch: None,
             old_watch: None,
+            list_heard: now,
             news: None,
             old_news: None,
             reports: Reports::default(),
@@ -247,7 +250,16 @@
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
         let happened = self.sockets.wait(Some(wait))?;
         self.now = self.clock.now();
-        happened.into_iter().for_each(|what| self.happened(what));
+        let late = self.now.saturating_sub(next);
+        if late > LONG_TURN {
+            tracing::debug!(late_ms = late.as_millis() as u64, "the loop runs late");
+        }
+        // What the list and the news say is known before anything is written to a pod: after a standstill a connection
+        // that came up meanwhile would carry an attempt to a pod that has been leaving for long.
+        let (control, rest): (Vec<_>, Vec<_>) = happened.into_iter().partition(|what| self.is_control(what));
+        control.into_iter().for_each(|what| self.happened(what));
+        self.learn();
+        rest.into_iter().for_each(|what| self.happened(what));
         // After all that was read: who has just asked is not taken for idle.
         if std::mem::take(&mut self.pressed) {
             self.make_room_for_clients();
@@ -269,6 +281,26 @@
         Ok(())
     }
 
+    /// Whether it happened on a connection to discovery or rollouts.
+    fn is_control(&self, what: &Happening) -> bool {
+        let (Happening::Connected(id) | Happening::Readable(id) | Happening::Lost { socket: id, .. }) = what
+        else {
+            return false;
+        };
+        matches!(self.peers.get(id), Some(Peer::Watch(_) | Peer::News(_) | Peer::Vote(_)))
+    }
+
+    /// Brings what discovery and rollouts have told to the decisions, and ends the attempts that these no longer allow.
+    fn learn(&mut self) {
+        if self.events.is_empty() {
+            return;
+        }
+        let events = std::mem::take(&mut self.events);
+        let actions = self.module.learn(self.now, events);
+        actions.into_iter().for_each(|action| self.carry_out(action));
+        self.withdraw();
+    }
+
     fn happened(&mut self, what: Happening) {
         match what {
             Happening::Accepted { socket, .. } => self.client_came(socket),
@@ -295,7 +327,7 @@
             Happening::Lost { socket, written, why } => match self.peers.get(&socket) {
                 Some(Peer::Client(_)) => self.client_gone(socket),
                 Some(Peer::Pod(_)) => self.pod_lost(socket, written, why),
-                Some(Peer::Watch(_)) => self.watch_lost(socket, "the connection was lost"),
+                Some(Peer::Watch(_)) => self.watch_lost(socket, &WatchEnd::Lost),
                 Some(Peer::News(_)) => self.news_lost(socket, "the connection was lost"),
                 Some(Peer::Vote(_)) => {
                     let answer = if written == 0 { VoteAnswer::Failed } else { VoteAnswer::Unanswered };
@@ -323,7 +355,7 @@
             Due::Silent(id) => self.client_silent(id),
             Due::Speak(id) => self.turn_away_now(id),
             Due::Sweep => self.sweep(),
-            Due::WatchQuiet(id) => self.watch_lost(id, "the watch says nothing"),
+            Due::WatchQuiet(id) => self.watch_lost(id, &WatchEnd::Silent),
             Due::ReadAgain => self.read_again(),
             Due::AskNews => self.ask_news(),
             Due::NewsQuiet(id) => self.news_lost(id, "the stream says nothing"),
@@ -385,6 +417,7 @@
         if old.discovery != places.discovery {
             let old = std::mem::replace(&mut self.old_watch, self.watch.take());
             old.into_iter().for_each(|link| self.close_watch(link));
+            self.list_heard = self.now.saturating_sub(bounds::LIST_LEASE - bounds::MOVED_LEASE);
             self.ask_watch();
         }
         if old.rollouts != places.rollouts {
--- a/crates/platform/src/service/rollouts.rs
+++ b/crates/platform/src/service/rollouts.rs
@@ -67,7 +67,7 @@
             self.wheel.cancel(std::mem::replace(&mut of.quiet, fresh));
         }
         let told = came.objects.iter().try_for_each(|line| self.news_line(link, line));
-        match told.and(came.broken.map_or(Ok(()), Err)) {
+        match told.and(came.broken.map_or(Ok(()), |broken| Err(broken.to_string()))) {
             Err(why) => self.news_lost(link, &why),
             Ok(()) if over => self.news_lost(link, "the stream ended"),
             Ok(()) => self.sockets.read_on(link),
--- a/crates/referee/src/rules.rs
+++ b/crates/referee/src/rules.rs
@@ -131,7 +131,7 @@
 
     fn list(&mut self, now: Duration, news: &ListNews) {
         let rows = match news {
-            ListNews::Failed => {
+            ListNews::Failed(_) => {
                 // What a watch would have told until now is known.
                 if std::mem::replace(&mut self.watched, false) {
                     self.asked = now;
--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -183,6 +183,7 @@
             zone: ZoneId(0),
             groups,
             list_on_request: chance.random_bool(0.6),
+            list_lease: None,
             may_cancel: chance.random_bool(0.7),
             second_copies: chance.random_bool(0.6),
             retry_after: chance.random_bool(0.5).then_some(ms(500)),
@@ -577,7 +578,7 @@
             Happens::WatchBreaks(sidecar) => {
                 if self.hosts[sidecar].module.is_some() && self.terms.list_on_request {
                     self.hosts[sidecar].watches = false;
-                    self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed));
+                    self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed(ListLoss::default())));
                 }
             }
             Happens::Stalls(sidecar, stalls) => {
@@ -787,7 +788,7 @@
             return;
         }
         if self.chance.random_bool(0.15) {
-            return self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed));
+            return self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed(ListLoss::default())));
         }
         self.hosts[sidecar].watches = true;
         let (from, upto) = (self.hosts[sidecar].listed, self.known_by(sidecar));
--- a/crates/referee/tests/runs.rs
+++ b/crates/referee/tests/runs.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 /// Runs of one case; cases go side by side.
-const RUNS: u64 = 12;
+const RUNS: u64 = 16;
 
 #[rstest]
 fn every_step_of_drawn_runs_keeps_the_rules(#[values(0, 1, 2, 3, 4, 5, 6, 7)] part: u64) {
--- a/crates/sidecar/src/service/asks.rs
+++ b/crates/sidecar/src/service/asks.rs
@@ -5,7 +5,7 @@
 use crate::pods;
 use crate::stages::{vote_answer, EventReader, Latest, StageMessage, VoteMessage};
 use bytes::BytesMut;
-use limewing::interface::{BuildId, Event, ListNews, StageNews, StageNo, Verdict, VoteAnswer};
+use limewing::interface::{BuildId, Event, ListLoss, ListNews, StageNews, StageNo, Verdict, VoteAnswer};
 use limewing_fleet::Service as Asked;
 use limewing_hosting::clock::today;
 use limewing_net::body::{BodyReader, Framing};
@@ -168,7 +168,7 @@
         tracing::warn!(why, "the node list was not had; the old one stays");
         self.service_answers(Asked::List, false);
         self.drop_list();
-        self.events.push(Event::List(ListNews::Failed));
+        self.events.push(Event::List(ListNews::Failed(ListLoss::default())));
     }
 
     pub(super) fn ask_news(&mut self) {
--- a/crates/sidecar/src/service/fleet.rs
+++ b/crates/sidecar/src/service/fleet.rs
@@ -259,7 +259,7 @@
                 let (whole, rows) = match news {
                     ListNews::Whole(rows) | ListNews::Remembered(rows) => (true, rows.as_slice()),
                     ListNews::Change(rows) => (false, rows.as_slice()),
-                    ListNews::Failed => (false, [].as_slice()),
+                    ListNews::Failed(_) => (false, [].as_slice()),
                 };
                 if whole {
                     self.pods.clear();
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -95,6 +95,7 @@
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable, 1.0), group(tagged, 3.0), group(Repeat::Mutating, 5.0)],
         list_on_request: true,
+        list_lease: None,
         may_cancel: true,
         second_copies: true,
         retry_after: Some(spans(0.5)),
@@ -276,14 +277,14 @@
             }
             Due::ListFails => {
                 self.list_down = true;
-                events.push(Event::List(ListNews::Failed));
+                events.push(Event::List(ListNews::Failed(ListLoss::default())));
             }
             Due::Watch => {
                 // After hours the service is there again: the whole list comes.
                 self.list_down &= self.chance.random_bool(0.9999);
                 let rows = self.rows.clone();
                 events.push(Event::List(if self.list_down {
-                    ListNews::Failed
+                    ListNews::Failed(ListLoss::default())
                 } else {
                     ListNews::Whole(rows)
                 }));
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,6 +1,6 @@
 //! Hosts instances of the decision module on the simulator wire: translates, decides nothing.
 
-use limewing::interface::{Event, ListNews, PodEntry};
+use limewing::interface::{Event, ListLoss, ListNews, PodEntry};
 use limewing::sidecar::Sidecar;
 use limewing_wire::{read_batch, start_terms, Batch, ListHow, Record, Reply, Trouble};
 use std::collections::BTreeMap;
@@ -86,7 +86,7 @@
                         ListHow::Change => ListNews::Change(rows()?),
                         ListHow::Whole => ListNews::Whole(rows()?),
                         ListHow::Remembered => ListNews::Remembered(rows()?),
-                        ListHow::Failed => ListNews::Failed,
+                        ListHow::Failed => ListNews::Failed(ListLoss::default()),
                     })
                 }
                 Record::Plain(event) => event,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::ledger::{drawn, excess, median, part, tail, unevenness, Fading, Mean, Rate, Window};
 use crate::notes::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 #[cfg(test)]
@@ -28,9 +28,12 @@
 const RATE_OVER: Duration = Duration::from_secs(2); // rates are smoothed over this
 const MOST_SHED: f64 = 0.9; // turned away by chance at most, so that what goes on tells when it ends
 const FADES: Duration = Duration::from_secs(4); // what is known of a customer's hits, when none end
+pub const ASK_AGAIN: Duration = Duration::from_millis(700); // a lost list is asked for again within this,
+const MOST_DOUBLED: u32 = 3; // which is doubled so often at most
 const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
 const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
+const UNLEASED: u8 = 8; // so many turns later comes a pod that may have left, as no list is heard
 const FORGET_AFTER: Duration = Duration::from_secs(120); // nobody speaks of a pod that has been gone for this
 const MOST_SEEN: usize = 10_000; // a sample is halved here: what came late must still show, and memory end
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
@@ -40,36 +43,40 @@
 /// Watches the list and tells pods, gate and judge what changed.
 #[derive(Default)]
 pub struct Lister {
-    held: BTreeMap<PodId, (PodEntry, Option<Duration>)>, // each with the time since when it is gone
+    held: Held,
     watched: bool,
+    failed: u32, // calls in a row, and the watch before them
 }
 
 impl Lister {
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
-            Note::List(ListNews::Change(rows)) => rows.into_iter().for_each(|row| self.tell(row, round)),
+            Note::List(ListNews::Change(rows)) => {
+                self.failed = 0;
+                rows.into_iter().for_each(|row| self.tell(row, round));
+            }
             Note::List(ListNews::Whole(rows) | ListNews::Remembered(rows)) => {
-                let listed: BTreeSet<PodId> = rows.iter().map(|row| row.pod).collect();
-                let gone = self.held.values().filter(|(old, _)| !listed.contains(&old.pod));
-                let gone = gone.map(|(old, _)| PodEntry { state: PodState::Gone, ..old.clone() });
-                gone.collect::<Vec<_>>().into_iter().chain(rows).for_each(|row| self.tell(row, round));
+                self.failed = 0;
+                let gone = self.held.gone_from(&rows);
+                gone.into_iter().chain(rows).for_each(|row| self.tell(row, round));
                 let first = round.figures.on_request && !std::mem::replace(&mut self.watched, true);
                 round.out.extend(first.then_some(Action::Watch));
             }
-            // A broken or refused watch is asked for again, spread out so that not all ask at once.
-            Note::List(ListNews::Failed) => {
-                let wait = 0.3 + 0.7 * round.chance();
-                round.later(Duration::from_secs_f64(wait), To::Lister, Note::Watch);
+            // A lost watch is asked for again soon, spread out so that not all ask at once; one that is refused, or
+            // twice in a row silent, ever later. Guards against a fleet whose calls keep the service too busy to
+            // answer any of them; hurts by a list that comes late after a long outage.
+            Note::List(ListNews::Failed(loss)) => {
+                let doubled = if loss.refused { self.failed + 1 } else { self.failed.saturating_sub(1) };
+                let wait = ASK_AGAIN
+                    .mul_f64((0.3 + 0.7 * round.chance()) * f64::from(1 << doubled.min(MOST_DOUBLED)));
+                self.failed += 1;
+                round.later(wait, To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
             // Guards a sidecar that lives for months against a pile of pods that left. No rule speaks of one:
             // the gate sends nothing to a pod that it does not know.
-            Note::Forget(pod) => {
-                let since = self.held.get(&pod).and_then(|(_, gone)| *gone);
-                if since.is_some_and(|since| round.now >= since + FORGET_AFTER) {
-                    self.held.remove(&pod);
-                    round.tell([To::Gate, To::Pod(pod), To::Desk, To::Judge], &Note::Forget(pod));
-                }
+            Note::Forget(pod) if self.held.forget(pod, round.ago(FORGET_AFTER)) => {
+                round.tell([To::Gate, To::Pod(pod), To::Desk, To::Judge], &Note::Forget(pod));
             }
             _ => {}
         }
@@ -77,12 +84,9 @@
 
     fn tell(&mut self, mut row: PodEntry, round: &mut Round) {
         row.size = row.size.max(0.01);
-        let before = self.held.get(&row.pod).and_then(|(_, gone)| *gone);
-        let gone = (row.state == PodState::Gone).then(|| before.unwrap_or(round.now));
-        if gone.is_some() && before.is_none() {
+        if self.held.put(&row, round.now) {
             round.later(FORGET_AFTER, To::Lister, Note::Forget(row.pod));
         }
-        self.held.insert(row.pod, (row.clone(), gone));
         round.tell([To::Gate, To::Pod(row.pod), To::Judge], &Note::Listed(row));
     }
 }
@@ -143,7 +147,9 @@
         match ended.outcome.fate {
             Fate::Delivered => {
                 self.health.pace.add(took, PACE_OVER);
-                self.health = Health { last_answer: now, pace: self.health.pace, ..Health::default() };
+                let served = self.health.served.max(ended.sent);
+                self.health =
+                    Health { last_answer: now, served, pace: self.health.pace, ..Health::default() };
             }
             // No connection, or resets, silence or errors in a row: shut for a while, ever longer. An error
             // is no sign of speed: a pod that fails at once would draw all hits. One reset may be a
@@ -154,7 +160,10 @@
                 let limit = if ended.outcome.fate == Fate::Unreached { 1 } else { 3 };
                 (self.health.strikes >= limit).then(|| self.shut(now));
             }
-            Fate::TurnedAway => self.health.pace.add(1.0, PACE_OVER),
+            Fate::TurnedAway => {
+                self.health.served = Duration::ZERO; // it may drain
+                self.health.pace.add(1.0, PACE_OVER);
+            }
             Fate::Cancelled | Fate::Void => {}
         }
     }
@@ -180,6 +189,7 @@
             pace: self.health.pace,
             usable: ready && !shut,
             wants_proof: ready && shut && now >= self.health.shut_until && !round.is_held(self.entry.pod),
+            served: self.health.served,
         };
         round.mail.put(To::Desk, Note::Card(card));
     }
@@ -209,11 +219,7 @@
             Note::Forget(pod) => self.places.remove(pod),
             Note::Taken(hit) => self.open(hit, round),
             Note::Ask { hit, mut bids, turn } => {
-                // Nearly always the best may have it: only if not, the others are put in order.
-                if let Some(best) = (0..bids.len()).max_by(|a, b| bids[*a].cmp(&bids[*b])) {
-                    let last = bids.len() - 1;
-                    bids.swap(best, last);
-                }
+                best_last(&mut bids); // nearly always it may have it: only if not, the others are put in order
                 let mut sorted = false;
                 while let Some(Bid { pod, build, part, .. }) = bids.pop_if(|bid| bid.turn == turn) {
                     match self.allow(hit, (pod, part), round) {
@@ -292,6 +298,16 @@
         self.allow_exposure(account, place.entry.build, round)
     }
 
+    /// Asked right before the first byte of an attempt leaves, on whichever connection: its pod may have been told to
+    /// leave since it was allowed. While no list is heard what was allowed expires with the grace. Hurts by
+    /// attempts that have to be decided on anew.
+    pub fn may_begin(&self, hit: HitId, no: ForwardNo, now: Duration, round: &Round) -> bool {
+        let account = self.accounts.get(&hit).filter(|account| !account.over);
+        let Some(sent) = account.and_then(|account| account.out(no)) else { return false };
+        let expired = !round.hears_list() && now > sent.at + round.figures.grace.max(BEAT);
+        !expired && self.places.get(sent.pod).is_some_and(|place| place.still_takes(sent))
+    }
+
     /// Rule 4, with no word between sidecars: each keeps a cold pod's load to what it gives warm strength, so
     /// that the sum does too, however unequal their traffic.
     fn allow_cold(&self, place: &Place, part: f64, round: &Round) -> Result<(), Refusal> {
@@ -379,11 +395,11 @@
             let wrong = matches!(fate, Fate::Errored | Fate::TimedOut);
             self.wrong.entry(customer).or_default().add(f64::from(u8::from(wrong)), 30);
         }
-        let known = |(c, mean): &(&CustomerId, &Mean)| **c != customer && mean.of >= 15;
-        let others = || self.wrong.iter().filter(known).map(|(_, mean)| mean.value);
-        let (many, usual) = (others().count(), others().sum::<f64>() / others().count().max(1) as f64);
-        let own = self.wrong.get(&customer).copied().unwrap_or_default();
-        many > 0 && own.of >= 15 && own.value > 0.2 + 1.5 * usual
+        let known = |c: &CustomerId| self.wrong.get(c).copied().filter(|mean| mean.of >= 15);
+        let others =
+            || self.wrong.keys().filter(|c| **c != customer).filter_map(known).map(|mean| mean.value);
+        let usual = others().sum::<f64>() / others().count().max(1) as f64;
+        others().count() > 0 && known(&customer).is_some_and(|own| own.value > 0.2 + 1.5 * usual)
     }
 
     /// A hit that is given up: bounced where a retry does no harm, errored elsewhere.
@@ -552,6 +568,12 @@
         let want_trial = !open.no_trial && draw < share;
         let used = self.used(round);
         let among = |c: &Card| used[usize::from(on_trial(c))];
+        // While no list is heard a pod may have left that serves nothing, an older build the likelier. Guards against
+        // sending to one announced as leaving; hurts by more load on those known to be there.
+        let newest = self.overview.builds.map_or(0, |(_, newest)| newest.0);
+        let stale = |c: &Card| (1 + newest.saturating_sub(c.entry.build.0).min(2)) as u8 * UNLEASED;
+        let since = round.relies_since();
+        let later = |c: &Card| if c.served >= since { 0 } else { stale(c) };
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
             _ if proves && c.wants_proof => Some(0),
@@ -565,7 +587,7 @@
         let (mut bids, mut first) = (Vec::with_capacity(self.cards.iter().len()), u8::MAX);
         for card in self.cards.iter() {
             let chance = round.chance();
-            let Some(turn) = turn(card) else { continue };
+            let Some(turn) = turn(card).map(|turn| turn + later(card)) else { continue };
             first = first.min(turn);
             let cost = if turn == first { self.cost(card, chance, round) } else { 0.0 };
             let (pod, build, part) = (card.entry.pod, card.entry.build, among(card).1);
@@ -878,9 +900,7 @@
         let old = if beside { &self.old } else { &self.before };
         // With no earlier build beside it, nothing tells time-outs from those of trouble that came since.
         let bad = |c: &Count| (if beside { c.bad } else { c.bad - c.timed_out }, c.seen);
-        let pairs = self.new.groups.iter().map(|(g, c)| (*c, old.groups.get(g).copied().unwrap_or_default()));
-        let (new, old) = (self.new.all(), old.all());
-        let pairs: Vec<(Count, Count)> = pairs.chain([(new, old)]).collect();
+        let (pairs, new, old) = (self.new.beside(old), self.new.all(), old.all());
         let errs = pairs.iter().any(|(n, o)| worse(bad(n), bad(o), ERROR_MARGIN, sigmas));
         let wrong = pairs.iter().any(|(n, o)| worse((n.flagged, n.seen), (o.flagged, o.seen), 0.01, sigmas));
         let stands = |sign: fn(&Count) -> usize, margin| {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -4,6 +4,7 @@
 use crate::ledger::rank;
 use crate::sidecar::in_order;
 use rstest::rstest;
+use std::collections::BTreeSet;
 
 fn at(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -25,6 +26,7 @@
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
         list_on_request: false,
+        list_lease: None,
         may_cancel: true,
         second_copies: true,
         retry_after: None,
@@ -89,7 +91,15 @@
 }
 
 fn sent(to: PodEntry, when: f64, fate: Option<Fate>) -> Sent {
-    Sent { pod: to.pod, build: to.build, zone: to.zone, cell: to.cell, at: at(when), fate }
+    Sent {
+        pod: to.pod,
+        build: to.build,
+        zone: to.zone,
+        cell: to.cell,
+        started: to.started,
+        at: at(when),
+        fate,
+    }
 }
 
 #[rstest]
@@ -373,7 +383,16 @@
     desk.kinds.insert(KindId(0), Mean { value: 0.3, of: 50 });
     let card = |of| {
         let pace = Mean { value: if of > 0 { 0.2 } else { 0.0 }, of };
-        Card { entry: pod(0, 1), rank: 0, ready: true, open: 0, pace, usable: true, wants_proof: false }
+        Card {
+            entry: pod(0, 1),
+            rank: 0,
+            ready: true,
+            open: 0,
+            pace,
+            usable: true,
+            wants_proof: false,
+            served: Duration::ZERO,
+        }
     };
     assert!(desk.cost(&card(0), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
     assert!(desk.cost(&card(1), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
@@ -455,7 +474,7 @@
 fn card(entry: PodEntry) -> Card {
     let pace = Mean { value: 0.2, of: 10 };
     let rank = rank(1, entry.pod.0);
-    Card { entry, rank, ready: true, open: 0, pace, usable: true, wants_proof: false }
+    Card { entry, rank, ready: true, open: 0, pace, usable: true, wants_proof: false, served: Duration::ZERO }
 }
 
 /// A desk with so many pods alike, and hit 0 of customer 0.
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -23,6 +23,7 @@
     /// The shortest target latency, in seconds.
     pub tightest: f64,
     pub on_request: bool,
+    pub list_lease: Duration,
     pub may_cancel: bool,
     pub second_copies: bool,
     pub max_forwards: usize,
@@ -71,6 +72,7 @@
             lines: terms.groups.iter().map(line).collect(),
             tightest: targets.fold(f64::MAX, f64::min),
             on_request: terms.list_on_request,
+            list_lease: terms.list_lease.unwrap_or(Duration::MAX),
             may_cancel: terms.may_cancel,
             second_copies: terms.second_copies,
             max_forwards: terms.max_forwards.into(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,6 +97,8 @@
     pub zone: ZoneId,
     pub groups: Vec<PathGroup>,
     pub list_on_request: bool,
+    /// For how long a list that is no longer heard of may be relied on; none: for good.
+    pub list_lease: Option<Duration>,
     pub may_cancel: bool,
     pub second_copies: bool,
     pub retry_after: Option<Duration>,
@@ -131,7 +133,17 @@
     Whole(Vec<PodEntry>),
     /// The list as last held before a restart; it may be old.
     Remembered(Vec<PodEntry>),
-    Failed,
+    /// A call for the list failed, or the watch on it ended: what changes from now on is not heard.
+    Failed(ListLoss),
+}
+
+/// How the list was lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListLoss {
+    /// For how long nothing had been heard by then.
+    pub silent: Duration,
+    /// The service answered that it can't take the call now.
+    pub refused: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -7,7 +7,7 @@
 use nanorand::{Rng, WyRand};
 use std::cell::Cell;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -92,6 +92,8 @@
     pub now: Duration,
     /// How long past its beat this sidecar was called: it stood still.
     pub late: Duration,
+    /// Since when no list is heard; none while a watch stands, and where a list may be relied on for good.
+    pub list_lost: Option<Duration>,
     pub figures: Figures,
     pub mail: Inboxes<To, Note>,
     pub due: DueTimes<(To, Note)>,
@@ -106,6 +108,7 @@
         Self {
             now,
             late: Duration::ZERO,
+            list_lost: None,
             figures: Figures::of(now, terms),
             mail: Inboxes::default(),
             due: DueTimes::default(),
@@ -144,6 +147,31 @@
         parts.into_iter().for_each(|to| self.mail.put(to, note.clone()));
     }
 
+    /// Keeps on record since when no list is heard. One that was held before the start is as old as the start.
+    fn hear(&mut self, news: &ListNews) {
+        let lost = match news {
+            ListNews::Failed(loss) => self.list_lost.or(Some(self.ago(loss.silent))),
+            ListNews::Remembered(_) => Some(self.now),
+            ListNews::Change(_) | ListNews::Whole(_) => None,
+        };
+        self.list_lost = lost.filter(|_| self.figures.list_lease < Duration::MAX);
+    }
+
+    pub fn hears_list(&self) -> bool {
+        self.list_lost.is_none()
+    }
+
+    /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately.
+    pub fn relies_since(&self) -> Duration {
+        let lease = self.figures.list_lease;
+        let stale = self.list_lost.is_some_and(|lost| self.now >= lost.saturating_add(lease));
+        if stale {
+            self.ago(lease)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// A number from 0 to 1, evenly.
     pub fn chance(&mut self) -> f64 {
         (self.chance.generate::<u64>() >> 11) as f64 / (1u64 << 53) as f64
@@ -157,7 +185,10 @@
     /// Brings an event to the parts that it concerns.
     pub fn deliver(&mut self, event: Event) {
         match event {
-            Event::List(news) => self.mail.put(To::Lister, Note::List(news)),
+            Event::List(news) => {
+                self.hear(&news);
+                self.mail.put(To::Lister, Note::List(news));
+            }
             Event::Hit(hit) => self.mail.put(To::Gate, Note::Taken(hit)),
             Event::Outcome(outcome) => self.mail.put(To::Gate, Note::Back(outcome)),
             Event::StreamStarted { hit } => self.mail.put(To::Gate, Note::Streams(hit)),
@@ -194,6 +225,8 @@
     pub usable: bool,
     /// Shut, but due for a hit that shows whether it is back.
     pub wants_proof: bool,
+    /// When the latest attempt was sent that it served.
+    pub served: Duration,
 }
 
 impl Card {
@@ -239,6 +272,13 @@
 
 impl Eq for Bid {}
 
+/// Puts the best bid at the end, and leaves the others in no order.
+pub fn best_last(bids: &mut [Bid]) {
+    if let Some(best) = (0..bids.len()).max_by(|a, b| bids[*a].cmp(&bids[*b])) {
+        bids.swap(best, bids.len() - 1);
+    }
+}
+
 /// The last card of each pod, by pod.
 #[derive(Default)]
 pub struct Cards {
@@ -351,11 +391,16 @@
 
     /// Puts a forward on record and tells its number.
     pub fn sent(&mut self, to: &PodEntry, at: Duration) -> ForwardNo {
-        let (pod, build, zone, cell) = (to.pod, to.build, to.zone, to.cell);
-        self.forwards.push(Sent { pod, build, zone, cell, at, fate: None });
+        let (pod, build, zone, cell, started) = (to.pod, to.build, to.zone, to.cell, to.started);
+        self.forwards.push(Sent { pod, build, zone, cell, started, at, fate: None });
         ForwardNo(self.forwards.len() as u16 - 1)
     }
 
+    /// An attempt that has no outcome yet.
+    pub fn out(&self, no: ForwardNo) -> Option<&Sent> {
+        self.forwards.get(usize::from(no.0)).filter(|sent| sent.fate.is_none())
+    }
+
     pub fn still_out(&self) -> Vec<ForwardNo> {
         let numbered = (0u16..).zip(&self.forwards);
         numbered.filter(|(_, f)| f.fate.is_none()).map(|(n, _)| ForwardNo(n)).collect()
@@ -367,6 +412,8 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub pod: PodId,
+    /// The start of the pod that it was meant for.
+    pub started: Option<Duration>,
     pub at: Duration,
     pub fate: Option<Fate>,
 }
@@ -412,6 +459,43 @@
         };
         self.entry = entry;
     }
+
+    /// Whether an attempt was meant for this life of the pod, and the pod neither drains nor is gone.
+    pub fn still_takes(&self, sent: &Sent) -> bool {
+        let same_life = (self.entry.build, self.entry.started) == (sent.build, sent.started);
+        self.ended.is_none() && same_life
+    }
+}
+
+/// The rows of the list as they were told last, each with the time since when its pod is gone.
+#[derive(Default)]
+pub struct Held(BTreeMap<PodId, (PodEntry, Option<Duration>)>);
+
+impl Held {
+    /// Keeps a row; tells whether its pod has gone by it.
+    pub fn put(&mut self, row: &PodEntry, now: Duration) -> bool {
+        let before = self.0.get(&row.pod).and_then(|(_, gone)| *gone);
+        let gone = (row.state == PodState::Gone).then(|| before.unwrap_or(now));
+        self.0.insert(row.pod, (row.clone(), gone));
+        gone.is_some() && before.is_none()
+    }
+
+    /// Forgets a pod that has been gone since then or longer; tells whether it did.
+    pub fn forget(&mut self, pod: PodId, since: Duration) -> bool {
+        let gone = self.0.get(&pod).and_then(|(_, gone)| *gone);
+        let forgets = gone.is_some_and(|gone| gone <= since);
+        if forgets {
+            self.0.remove(&pod);
+        }
+        forgets
+    }
+
+    /// The rows that a whole list no longer has, as gone.
+    pub fn gone_from(&self, list: &[PodEntry]) -> Vec<PodEntry> {
+        let listed: BTreeSet<PodId> = list.iter().map(|row| row.pod).collect();
+        let gone = self.0.values().filter(|(row, _)| !listed.contains(&row.pod));
+        gone.map(|(row, _)| PodEntry { state: PodState::Gone, ..row.clone() }).collect()
+    }
 }
 
 /// The gate's record of all pods, with what is derived from it.
@@ -469,6 +553,8 @@
 #[derive(Default)]
 pub struct Health {
     pub last_answer: Duration,
+    /// When the latest attempt was sent that it served; zero once it has turned one away since.
+    pub served: Duration,
     /// Recent time taken, as a share of the target latency.
     pub pace: Mean,
     pub strikes: u32,
@@ -534,6 +620,13 @@
         })
     }
 
+    /// What was seen of each path group, and of all, beside what another sample saw of it.
+    pub fn beside(&self, other: &Self) -> Vec<(Count, Count)> {
+        let of_other = |group: &GroupId| other.groups.get(group).copied().unwrap_or_default();
+        let by_group = self.groups.iter().map(|(group, count)| (*count, of_other(group)));
+        by_group.chain([(self.all(), other.all())]).collect()
+    }
+
     pub fn count(&mut self, group: GroupId, pod: PodId, fate: Fate, time: Option<f64>) {
         let bad = matches!(fate, Fate::Errored | Fate::TimedOut);
         let (count, by_pod) = (self.groups.entry(group).or_default(), self.pods.entry(pod).or_default());
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -41,8 +41,15 @@
         }
     }
 
-    /// Takes the events of one moment, in order, and tells what to do, in order.
-    pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+    /// Whether the first byte of an attempt may leave now. A host asks right before it writes that byte, on whichever
+    /// connection and however long after the attempt was decided on; if not, the attempt ends as never sent.
+    pub fn may_begin(&self, now: Duration, hit: HitId, no: ForwardNo) -> bool {
+        self.gate.may_begin(hit, no, now, &self.round)
+    }
+
+    /// Takes events of one moment, in order, and tells what to do at once. What is due by time is left to `handle`: a host
+    /// that has stood still brings lists and stage news first, and the rest of what has come before anything falls due.
+    pub fn learn(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         self.round.now = now;
         self.round.late = now.saturating_sub(self.next_beat);
         for event in in_order(events) {
@@ -52,6 +59,12 @@
             self.pods.values().filter(|_| fleet).for_each(|pod| pod.post_card(&mut self.round));
             self.empty();
         }
+        std::mem::take(&mut self.round.out)
+    }
+
+    /// Takes the events of one moment, in order, and tells what to do, in order.
+    pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = self.learn(now, events);
         while let Some((to, note)) = self.round.due.take(now) {
             self.round.mail.put(to, note);
             self.empty();
@@ -65,7 +78,8 @@
             self.round.tell([To::Gate, To::Desk, To::Judge], &Note::Beat);
             self.empty();
         }
-        std::mem::take(&mut self.round.out)
+        actions.append(&mut self.round.out);
+        actions
     }
 
     /// The one loop: hands each note to its addressee until all inboxes are empty.
