--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -258,8 +258,11 @@
     }
 
     fn entry(&self, row: &Row) -> PodEntry {
-        let place =
-            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+        // Names beyond the numbers that there are share the last one.
+        let place = |names: &[String], name: &str| {
+            let place = names.iter().position(|n| n == name).unwrap_or(names.len());
+            u16::try_from(place).unwrap_or(u16::MAX)
+        };
         let entry = &row.entry;
         PodEntry {
             pod: row.pod,
@@ -271,9 +274,9 @@
             build: BuildId(entry.version_no),
             size: if entry.share.is_finite() && entry.share > 0.0 { entry.share } else { 1.0 },
             started: row.started,
-            zone: ZoneId(place(&self.zones, &entry.site) as u16),
+            zone: ZoneId(place(&self.zones, &entry.site)),
             cell: CellId(entry.block),
-            kind: KindId(place(&self.kinds, &entry.class).min(255) as u8),
+            kind: KindId(place(&self.kinds, &entry.class)),
         }
     }
 
--- a/crates/sidecar/src/pods.rs
+++ b/crates/sidecar/src/pods.rs
@@ -216,7 +216,7 @@
             // A zone that the settings don't name is one that is not ours.
             zone: ZoneId(self.zones.iter().position(|z| *z == row.zone).unwrap_or(self.zones.len()) as u16),
             cell: CellId(row.cell),
-            kind: KindId(place_of(&mut self.kinds, &row.kind)),
+            kind: KindId(place_of(&mut self.kinds, &row.kind).into()),
         }
     }
 
--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -128,7 +128,7 @@
         })
     }
     fn entry(&mut self) -> Got<PodEntry> {
-        let kind = KindId(self.u8()?);
+        let kind = KindId(self.u8()?.into());
         let state = match self.u8()? {
             0 => PodState::Gone,
             1 => PodState::Ready,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -21,7 +21,7 @@
     CellId(u16),
     BuildId(u16)
 );
-ids!(ForwardNo(u16), StageNo(u8), KindId(u8));
+ids!(ForwardNo(u16), StageNo(u8), KindId(u16));
 
 /// Whether a hit of a path group may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
