--- a/crates/platform/src/news.rs
+++ b/crates/platform/src/news.rs
@@ -96,7 +96,7 @@
 /// One wrong answer told by two streams is told within this time, and of forwards sent no further apart.
 const TOLD_TWICE_WITHIN: Duration = Duration::from_secs(3);
 const SENT_ALIKE: Duration = Duration::from_millis(20);
-const MOST_REPORTS: usize = 256;
+const MAX_REPORTS: usize = 256;
 
 impl<B> Default for Reports<B> {
     fn default() -> Self {
@@ -116,7 +116,7 @@
             self.0.remove(place);
             return false;
         }
-        if self.0.len() >= MOST_REPORTS {
+        if self.0.len() >= MAX_REPORTS {
             self.0.pop_front();
         }
         self.0.push_back(Heard { by, report, sent, at: now });
