--- a/crates/platform/src/news.rs
+++ b/crates/platform/src/news.rs
@@ -3,6 +3,7 @@
 use limewing::interface::{BuildId, Phase, StageNews, StageNo, Verdict, VoteAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -88,7 +89,8 @@
 
 struct Heard<B> {
     by: B,
-    report: (String, String),
+    /// A hash of the names in it: names may be as long as a line.
+    report: u64,
     sent: Duration,
     at: Duration,
 }
@@ -96,7 +98,15 @@
 /// One wrong answer told by two streams is told within this time, and of forwards sent no further apart.
 const TOLD_TWICE_WITHIN: Duration = Duration::from_secs(3);
 const SENT_ALIKE: Duration = Duration::from_millis(20);
-const MAX_REPORTS: usize = 256;
+/// Reports that are remembered: some of each pod of a large fleet, and no more of a stream that tells without end. Beyond it the
+/// oldest is forgotten, and may count twice.
+const MAX_REPORTS: usize = 4096;
+
+fn hash_of(report: &Report) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&report.instance_id, &report.lane).hash(&mut hasher);
+    hasher.finish()
+}
 
 impl<B> Default for Reports<B> {
     fn default() -> Self {
@@ -108,7 +118,7 @@
     /// Whether no other stream has told of it.
     pub fn is_new(&mut self, by: B, report: &Report, sent: Duration, now: Duration) -> bool {
         while self.0.pop_front_if(|heard| now > heard.at + TOLD_TWICE_WITHIN).is_some() {}
-        let report = (report.instance_id.clone(), report.lane.clone());
+        let report = hash_of(report);
         let same = |heard: &Heard<B>| {
             heard.by != by && heard.report == report && heard.sent.abs_diff(sent) <= SENT_ALIKE
         };
--- a/crates/platform/tests/caps.rs
+++ b/crates/platform/tests/caps.rs
@@ -2,6 +2,7 @@
 
 use limewing::interface::{ListNews, PodEntry};
 use limewing_platform::listing::{List, Listing};
+use limewing_platform::news::{Report, Reports};
 use limewing_standins::platform::{listing, Listed};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -47,3 +48,24 @@
     let told: BTreeSet<_> = rows.iter().map(|row| row.kind).collect();
     assert_eq!(told.len(), PODS);
 }
+
+fn report(pod: usize) -> Report {
+    Report { instance_id: name(pod), lane: "look".into(), age_ms: 0.0 }
+}
+
+/// Each pod gives a wrong answer in the same moment, and two streams tell of all: each counts once.
+#[test]
+fn reports_of_all_pods_told_by_two_streams_count_once() {
+    let (mut reports, told) = (Reports::default(), NOW + Duration::from_millis(100));
+    let mut new = |by| (0..PODS).filter(|pod| reports.is_new(by, &report(*pod), NOW, told)).count();
+    assert_eq!((new("old"), new("new")), (PODS, 0));
+}
+
+/// A stream that tells without end is not remembered without end.
+#[test]
+fn a_flood_of_reports_is_forgotten() {
+    let mut reports = Reports::default();
+    assert!((0..10 * PODS).all(|pod| reports.is_new("old", &report(pod), NOW, NOW)));
+    assert!(reports.is_new("new", &report(0), NOW, NOW));
+    assert!(!reports.is_new("new", &report(10 * PODS - 1), NOW, NOW));
+}
