--- a/crates/platform/tests/caps.rs
+++ b/crates/platform/tests/caps.rs
@@ -1,17 +1,26 @@
 //! Fleets of hundreds of sidecars and more than a thousand pods: nothing here has room for fewer.
 
-use limewing::interface::{ListNews, PodEntry};
+use bytes::BytesMut;
+use limewing::interface::{Action, Event, GroupId, Hit, HitId, ListNews, PodEntry, PodId};
+use limewing::sidecar::Sidecar;
+use limewing_platform::config::{self, Told};
+use limewing_platform::lines::Objects;
 use limewing_platform::listing::{List, Listing};
 use limewing_platform::news::{Report, Reports};
-use limewing_standins::platform::{listing, Listed};
+use limewing_standins::platform::{listing, Config, Listed};
+use rstest::rstest;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
-/// Pods of the largest fleet that is played.
+/// Sidecars and pods of the largest fleet that is played.
+const SIDECARS: u32 = 350;
 const PODS: usize = 1100;
 
 const NOW: Duration = Duration::from_secs(3600);
+/// An object of a watch, in bytes, at most.
+const LONGEST: usize = 4 * 1024 * 1024;
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 fn name(number: usize) -> String {
     format!("pod-{number:04}")
@@ -69,3 +78,149 @@
     assert!(reports.is_new("new", &report(0), NOW, NOW));
     assert!(!reports.is_new("new", &report(10 * PODS - 1), NOW, NOW));
 }
+
+/// The settings of 350 sidecars, of which this is one, and the list of the pods as it was held before the start.
+fn told(own_number: u32) -> Told {
+    let config = Config { sidecars: (SIDECARS, own_number), ..Config::new(pods()) };
+    config::understand(config.json().as_bytes()).unwrap()
+}
+
+fn hosts(told: &Listing) -> BTreeSet<&str> {
+    told.hosts.iter().map(|entry| entry.as_ref().unwrap().host.as_str()).collect()
+}
+
+#[rstest]
+#[case::first(0)]
+#[case::last(SIDECARS - 1)]
+fn a_configuration_names_the_whole_fleet(#[case] own_number: u32) {
+    let told = told(own_number);
+    assert_eq!((told.terms.sidecars, told.terms.own_number), (SIDECARS, own_number));
+    let known = told.known.unwrap();
+    assert_eq!(hosts(&known).len(), PODS);
+    let mut list = List::new(&told.sockets.zones, &told.sockets.kinds);
+    let rows = recalled(&mut list, known);
+    let numbers: BTreeSet<PodId> = rows.iter().map(|row| row.pod).collect();
+    assert_eq!((list.len(), numbers.len()), (PODS, PODS));
+}
+
+/// The whole object of a watch is read however it is cut, into chunks and on its way: as one, and once.
+#[rstest]
+#[case::in_one(usize::MAX, usize::MAX)]
+#[case::read_in_parts(usize::MAX, 32 * 1024)]
+#[case::in_small_chunks(100, 16 * 1024)]
+#[case::in_small_parts(1460, 7)]
+#[case::byte_by_byte(1, 1)]
+fn a_whole_list_is_read_from_a_watch(#[case] chunk: usize, #[case] part: usize) {
+    let object = listing(8, true, &pods());
+    let chunks = object
+        .as_bytes()
+        .chunks(chunk)
+        .map(|piece| [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat());
+    let bytes = [HEAD.to_vec()].into_iter().chain(chunks).collect::<Vec<_>>().concat();
+    let (mut objects, mut input, mut came) = (Objects::new(LONGEST), BytesMut::new(), Vec::new());
+    for piece in bytes.chunks(part) {
+        input.extend_from_slice(piece);
+        let read = objects.take(&mut input);
+        assert_eq!(read.broken, None);
+        came.extend(read.objects);
+    }
+    assert_eq!(came.len(), 1);
+    let told: Listing = serde_json::from_slice(&came[0]).unwrap();
+    assert_eq!(hosts(&told).len(), PODS);
+    let change = List::new(&["a".into()], &["m".into()]).take(told, NOW, SystemTime::now()).unwrap();
+    assert_eq!((rows(change.news).len(), change.unusable.len()), (PODS, 0));
+}
+
+fn rows(news: ListNews) -> Vec<PodEntry> {
+    match news {
+        ListNews::Change(rows) => rows,
+        other => panic!("a change, not {other:?}"),
+    }
+}
+
+/// A sidecar's list, and its module, as they are after a start.
+struct Started {
+    list: List,
+    module: Sidecar,
+    hits: u64,
+}
+
+impl Started {
+    fn new(own_number: u32) -> Self {
+        let told = told(own_number);
+        let mut list = List::new(&told.sockets.zones, &told.sockets.kinds);
+        let mut module = Sidecar::new(NOW, told.terms);
+        let known = list.recall(told.known.unwrap(), NOW, SystemTime::now());
+        module.handle(NOW, vec![Event::List(known)]);
+        Self { list, module, hits: 0 }
+    }
+
+    /// Takes a whole list; how many rows the module is told, and how many actions it answers with.
+    fn take(&mut self, seq: u64, pods: &[Listed], now: Duration) -> (usize, usize) {
+        let change = self.list.take(read(&listing(seq, true, pods)), now, SystemTime::now()).unwrap();
+        let told = rows(change.news);
+        let many = told.len();
+        (many, self.module.handle(now, vec![Event::List(ListNews::Change(told))]).len())
+    }
+
+    /// As many requests as that at once: the pods that their attempts go to, one of each request.
+    fn asks(&mut self, many: usize, now: Duration) -> Vec<PodId> {
+        let (group, due) = (GroupId(0), now + Duration::from_secs(5));
+        let first = self.hits;
+        self.hits += many as u64;
+        let hit = |id| Hit { id: HitId(id), group, customer: None, key: None, due };
+        let asked = (first..self.hits).map(|id| Event::Hit(hit(id))).collect();
+        let goes = |action| match action {
+            Action::Forward { pod, .. } => Some(pod),
+            _ => None,
+        };
+        self.module.handle(now, asked).into_iter().filter_map(goes).collect()
+    }
+}
+
+/// Requests of which none is answered go to all pods in the end: none is out of a sidecar's reach, whichever it is.
+#[rstest]
+#[case::first(0)]
+#[case::middle(17)]
+#[case::last(SIDECARS - 1)]
+fn every_pod_is_reached(#[case] own_number: u32) {
+    let mut sidecar = Started::new(own_number);
+    let went = sidecar.asks(2 * PODS, NOW);
+    assert_eq!(went.len(), 2 * PODS);
+    assert_eq!(went.into_iter().collect::<BTreeSet<_>>().len(), PODS);
+}
+
+/// Longer than a pod that drains may be used, and sooner than a sidecar turns requests away because none is answered.
+const AFTER: Duration = Duration::from_secs(1);
+
+/// How each pod is listed after a change of all.
+fn changed(what: &str) -> Vec<Listed> {
+    let change = |pod: Listed| match what {
+        "drains" => Listed { health: "terminating", ..pod },
+        "starts anew" => Listed { build: 2, born_ms: 1_000, ..pod },
+        "moves" => Listed { dial: SocketAddr::new(pod.dial.ip(), 6432), ..pod },
+        "is replaced" => Listed { host: format!("new-{}", pod.host), ..pod },
+        other => panic!("no change called {other}"),
+    };
+    pods().into_iter().map(change).collect()
+}
+
+/// A change of all pods in one object: the module is told each pod's row once (twice the pods where others come in their
+/// place), does no more than ask for its next beat, and hears nothing when the same is told again. Requests then go where
+/// the new list has them go.
+#[rstest]
+#[case::drains("drains", PODS)]
+#[case::starts_anew("starts anew", PODS)]
+#[case::moves("moves", PODS)]
+#[case::is_replaced("is replaced", 2 * PODS)]
+fn a_change_of_all_pods_is_taken(#[case] what: &str, #[case] told: usize) {
+    let (mut sidecar, next, later) = (Started::new(17), changed(what), NOW + AFTER);
+    let (many, actions) = sidecar.take(8, &next, NOW + Duration::from_millis(1));
+    assert_eq!((many, actions), (told, 0));
+    assert_eq!((sidecar.list.seq, sidecar.list.len()), (8, PODS));
+    assert_eq!(sidecar.take(9, &next, NOW + Duration::from_millis(2)), (0, 0));
+    let went: BTreeSet<PodId> = sidecar.asks(2 * PODS, later).into_iter().collect();
+    let listed = next.iter().filter_map(|pod| sidecar.list.number(&pod.host, later));
+    let wanted = if what == "drains" { BTreeSet::new() } else { listed.collect() };
+    assert!(went == wanted, "went to {} pods, expected {}", went.len(), wanted.len());
+}
--- /dev/null
+++ b/crates/platform/tests/sockets/fleets.rs
@@ -0,0 +1,68 @@
+//! The largest fleet that is played: 350 sidecars, of which one is tested, and 1,100 pods.
+
+use crate::help::{ask, sidecar};
+use limewing_standins::platform::{listing, Answer, Client, Config, Discovery, Does, Listed, Pod};
+use rstest::rstest;
+use std::net::SocketAddr;
+
+const SIDECARS: u32 = 350;
+const PODS: usize = 1100;
+
+/// The pods of the fleet, all at one address.
+fn pods(at: SocketAddr) -> Vec<Listed> {
+    (0..PODS).map(|n| Listed::new(&format!("pod-{n:04}"), at)).collect()
+}
+
+fn answer_of(at: SocketAddr) -> Answer {
+    let mut client = Client::new(at);
+    client.asks(&ask("look", 10_000));
+    client.hears()
+}
+
+/// Of a list that a watch tells whole, in one chunk or in thousands, all but one entry drain: only where each is read does a
+/// request find the one that serves.
+#[rstest]
+#[case::first_in_one(0, usize::MAX)]
+#[case::last_in_one(PODS - 1, usize::MAX)]
+#[case::first_in_pieces(0, 60)]
+#[case::last_in_pieces(PODS - 1, 60)]
+fn a_list_is_read_to_its_last_entry(#[case] serves: usize, #[case] piece: usize) {
+    let (pod, other) = (Pod::new(vec![Does::Serves("red")]), Pod::new(vec![Does::Serves("drains")]));
+    let drains = |of: Listed| Listed { health: "terminating", ..of };
+    let mut listed: Vec<Listed> = pods(other.at).into_iter().map(drains).collect();
+    listed[serves] = Listed::new(&listed[serves].host, pod.at);
+    let discovery = Discovery::new(String::new());
+    let none = Config { discovery: discovery.at, sidecars: (SIDECARS, 17), ..Config::new(Vec::new()) };
+    let at = sidecar(&none);
+    discovery.is_asked();
+    // A pod that drains may have had a request in its grace.
+    let object = listing(8, true, &listed);
+    object.as_bytes().chunks(piece).for_each(|part| discovery.says_part(std::str::from_utf8(part).unwrap()));
+    assert!(answer_within(at, "red"));
+    assert!(discovery.calls.try_recv().is_err(), "the watch is asked for again");
+}
+
+/// Asks until the answer is that one, a bounded number of times.
+fn answer_within(at: SocketAddr, wanted: &str) -> bool {
+    (0..TRIES).any(|_| answer_of(at) == Answer::Row(wanted.into()))
+}
+
+/// A request waits seconds for a pod that serves; so many are enough where a list is on its way.
+const TRIES: usize = 20;
+
+/// All pods move in one object: from then on none of the old connections is used, and the watch goes on.
+#[test]
+fn all_pods_may_move_at_once() {
+    let (old, new) = (Pod::new(vec![Does::Serves("old")]), Pod::new(vec![Does::Serves("new")]));
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let config = Config { discovery: discovery.at, sidecars: (SIDECARS, 349), ..Config::new(pods(old.at)) };
+    let at = sidecar(&config);
+    discovery.is_asked();
+    assert_eq!(answer_of(at), Answer::Row("old".into()));
+    discovery.says(&listing(9, true, &pods(new.at)));
+    assert!(answer_within(at, "new"));
+    let links = old.links();
+    assert!((0..TRIES).all(|_| answer_of(at) == Answer::Row("new".into())));
+    assert_eq!(old.links(), links);
+    assert!(discovery.calls.try_recv().is_err(), "the watch is asked for again");
+}
