--- a/crates/platform/tests/sockets/fleets.rs
+++ b/crates/platform/tests/sockets/fleets.rs
@@ -66,3 +66,36 @@
     assert_eq!(old.links(), links);
     assert!(discovery.calls.try_recv().is_err(), "the watch is asked for again");
 }
+
+/// Descriptors that a sidecar may have, of which its connections to clients and pods take 24 fewer.
+const FEW_DESCRIPTORS: usize = 64;
+/// Clients at once, each with a request open: that many use more pods than there are connections to spare.
+const CLIENTS: usize = 12;
+/// Requests of each client.
+const REQUESTS: usize = 250;
+
+/// With far fewer descriptors than pods, kept connections make room for others: each request is answered, over more connections
+/// than could be open together.
+#[test]
+fn few_descriptors_serve_many_pods() {
+    let pod = Pod::new(vec![Does::Serves("red")]);
+    let at = sidecar(&Config {
+        sidecars: (SIDECARS, 17),
+        descriptors: FEW_DESCRIPTORS,
+        ..Config::new(pods(pod.at))
+    });
+    let asks = || {
+        let mut client = Client::new(at);
+        let answers = (0..REQUESTS).map(|_| {
+            client.asks(&ask("look", 10_000));
+            client.hears()
+        });
+        answers.filter(|answer| *answer != Answer::Row("red".into())).count()
+    };
+    let unserved: usize = std::thread::scope(|scope| {
+        let clients: Vec<_> = (0..CLIENTS).map(|_| scope.spawn(asks)).collect();
+        clients.into_iter().map(|client| client.join().unwrap()).sum()
+    });
+    assert_eq!(unserved, 0);
+    assert!(pod.links() > FEW_DESCRIPTORS, "{} connections", pod.links());
+}
