--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,18 +45,13 @@
 pub struct Lister {
     held: Held,
     watched: bool,
-    failed: u32, // calls in a row, and the watch before them
 }
 
 impl Lister {
     pub fn take(&mut self, note: Note, round: &mut Round) {
         match note {
-            Note::List(ListNews::Change(rows)) => {
-                self.failed = 0;
-                rows.into_iter().for_each(|row| self.tell(row, round));
-            }
+            Note::List(ListNews::Change(rows)) => rows.into_iter().for_each(|row| self.tell(row, round)),
             Note::List(ListNews::Whole(rows) | ListNews::Remembered(rows)) => {
-                self.failed = 0;
                 let gone = self.held.gone_from(&rows);
                 gone.into_iter().chain(rows).for_each(|row| self.tell(row, round));
                 let first = round.figures.on_request && !std::mem::replace(&mut self.watched, true);
@@ -66,10 +61,9 @@
             // twice in a row silent, ever later. Guards against a fleet whose calls keep the service too busy to
             // answer any of them; hurts by a list that comes late after a long outage.
             Note::List(ListNews::Failed(loss)) => {
-                let doubled = if loss.refused { self.failed + 1 } else { self.failed.saturating_sub(1) };
+                let doubled = round.list_failures.saturating_sub(if loss.refused { 0 } else { 2 });
                 let wait = ASK_AGAIN
                     .mul_f64((0.3 + 0.7 * round.chance()) * f64::from(1 << doubled.min(MOST_DOUBLED)));
-                self.failed += 1;
                 round.later(wait, To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -6,6 +6,8 @@
 use rstest::rstest;
 use std::collections::BTreeSet;
 
+mod lists;
+
 fn at(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
--- /dev/null
+++ b/src/choice/tests/lists.rs
@@ -0,0 +1,261 @@
+//! Lists that come late or not at all: when discovery is asked again, and which pods may still be sent to.
+
+use super::*;
+use crate::sidecar::Sidecar;
+use std::collections::VecDeque;
+
+const REFUSED: ListLoss = ListLoss { silent: Duration::ZERO, refused: true };
+const SILENT: ListLoss = ListLoss { silent: Duration::ZERO, refused: false };
+const LEASE: f64 = 6.0;
+
+/// A round of a sidecar whose lists may be relied on for a while after they were last heard.
+fn leased(now: f64) -> Round {
+    let mut round = Round::new(Duration::ZERO, &StartTerms { list_lease: Some(at(LEASE)), ..terms() });
+    round.now = at(now);
+    round
+}
+
+/// How long after the last of these losses the list is asked for again.
+fn wait_after(losses: &[ListLoss]) -> Duration {
+    let (mut lister, mut round) = (Lister::default(), leased(1.0));
+    for loss in losses {
+        while round.due.take(Duration::MAX).is_some() {}
+        round.deliver(Event::List(ListNews::Failed(*loss)));
+        let Some((_, note)) = round.mail.take() else { panic!("no note") };
+        lister.take(note, &mut round);
+    }
+    let mut waits = (0..60_000).map(Duration::from_millis);
+    waits.find(|wait| round.due.take(round.now + *wait).is_some()).unwrap()
+}
+
+/// A list that was lost, and a first call that is silent, cost little time; calls that are refused are made ever later.
+#[rstest]
+#[case::a_watch_that_was_lost(&[SILENT], 0.7)]
+#[case::a_first_call_that_is_silent(&[SILENT, SILENT], 0.7)]
+#[case::more_silence(&[SILENT, SILENT, SILENT], 1.4)]
+#[case::a_first_call_that_is_refused(&[REFUSED], 1.4)]
+#[case::refused_once(&[SILENT, REFUSED], 2.8)]
+#[case::refused_twice(&[SILENT, REFUSED, REFUSED], 5.6)]
+#[case::refused_again_and_again(&[REFUSED; 40], 5.6)]
+fn calls_for_the_list_are_made_ever_later(#[case] losses: &[ListLoss], #[case] longest: f64) {
+    let wait = wait_after(losses).as_secs_f64();
+    assert!((0.3 * longest..=longest + 0.001).contains(&wait), "{wait}");
+}
+
+#[test]
+fn a_list_that_came_begins_the_waits_anew() {
+    let mut round = leased(1.0);
+    for _ in 0..5 {
+        round.deliver(Event::List(ListNews::Failed(REFUSED)));
+    }
+    round.deliver(Event::List(ListNews::Change(Vec::new())));
+    assert_eq!((round.list_failures, round.hears_list()), (0, true));
+}
+
+/// A call for the list, as the service that answers it holds it.
+struct Call {
+    from: usize,
+    at: Duration,
+    /// Its caller has been told that it waited too long; the work is done all the same.
+    refused: bool,
+}
+
+/// A list service that works through calls in turn, and refuses those that have waited for long or find its queue full.
+struct ListService {
+    queue: VecDeque<Call>,
+    free_at: Duration,
+}
+
+const CALL_TAKES: Duration = Duration::from_millis(20);
+const LONGEST_QUEUE: usize = 100;
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+impl ListService {
+    /// Takes a call, or refuses it at once.
+    fn call(&mut self, from: usize, now: Duration) -> bool {
+        let takes = self.queue.len() < LONGEST_QUEUE;
+        if takes {
+            self.queue.push_back(Call { from, at: now, refused: false });
+        }
+        takes
+    }
+
+    /// Those whose call is answered by now, and those that are refused as they have waited for too long.
+    fn work(&mut self, now: Duration) -> (Vec<usize>, Vec<usize>) {
+        let mut refused = Vec::new();
+        for call in self.queue.iter_mut().filter(|call| !call.refused && now >= call.at + LONGEST_WAIT) {
+            call.refused = true;
+            refused.push(call.from);
+        }
+        let mut answered = Vec::new();
+        while let Some(call) = self.queue.front() {
+            let done = self.free_at.max(call.at) + CALL_TAKES;
+            if done > now {
+                break;
+            }
+            self.free_at = done;
+            answered.extend(self.queue.pop_front().filter(|call| !call.refused).map(|call| call.from));
+        }
+        (answered, refused)
+    }
+}
+
+/// All of a fleet lose their watch in one moment, and their calls are more than the list service can answer in the time that
+/// it lets them wait. In the end each hears its list: calls do not keep the service too busy to answer any. With waits of 0.3
+/// to 1 s however often a call was refused nobody but the first hundred ever does.
+#[rstest]
+fn a_fleet_that_calls_at_once_is_answered(#[values(100, 280, 530)] sidecars: usize) {
+    let start = |own: usize| {
+        let (own_number, seed) = (own as u32, own as u64 + 1);
+        Sidecar::new(Duration::ZERO, StartTerms { sidecars: sidecars as u32, own_number, seed, ..terms() })
+    };
+    let mut fleet: Vec<Sidecar> = (0..sidecars).map(start).collect();
+    let mut events: Vec<Vec<Event>> =
+        (0..sidecars).map(|_| vec![Event::List(ListNews::Failed(SILENT))]).collect();
+    let mut service = ListService { queue: VecDeque::new(), free_at: Duration::ZERO };
+    let mut unanswered: BTreeSet<usize> = (0..sidecars).collect();
+    let mut now = Duration::ZERO;
+    let bound = Duration::from_secs(10) + CALL_TAKES * 3 * sidecars as u32;
+    while !unanswered.is_empty() && now < bound {
+        now += BEAT;
+        let (answered, refused) = service.work(now);
+        for from in answered {
+            unanswered.remove(&from);
+            events[from].push(Event::List(ListNews::Change(Vec::new())));
+        }
+        refused.into_iter().for_each(|from| events[from].push(Event::List(ListNews::Failed(REFUSED))));
+        for (from, sidecar) in fleet.iter_mut().enumerate() {
+            let actions = sidecar.handle(now, std::mem::take(&mut events[from]));
+            if actions.contains(&Action::Watch) && !service.call(from, now) {
+                events[from].push(Event::List(ListNews::Failed(REFUSED)));
+            }
+        }
+    }
+    assert!(unanswered.is_empty(), "{} of {sidecars} heard no list in {bound:?}", unanswered.len());
+}
+
+/// A gate with an attempt of hit 0 out to pod 0, allowed at 1 s.
+fn gate_with_an_attempt(round: &mut Round) -> Gate {
+    let mut gate = gate(0, Phase::Released, 1.0);
+    round.now = at(1.0);
+    gate.send(HitId(0), PodId(0), round);
+    gate
+}
+
+fn told(gate: &mut Gate, entry: PodEntry) {
+    gate.take(Note::Listed(entry), &mut leased(1.1));
+}
+
+/// Whether the first byte may leave once this has come between the decision and that byte, also within the grace.
+#[rstest]
+#[case::nothing(|_: &mut Gate| (), true)]
+#[case::the_request_is_over(|gate: &mut Gate| gate.accounts.get_mut(&HitId(0)).unwrap().over = true, false)]
+#[case::its_pod_drains(|gate: &mut Gate| told(gate, PodEntry { state: PodState::Draining, ..pod(0, 1) }), false)]
+#[case::its_pod_is_gone(|gate: &mut Gate| told(gate, PodEntry { state: PodState::Gone, ..pod(0, 1) }), false)]
+#[case::another_pod_drains(|gate: &mut Gate| told(gate, PodEntry { state: PodState::Draining, ..pod(1, 1) }), true)]
+#[case::its_pod_runs_another_build(|gate: &mut Gate| told(gate, pod(0, 2)), false)]
+#[case::its_pod_started_anew(|gate: &mut Gate| told(gate, PodEntry { started: Some(at(1.0)), ..pod(0, 1) }), false)]
+#[case::its_pod_is_forgotten(|gate: &mut Gate| gate.places.remove(PodId(0)), false)]
+fn permission_is_given_at_the_first_byte(#[case] between: fn(&mut Gate), #[case] may: bool) {
+    let mut round = leased(1.0);
+    let mut gate = gate_with_an_attempt(&mut round);
+    between(&mut gate);
+    assert_eq!(gate.may_begin(HitId(0), ForwardNo(0), at(1.2), &round), may);
+    assert!(!gate.may_begin(HitId(0), ForwardNo(1), at(1.2), &round));
+}
+
+/// While no list is heard what was allowed expires with the grace (1 s), as its pod may have been told to leave meanwhile.
+#[rstest]
+#[case::heard(false, 5.0, true)]
+#[case::lost_in_the_grace(true, 2.0, true)]
+#[case::lost_past_the_grace(true, 2.1, false)]
+fn permission_expires_while_no_list_is_heard(#[case] lost: bool, #[case] now: f64, #[case] may: bool) {
+    let mut round = leased(1.0);
+    let gate = gate_with_an_attempt(&mut round);
+    if lost {
+        round.deliver(Event::List(ListNews::Failed(SILENT)));
+    }
+    assert_eq!(gate.may_begin(HitId(0), ForwardNo(0), at(now), &round), may);
+}
+
+/// Where a list may be relied on for good nothing expires.
+#[test]
+fn without_a_lease_permission_does_not_expire() {
+    let mut round = round(1.0);
+    let gate = gate_with_an_attempt(&mut round);
+    round.deliver(Event::List(ListNews::Failed(SILENT)));
+    assert!(gate.may_begin(HitId(0), ForwardNo(0), at(5.0), &round));
+}
+
+/// Pods 0 to 3, all usable; pod 0 served what was sent at 8 s, and pod 3 runs a later build that is released.
+fn desk_of_served() -> Desk {
+    let mut desk = desk(0);
+    desk.cards.put(Card { served: at(8.0), ..card(pod(0, 1)) });
+    [pod(1, 1), pod(2, 1), pod(3, 2)].into_iter().for_each(|entry| desk.cards.put(card(entry)));
+    desk.news = Some(news(Phase::Released, 1.0));
+    desk
+}
+
+/// In which turns pods are asked for.
+fn turns(round: &mut Round) -> BTreeMap<u64, u8> {
+    desk_of_served().place(HitId(0), round);
+    let Some((To::Gate, Note::Ask { bids, .. })) = round.mail.take() else { panic!("no bids") };
+    bids.into_iter().map(|bid| (bid.pod.0, bid.turn)).collect()
+}
+
+/// Once no list has been heard for its lease, pods that served what was sent since come before all others, and of these the
+/// later build first: older ones leave sooner.
+#[rstest]
+#[case::lists_are_heard(None, 13.0, false)]
+#[case::within_the_lease(Some(7.5), 13.0, false)]
+#[case::after_it(Some(6.5), 13.0, true)]
+fn a_silent_list_is_a_lease(#[case] lost_at: Option<f64>, #[case] now: f64, #[case] stale: bool) {
+    let mut round = leased(lost_at.unwrap_or(now));
+    lost_at.into_iter().for_each(|_| round.deliver(Event::List(ListNews::Failed(SILENT))));
+    while round.mail.take().is_some() {}
+    round.now = at(now);
+    let turns = turns(&mut round);
+    let all_alike = turns.values().all(|turn| *turn < UNLEASED);
+    assert_eq!(all_alike, !stale, "{turns:?}");
+    if stale {
+        assert!(turns[&0] < turns[&3] && turns[&3] < turns[&1] && turns[&3] < turns[&2], "{turns:?}");
+    }
+}
+
+/// A loss that is told late counts from when the list was last heard.
+#[test]
+fn the_lease_runs_from_when_a_list_was_last_heard() {
+    let mut round = leased(10.0);
+    round.deliver(Event::List(ListNews::Failed(ListLoss { silent: at(2.3), refused: false })));
+    round.now = at(13.6);
+    assert_eq!(round.relies_since(), Duration::ZERO);
+    round.now = at(13.8);
+    assert_eq!(round.relies_since(), at(7.8));
+}
+
+/// A pod that turned an attempt away may drain: it is not relied on before it has served again.
+#[rstest]
+#[case::served(Fate::Delivered, true)]
+#[case::turned_away(Fate::TurnedAway, false)]
+fn what_a_pod_did_last_tells_whether_it_is_relied_on(#[case] last: Fate, #[case] relied_on: bool) {
+    let (mut pod, round) = (Pod::new(pod(0, 1)), leased(3.0));
+    for fate in [Fate::Delivered, last] {
+        pod.learn(&Ended { sent: at(2.0), ..ended(fate) }, &round);
+    }
+    assert_eq!(!pod.health.served.is_zero(), relied_on);
+}
+
+/// What `learn` takes is known at once, and nothing that is due by time happens by it.
+#[test]
+fn a_list_is_known_before_anything_falls_due() {
+    let mut sidecar = Sidecar::new(Duration::ZERO, StartTerms { list_lease: Some(at(LEASE)), ..terms() });
+    sidecar.handle(at(1.0), vec![Event::List(ListNews::Change(vec![pod(0, 1)]))]);
+    let hit = Hit { id: HitId(0), group: GroupId(0), customer: None, key: None, due: at(9.0) };
+    let actions = sidecar.handle(at(1.1), vec![Event::Hit(hit)]);
+    assert!(actions.iter().any(|action| matches!(action, Action::Forward { .. })), "{actions:?}");
+    assert!(sidecar.may_begin(at(1.1), HitId(0), ForwardNo(0)));
+    let drains = PodEntry { state: PodState::Draining, ..pod(0, 1) };
+    let actions = sidecar.learn(at(8.0), vec![Event::List(ListNews::Change(vec![drains]))]);
+    assert_eq!(actions, []);
+    assert!(!sidecar.may_begin(at(8.0), HitId(0), ForwardNo(0)));
+}
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -94,6 +94,8 @@
     pub late: Duration,
     /// Since when no list is heard; none while a watch stands, and where a list may be relied on for good.
     pub list_lost: Option<Duration>,
+    /// Watches and calls for the list that have failed in a row.
+    pub list_failures: u32,
     pub figures: Figures,
     pub mail: Inboxes<To, Note>,
     pub due: DueTimes<(To, Note)>,
@@ -109,6 +111,7 @@
             now,
             late: Duration::ZERO,
             list_lost: None,
+            list_failures: 0,
             figures: Figures::of(now, terms),
             mail: Inboxes::default(),
             due: DueTimes::default(),
@@ -149,6 +152,8 @@
 
     /// Keeps on record since when no list is heard. One that was held before the start is as old as the start.
     fn hear(&mut self, news: &ListNews) {
+        let failed = matches!(news, ListNews::Failed(_));
+        self.list_failures = if failed { self.list_failures.saturating_add(1) } else { 0 };
         let lost = match news {
             ListNews::Failed(loss) => self.list_lost.or(Some(self.ago(loss.silent))),
             ListNews::Remembered(_) => Some(self.now),
@@ -502,8 +507,8 @@
 #[derive(Default)]
 pub struct Places {
     places: BTreeMap<PodId, Place>,
-    /// The lowest build that runs on a pod which neither drains nor is gone.
-    lowest: Option<BuildId>,
+    /// The lowest build that runs on a pod which neither drains nor is gone, once it was asked for.
+    lowest: Cell<Option<Option<BuildId>>>,
     /// The strength of all ready pods together, and the time for which it was summed up.
     strength: Cell<Option<(Duration, f64)>>,
 }
@@ -528,13 +533,19 @@
     pub fn list(&mut self, entry: PodEntry, now: Duration, luck: f64) {
         let place = self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry));
         place.list(entry, now, luck);
-        let present = self.places.values().filter(|place| place.ended.is_none());
-        self.lowest = present.map(|place| place.entry.build).min();
+        self.lowest.set(None);
         self.strength.set(None);
     }
 
+    /// The lowest build that runs on a pod which neither drains nor is gone, found once for each change of the list.
     pub fn lowest(&self) -> Option<BuildId> {
-        self.lowest
+        let find = || {
+            let present = self.places.values().filter(|place| place.ended.is_none());
+            present.map(|place| place.entry.build).min()
+        };
+        let lowest = self.lowest.get().unwrap_or_else(find);
+        self.lowest.set(Some(lowest));
+        lowest
     }
 
     /// The strength of all ready pods together, summed up once for each time that it is asked for.
