--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -183,6 +183,7 @@
             zone: ZoneId(0),
             groups,
             list_on_request: chance.random_bool(0.6),
+            list_pushed: false,
             list_lease: None,
             may_cancel: chance.random_bool(0.7),
             second_copies: chance.random_bool(0.6),
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -16,6 +16,7 @@
             groups: self.path_groups.iter().map(group).collect(),
             // Whoever hosts the module asks the list service whenever the module says so.
             list_on_request: true,
+            list_pushed: false,
             list_lease: None,
             may_cancel: limits.may_cancel,
             second_copies: limits.second_copies,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -95,6 +95,7 @@
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable, 1.0), group(tagged, 3.0), group(Repeat::Mutating, 5.0)],
         list_on_request: true,
+        list_pushed: false,
         list_lease: None,
         may_cancel: true,
         second_copies: true,
--- a/crates/standins/src/fleet/crowd.rs
+++ b/crates/standins/src/fleet/crowd.rs
@@ -80,6 +80,7 @@
         zone: ZoneId(number as u16 % 3),
         groups: vec![group],
         list_on_request: false,
+        list_pushed: false,
         list_lease: None,
         may_cancel: false,
         second_copies: false,
--- a/crates/wire/src/start.rs
+++ b/crates/wire/src/start.rs
@@ -198,6 +198,7 @@
         zone: ZoneId(o.zone),
         groups: o.profiles.iter().map(path_group).collect::<Result<_, _>>()?,
         list_on_request: o.membership_mode == "subscribe",
+        list_pushed: o.membership_mode != "subscribe",
         list_lease: None,
         may_cancel: o.limits.cancel,
         second_copies: o.limits.second_copies,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,8 +62,11 @@
             // answer any of them; hurts by a list that comes late after a long outage.
             Note::List(ListNews::Failed(loss)) => {
                 let doubled = round.list_failures.saturating_sub(if loss.refused { 0 } else { 2 });
-                let wait = ASK_AGAIN
-                    .mul_f64((0.3 + 0.7 * round.chance()) * f64::from(1 << doubled.min(MOST_DOUBLED)));
+                let shared = ASK_AGAIN * (1 << doubled.min(MOST_DOUBLED));
+                // An agent of this sidecar's own has no crowd, and what it has counts as told at once.
+                let own = (round.figures.grace / 4).clamp(BEAT, ASK_AGAIN);
+                let wait = if round.figures.list_pushed { own } else { shared };
+                let wait = wait.mul_f64(0.3 + 0.7 * round.chance());
                 round.later(wait, To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -28,6 +28,7 @@
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
         list_on_request: false,
+        list_pushed: false,
         list_lease: None,
         may_cancel: true,
         second_copies: true,
--- a/src/choice/tests/lists.rs
+++ b/src/choice/tests/lists.rs
@@ -16,8 +16,8 @@
 }
 
 /// How long after the last of these losses the list is asked for again.
-fn wait_after(losses: &[ListLoss]) -> Duration {
-    let (mut lister, mut round) = (Lister::default(), leased(1.0));
+fn wait_after(terms: &StartTerms, losses: &[ListLoss]) -> Duration {
+    let (mut lister, mut round) = (Lister::default(), Round::new(Duration::ZERO, terms));
     for loss in losses {
         while round.due.take(Duration::MAX).is_some() {}
         round.deliver(Event::List(ListNews::Failed(*loss)));
@@ -38,10 +38,21 @@
 #[case::refused_twice(&[SILENT, REFUSED, REFUSED], 5.6)]
 #[case::refused_again_and_again(&[REFUSED; 40], 5.6)]
 fn calls_for_the_list_are_made_ever_later(#[case] losses: &[ListLoss], #[case] longest: f64) {
-    let wait = wait_after(losses).as_secs_f64();
+    let wait = wait_after(&terms(), losses).as_secs_f64();
     assert!((0.3 * longest..=longest + 0.001).contains(&wait), "{wait}");
 }
 
+/// What an agent of the sidecar's own has counts as told once it is there: it is asked again well within the grace (1 s),
+/// however often it failed.
+#[rstest]
+#[case::lost(&[SILENT])]
+#[case::refused(&[REFUSED; 9])]
+fn an_agent_of_its_own_is_asked_again_within_the_grace(#[case] losses: &[ListLoss]) {
+    let pushed = StartTerms { list_pushed: true, ..terms() };
+    let wait = wait_after(&pushed, losses);
+    assert!(BEAT / 4 < wait && wait <= at(0.25), "{wait:?}");
+}
+
 #[test]
 fn a_list_that_came_begins_the_waits_anew() {
     let mut round = leased(1.0);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -23,6 +23,7 @@
     /// The shortest target latency, in seconds.
     pub tightest: f64,
     pub on_request: bool,
+    pub list_pushed: bool,
     pub list_lease: Duration,
     pub may_cancel: bool,
     pub second_copies: bool,
@@ -72,6 +73,7 @@
             lines: terms.groups.iter().map(line).collect(),
             tightest: targets.fold(f64::MAX, f64::min),
             on_request: terms.list_on_request,
+            list_pushed: terms.list_pushed,
             list_lease: terms.list_lease.unwrap_or(Duration::MAX),
             may_cancel: terms.may_cancel,
             second_copies: terms.second_copies,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,6 +97,8 @@
     pub zone: ZoneId,
     pub groups: Vec<PathGroup>,
     pub list_on_request: bool,
+    /// Lists come from an agent of this sidecar's own: what the agent has counts as told, heard or not.
+    pub list_pushed: bool,
     /// For how long a list that is no longer heard of may be relied on; none: for good.
     pub list_lease: Option<Duration>,
     pub may_cancel: bool,
