--- a/crates/cli/tests/command/platform.rs
+++ b/crates/cli/tests/command/platform.rs
@@ -99,6 +99,29 @@
     assert_eq!(client.hears(), Answer::Row("red".into()));
 }
 
+/// The process stands still while the connection of an attempt comes up, and then its pod is announced as leaving: the list is
+/// read before the attempt's first byte leaves, in whichever order the system tells of the two. Without that order the pod
+/// hears the first bytes.
+#[test]
+fn the_list_is_known_before_the_first_byte_leaves() {
+    let pod = Pod::new(vec![Does::WelcomesLater, Does::LivesLater("red"), Does::Waits]);
+    let discovery = Discovery::new(listing(8, false, &[]));
+    let mut config = Config { patience: 2.0, connect: 30.0, ..Config::new(vec![Listed::new("p1", pod.at)]) };
+    config.discovery = discovery.at;
+    let sidecar = Platform::start(&config);
+    discovery.is_asked();
+    let mut client = Client::new(sidecar.at);
+    client.asks(&ask("look", 1));
+    assert_eq!(pod.hears(), "came");
+    sidecar.signal(Signal::STOP);
+    pod.go_on.send(()).unwrap();
+    assert_eq!(pod.hears(), "welcomed");
+    discovery.says(&listing(9, false, &[Listed { health: "terminating", ..Listed::new("p1", pod.at) }]));
+    sidecar.signal(Signal::CONT);
+    assert!(matches!(client.hears(), Answer::Error(code, _) if code == "53300"));
+    assert!(pod.heard_nothing());
+}
+
 /// Longer than connections go on coming to a sidecar that was told to leave.
 const DOOR_CLOSES: Duration = STILL_FOUND.saturating_add(MOMENT);
 const MOMENT: Duration = Duration::from_millis(100);
--- a/crates/platform/tests/sockets/pods.rs
+++ b/crates/platform/tests/sockets/pods.rs
@@ -271,6 +271,7 @@
     assert_eq!(pod.hears(), "came");
     assert!(matches!(client.hears(), Answer::Error(code, _) if code == "53300"));
     pod.go_on.send(()).unwrap();
+    assert_eq!(pod.hears(), "welcomed");
     client.asks(&ask_of("next", "pay", 5000));
     assert_eq!(client.hears(), Answer::Row("red".into()));
     assert!(pod.hears().contains("'next'"));
--- a/crates/standins/src/platform/pod.rs
+++ b/crates/standins/src/platform/pod.rs
@@ -36,7 +36,7 @@
     ClosesEarly,
     /// Says nothing from the first bytes on.
     WaitsEarly,
-    /// Welcomes a connection, of which it tells `came`, only after a word of the test.
+    /// Welcomes a connection, of which it tells `came`, only after a word of the test; then tells `welcomed`.
     WelcomesLater,
     /// Answers the empty query before the statement only after a word of the test, of which it is asked by `empty`; then
     /// the statement, if it comes.
@@ -96,12 +96,16 @@
     script: &Mutex<Vec<Does>>,
     word: &Mutex<Receiver<()>>,
 ) -> Option<()> {
-    if matches!(script.lock().unwrap().first(), Some(Does::WelcomesLater)) {
+    let later = matches!(script.lock().unwrap().first(), Some(Does::WelcomesLater));
+    if later {
         script.lock().unwrap().remove(0);
         let _ = tell.send("came".into());
         let _ = word.lock().unwrap().recv_timeout(Duration::from_secs(20));
     }
     let mut link = welcome(stream)?;
+    if later {
+        let _ = tell.send("welcomed".into());
+    }
     let (mut own, mut rest): (Option<Does>, &[u8]) = (None, &[]);
     let mut last = BytesMut::new();
     loop {
