--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -110,7 +110,7 @@
         tracing::debug!(seq = self.list.seq, pods = self.list.len(), "the list");
         self.events.push(Event::List(change.news));
         for pod in change.moved {
-            self.kept.of(pod).into_iter().for_each(|link| self.close_link(link));
+            self.kept.of(pod).into_iter().for_each(|link| self.close_connection(link));
         }
         self.call_off(|_, pod| change.unwilling.contains(&pod));
         Ok(())
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -3,9 +3,10 @@
 //! Due times come after what was read in the same round, so that an answer that came while the process stood
 //! still is known before the time-out that it beats.
 
-mod back;
+mod attempts;
 mod discovery;
 mod front;
+mod pod_connection;
 mod rollouts;
 
 use crate::bounds;
@@ -13,7 +14,6 @@
 use crate::listing::List;
 use crate::news::{Latest, Reports};
 use crate::statement::{Names, Statement};
-use back::PodLink;
 use discovery::{WatchEnd, WatchLink};
 use front::Client;
 use limewing::interface::{Action, Event, ForwardNo, HitId, Repeat, VoteAnswer};
@@ -27,6 +27,7 @@
 use limewing_net::call::Call;
 use limewing_net::sockets::{granted, Happening, SocketId, Sockets, MOST_INPUT};
 use limewing_net::wheel::{TimerKey, Wheel};
+use pod_connection::PodConnection;
 use rollouts::NewsLink;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::io;
@@ -55,7 +56,7 @@
 
 enum Peer {
     Client(Box<Client>),
-    Pod(Box<PodLink>),
+    Pod(Box<PodConnection>),
     Watch(Box<WatchLink>),
     News(Box<NewsLink>),
     Vote(Box<Call>),
@@ -63,9 +64,9 @@
 
 /// What is due at a time.
 enum Due {
-    Forward(HitId, ForwardNo),
+    Attempt(HitId, ForwardNo),
     Connect(SocketId),
-    Rest(SocketId),
+    LastByte(SocketId),
     Idle(SocketId),
     Silent(SocketId),
     Speak(SocketId),
@@ -348,10 +349,10 @@
 
     fn is_due(&mut self, due: Due) {
         match due {
-            Due::Forward(hit, no) => self.forward_late(hit, no),
-            Due::Connect(id) => self.connect_late(id),
-            Due::Rest(id) => self.write_rest(id),
-            Due::Idle(id) => self.close_idle(id),
+            Due::Attempt(hit, no) => self.attempt_late(hit, no),
+            Due::Connect(id) => self.connection_late(id),
+            Due::LastByte(id) => self.release_last_byte(id),
+            Due::Idle(id) => self.close_connection(id),
             Due::Silent(id) => self.client_silent(id),
             Due::Speak(id) => self.turn_away_now(id),
             Due::Sweep => self.sweep(),
@@ -365,7 +366,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Forward { hit, pod, within } => self.forward(hit, pod, within),
+            Action::Forward { hit, pod, within } => self.begin_attempt(hit, pod, within),
             Action::Cancel { hit, no } => self.cancel(hit, no),
             Action::Bounce { hit, retry_after } => self.bounce(hit, retry_after),
             Action::Fail { hit } => self.fail(hit),
--- /dev/null
+++ b/crates/platform/src/service/pod_connection.rs
@@ -0,0 +1,179 @@
+//! One connection to a pod, without I/O: the life of the attempt on it as a state machine.
+
+use crate::listing::Life;
+use bytes::Bytes;
+use limewing::interface::{Fate, ForwardNo, HitId, PodId};
+use limewing_net::wheel::TimerKey;
+use limewing_pg::{read, Frame, Frames};
+use std::mem;
+use std::time::Duration;
+
+/// With this code a pod tells that it has not begun a request.
+const TURNED_AWAY: &str = "53300";
+
+/// A connection to a pod; it carries at most one attempt at a time.
+pub struct PodConnection {
+    pub pod: PodId,
+    /// The life of the pod that it was made to.
+    pub life: Life,
+    pub phase: Phase,
+    pub frames: Frames,
+    /// Bounds the present phase.
+    pub timer: Option<TimerKey>,
+    /// How long it had been idle before the present attempt, if it was kept.
+    pub idle: Option<Duration>,
+}
+
+/// Where a connection stands, with the attempt that it carries.
+pub enum Phase {
+    /// It comes up. The attempt that it was made for may have ended since.
+    Connecting(Option<Attempt>),
+    /// It waits for the next attempt.
+    Idle,
+    /// All but the last byte of the attempt is written, behind an empty query that is not answered yet.
+    Checking(Attempt),
+    /// The empty query is answered, and the last byte is held back for a moment.
+    HoldingBack(Attempt),
+    /// The attempt is written whole.
+    Sent(Attempt, Answer),
+    /// The answer has come, but not yet the word that the next attempt may.
+    Settling,
+}
+
+/// An attempt on a connection.
+#[derive(Clone, Copy)]
+pub struct Attempt {
+    pub hit: HitId,
+    pub no: ForwardNo,
+    /// Bytes written on this connection when all of the attempt is.
+    pub until: u64,
+    /// Connections that broke under it before it was written.
+    pub redials: u8,
+}
+
+/// What has come of an answer.
+#[derive(Default)]
+pub struct Answer {
+    description: Option<Bytes>,
+    row: Option<Bytes>,
+}
+
+/// What a message of a pod means.
+pub enum Step {
+    /// Nothing yet, or nothing for us.
+    On,
+    /// The connection takes the next attempt.
+    Ready,
+    /// The empty query is answered.
+    CheckAnswered,
+    /// The answer is whole: the bodies of its description, its row and its completion.
+    Whole(Attempt, [Bytes; 3]),
+    /// The pod answered with an error.
+    Failed(Option<Attempt>, Fate),
+    /// What can't be an answer.
+    Spoilt,
+}
+
+impl Attempt {
+    pub fn new(hit: HitId, no: ForwardNo, redials: u8) -> Self {
+        Self { hit, no, until: u64::MAX, redials }
+    }
+}
+
+impl Phase {
+    pub fn attempt(&self) -> Option<&Attempt> {
+        match self {
+            Self::Connecting(attempt) => attempt.as_ref(),
+            Self::Checking(attempt) | Self::HoldingBack(attempt) | Self::Sent(attempt, _) => Some(attempt),
+            Self::Idle | Self::Settling => None,
+        }
+    }
+
+    pub fn is_connecting(&self) -> bool {
+        matches!(self, Self::Connecting(_))
+    }
+
+    /// Whether the pod can't have begun what the connection carries: its last byte is not written.
+    pub fn is_unwritten(&self) -> bool {
+        matches!(self, Self::Connecting(_) | Self::Checking(_) | Self::HoldingBack(_))
+    }
+
+    /// Whether bytes that come belong to an answer, or to nothing.
+    pub fn is_up(&self) -> bool {
+        !matches!(self, Self::Connecting(_) | Self::Settling)
+    }
+
+    /// Whether a part of an answer has come.
+    pub fn has_answer(&self) -> bool {
+        matches!(self, Self::Sent(_, answer) if answer.description.is_some())
+    }
+}
+
+impl PodConnection {
+    pub fn connecting(pod: PodId, life: Life, timer: TimerKey) -> Self {
+        let (phase, frames) = (Phase::Connecting(None), Frames::default());
+        Self { pod, life, phase, frames, timer: Some(timer), idle: None }
+    }
+
+    /// Takes the attempt off a connection that still comes up.
+    pub fn take_waiting(&mut self) -> Option<Attempt> {
+        match &mut self.phase {
+            Phase::Connecting(attempt) => attempt.take(),
+            _ => None,
+        }
+    }
+
+    /// What a message means, which may end the attempt.
+    pub fn step(&mut self, frame: Frame) -> Step {
+        let Frame { kind, body } = frame;
+        match (&mut self.phase, kind) {
+            // Notices and parameters may come at any time.
+            (_, b'N' | b'S') => Step::On,
+            (Phase::Connecting(_), b'R') if read::is_welcome(&body) => Step::On,
+            (Phase::Connecting(_), b'K') => Step::On,
+            (Phase::Connecting(_) | Phase::Settling, b'Z') => Step::Ready,
+            (Phase::Connecting(attempt), b'E') => Step::Failed(attempt.take(), connecting_fate(&body)),
+            (Phase::Checking(_) | Phase::HoldingBack(_), b'I') if body.is_empty() => Step::On,
+            (Phase::Checking(_) | Phase::HoldingBack(_), b'Z') => Step::CheckAnswered,
+            (Phase::Sent(..), _) => self.answer(kind, body),
+            _ => Step::Spoilt,
+        }
+    }
+
+    fn answer(&mut self, kind: u8, body: Bytes) -> Step {
+        let Phase::Sent(attempt, answer) = &mut self.phase else { return Step::Spoilt };
+        match (kind, &answer.description, &answer.row) {
+            (b'T', None, None) if read::only_column(&body).is_some() => answer.description = Some(body),
+            (b'D', Some(_), None) if read::only_value(&body).is_some() => answer.row = Some(body),
+            (b'C', Some(description), Some(row)) if read::text(&body).is_some() => {
+                let step = Step::Whole(*attempt, [description.clone(), row.clone(), body]);
+                self.phase = Phase::Settling;
+                return step;
+            }
+            (b'E', description, _) => {
+                let begun = description.is_some();
+                return self.failed(begun, &body);
+            }
+            _ => return Step::Spoilt,
+        }
+        Step::On
+    }
+
+    fn failed(&mut self, begun: bool, body: &Bytes) -> Step {
+        let fate = match read::code(body) {
+            Some(TURNED_AWAY) if !begun => Fate::TurnedAway,
+            Some(_) => Fate::Errored,
+            None => return Step::Spoilt,
+        };
+        let attempt = mem::replace(&mut self.phase, Phase::Settling).attempt().copied();
+        Step::Failed(attempt, fate)
+    }
+}
+
+/// A pod that takes no more connections has not begun anything.
+fn connecting_fate(body: &Bytes) -> Fate {
+    match read::code(body) {
+        Some(TURNED_AWAY) => Fate::TurnedAway,
+        _ => Fate::Unreached,
+    }
+}
--- a/crates/platform/tests/sockets/pods.rs
+++ b/crates/platform/tests/sockets/pods.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 use std::net::TcpListener;
 use std::thread::sleep;
+use std::time::Duration;
 
 fn spoilt(kind: u8, body: &[u8]) -> Vec<u8> {
     let mut out = bytes::BytesMut::new();
@@ -277,6 +278,18 @@
     assert!(pod.hears().contains("'next'"));
 }
 
+/// What comes behind a welcome would be taken for the answer: another connection carries the attempt that waited for it. Without
+/// the mend the attempt was forgotten with its connection, and waited for the end of the request's time.
+#[test]
+fn an_attempt_outlives_a_connection_with_more_than_a_welcome() {
+    let (pod, at) = with_pod(vec![Does::WelcomesWithMore, Does::Serves("red")]);
+    let mut client = Client::new(at);
+    client.asks(&ask("pay", 30_000));
+    assert!(client.has_come(Duration::from_secs(5)));
+    assert_eq!(client.hears(), Answer::Row("red".into()));
+    assert_eq!(pod.links(), 2);
+}
+
 /// A client that goes while its request waits for any pod at all: the first pod that comes does not get it.
 #[test]
 fn nothing_goes_out_later_for_a_client_that_went_while_it_waited() {
--- a/crates/standins/src/platform/pod.rs
+++ b/crates/standins/src/platform/pod.rs
@@ -38,6 +38,8 @@
     WaitsEarly,
     /// Welcomes a connection, of which it tells `came`, only after a word of the test; then tells `welcomed`.
     WelcomesLater,
+    /// Welcomes a connection with half a message behind it, in one piece, and then says nothing.
+    WelcomesWithMore,
     /// Answers the empty query before the statement only after a word of the test, of which it is asked by `empty`; then
     /// the statement, if it comes.
     LivesLater(&'static str),
@@ -96,7 +98,14 @@
     script: &Mutex<Vec<Does>>,
     word: &Mutex<Receiver<()>>,
 ) -> Option<()> {
-    let later = matches!(script.lock().unwrap().first(), Some(Does::WelcomesLater));
+    let first = script.lock().unwrap().first().cloned();
+    if matches!(first, Some(Does::WelcomesWithMore)) {
+        script.lock().unwrap().remove(0);
+        let mut link = welcome_with(stream, &[b'T', 0])?;
+        while link.hear().is_some() {}
+        return None;
+    }
+    let later = matches!(first, Some(Does::WelcomesLater));
     if later {
         script.lock().unwrap().remove(0);
         let _ = tell.send("came".into());
@@ -198,7 +207,11 @@
                 return None;
             }
             Does::Closes => return None,
-            Does::Waits | Does::ClosesEarly | Does::WaitsEarly | Does::WelcomesLater => {}
+            Does::Waits
+            | Does::ClosesEarly
+            | Does::WaitsEarly
+            | Does::WelcomesLater
+            | Does::WelcomesWithMore => {}
         }
         link.stream.write_all(&out).ok()?;
         last = out;
@@ -207,12 +220,18 @@
 
 /// A connection that is welcomed.
 pub(super) fn welcome(stream: TcpStream) -> Option<Link> {
+    welcome_with(stream, &[])
+}
+
+/// Welcomes a connection, with these bytes right behind.
+fn welcome_with(stream: TcpStream, more: &[u8]) -> Option<Link> {
     let mut link = Link::new(stream).ok()?;
     while read::startup(&mut link.input).ok()?.is_none() {
         link.fill()?;
     }
     let mut out = BytesMut::new();
     write::welcome(&mut out, &[("server_version", "16.0")]);
+    out.extend_from_slice(more);
     link.stream.write_all(&out).ok()?;
     Some(link)
 }
