--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,6 +29,7 @@
 const MOST_SHED: f64 = 0.9; // turned away by chance at most, so that what goes on tells when it ends
 const FADES: Duration = Duration::from_secs(4); // what is known of a customer's hits, when none end
 pub const ASK_AGAIN: Duration = Duration::from_millis(700); // a lost list is asked for again within this,
+pub const REMEMBERED: f64 = 1.0 / 3.0; // of the lease is left to a list from before the start: to find who serves
 const MOST_DOUBLED: u32 = 3; // which is doubled so often at most
 const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
 const FEW_PODS: usize = 5; // that an idle sidecar uses
--- a/src/choice/tests/lists.rs
+++ b/src/choice/tests/lists.rs
@@ -244,6 +244,17 @@
     assert_eq!(round.relies_since(), at(7.8));
 }
 
+/// A list that was held before the start may be of any age: a third of the lease is left to it.
+#[rstest]
+#[case::leased(11.9, false)]
+#[case::over(12.1, true)]
+fn a_remembered_list_has_a_part_of_the_lease(#[case] now: f64, #[case] stale: bool) {
+    let mut round = leased(10.0);
+    round.deliver(Event::List(ListNews::Remembered(Vec::new())));
+    round.now = at(now);
+    assert_eq!(round.relies_since() > Duration::ZERO, stale);
+}
+
 /// A pod that turned an attempt away may drain: it is not relied on before it has served again.
 #[rstest]
 #[case::served(Fate::Delivered, true)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,5 +1,6 @@
 //! What the parts of the decision module tell each other, and what each keeps on record. No decision is here.
 
+use crate::choice::REMEMBERED;
 use crate::figures::Figures;
 use crate::inbox::Inboxes;
 use crate::interface::*;
@@ -150,16 +151,16 @@
         parts.into_iter().for_each(|to| self.mail.put(to, note.clone()));
     }
 
-    /// Keeps on record since when no list is heard. One that was held before the start is as old as the start.
+    /// Keeps on record since when no list is heard. One that was held before the start may be of any age.
     fn hear(&mut self, news: &ListNews) {
         let failed = matches!(news, ListNews::Failed(_));
         self.list_failures = if failed { self.list_failures.saturating_add(1) } else { 0 };
-        let lost = match news {
+        let Some(lease) = self.figures.list_lease else { return };
+        self.list_lost = match news {
             ListNews::Failed(loss) => self.list_lost.or(Some(self.ago(loss.silent))),
-            ListNews::Remembered(_) => Some(self.now),
+            ListNews::Remembered(_) => Some(self.ago(lease.mul_f64(1.0 - REMEMBERED))),
             ListNews::Change(_) | ListNews::Whole(_) => None,
         };
-        self.list_lost = lost.filter(|_| self.figures.list_lease < Duration::MAX);
     }
 
     pub fn hears_list(&self) -> bool {
@@ -168,12 +169,9 @@
 
     /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately.
     pub fn relies_since(&self) -> Duration {
-        let lease = self.figures.list_lease;
-        let stale = self.list_lost.is_some_and(|lost| self.now >= lost.saturating_add(lease));
-        if stale {
-            self.ago(lease)
-        } else {
-            Duration::ZERO
+        match (self.list_lost, self.figures.list_lease) {
+            (Some(lost), Some(lease)) if self.now >= lost + lease => self.ago(lease),
+            _ => Duration::ZERO,
         }
     }
 
