--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -4,6 +4,9 @@
 use crate::ledger::rank;
 use crate::sidecar::in_order;
 use rstest::rstest;
+use std::collections::BTreeSet;
+
+mod lists;
 
 fn at(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -25,6 +28,8 @@
         zone: ZoneId(0),
         groups: vec![group(Repeat::Repeatable), group(TAGGED), group(Repeat::Mutating)],
         list_on_request: false,
+        list_pushed: false,
+        list_lease: None,
         may_cancel: true,
         second_copies: true,
         retry_after: None,
@@ -75,16 +80,29 @@
 fn gate(of: u16, phase: Phase, cap: f64) -> Gate {
     let mut gate = Gate { news: Some(news(phase, cap)), ..Gate::default() };
     for entry in [pod(0, 1), pod(1, 1), pod(2, 1), pod(3, 2)] {
-        gate.places.insert(entry.pod, Place::of(&entry));
+        gate.places.list(entry, Duration::ZERO, 0.0);
     }
-    gate.lowest = gate.lowest_build();
     let hit = Hit { id: HitId(0), group: GroupId(of), customer: None, key: Some(KeyId(5)), due: at(9.0) };
     gate.accounts.insert(hit.id, Account::of(&hit));
     gate
 }
 
+fn remove_builds_below(gate: &mut Gate, lowest: u16) {
+    let older = |place: &&Place| place.entry.build < BuildId(lowest);
+    let older: Vec<PodId> = gate.places.values().filter(older).map(|place| place.entry.pod).collect();
+    older.into_iter().for_each(|pod| gate.places.remove(pod));
+}
+
 fn sent(to: PodEntry, when: f64, fate: Option<Fate>) -> Sent {
-    Sent { pod: to.pod, build: to.build, zone: to.zone, cell: to.cell, at: at(when), fate }
+    Sent {
+        pod: to.pod,
+        build: to.build,
+        zone: to.zone,
+        cell: to.cell,
+        started: to.started,
+        at: at(when),
+        fate,
+    }
 }
 
 #[rstest]
@@ -130,7 +148,7 @@
 #[case::after(2.1, Err(Refusal::Drained))]
 fn a_draining_pod_gets_nothing_after_the_grace(#[case] now: f64, #[case] want: Result<(), Refusal>) {
     let mut gate = gate(0, Phase::Released, 1.0);
-    gate.places.get_mut(&PodId(0)).unwrap().ended = Some(at(1.0));
+    gate.places.get_mut(PodId(0)).unwrap().ended = Some(at(1.0));
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(now)), want);
 }
 
@@ -151,7 +169,7 @@
         gate.answered.add(at(0.05 * f64::from(n)), RATE_OVER);
     }
     round.now = at(8.95);
-    let place = gate.places.get_mut(&PodId(0)).unwrap();
+    let place = gate.places.get_mut(PodId(0)).unwrap();
     place.entry.started = Some(at(started));
     (0..sent).for_each(|_| place.sends.note(at(8.9)));
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
@@ -368,7 +386,16 @@
     desk.kinds.insert(KindId(0), Mean { value: 0.3, of: 50 });
     let card = |of| {
         let pace = Mean { value: if of > 0 { 0.2 } else { 0.0 }, of };
-        Card { entry: pod(0, 1), rank: 0, ready: true, open: 0, pace, usable: true, wants_proof: false }
+        Card {
+            entry: pod(0, 1),
+            rank: 0,
+            ready: true,
+            open: 0,
+            pace,
+            usable: true,
+            wants_proof: false,
+            served: Duration::ZERO,
+        }
     };
     assert!(desk.cost(&card(0), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
     assert!(desk.cost(&card(1), 1.0, &round) > desk.cost(&card(10), 1.0, &round));
@@ -419,7 +446,7 @@
 ) {
     let (mut gate, round) = (gate(0, Phase::Released, 1.0), round(8.0));
     gate.answered.add(at(8.0), RATE_OVER);
-    let place = gate.places.get_mut(&PodId(0)).unwrap();
+    let place = gate.places.get_mut(PodId(0)).unwrap();
     (place.entry.started, place.luck) = (Some(at(7.9)), luck);
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round), want);
 }
@@ -450,7 +477,7 @@
 fn card(entry: PodEntry) -> Card {
     let pace = Mean { value: 0.2, of: 10 };
     let rank = rank(1, entry.pod.0);
-    Card { entry, rank, ready: true, open: 0, pace, usable: true, wants_proof: false }
+    Card { entry, rank, ready: true, open: 0, pace, usable: true, wants_proof: false, served: Duration::ZERO }
 }
 
 /// A desk with so many pods alike, and hit 0 of customer 0.
@@ -539,11 +566,11 @@
     let mut gate = gate(0, Phase::Released, 1.0);
     gate.met.insert(KeyId(5), BuildId(2));
     gate.accounts.get_mut(&HitId(0)).unwrap().key = key;
-    gate.places.retain(|_, place| place.entry.build >= BuildId(lowest));
+    remove_builds_below(&mut gate, lowest);
     gate.forget_keys(&round(1.0));
     assert_eq!(gate.met.is_empty(), lowest == 2);
     // An older machine comes back.
-    gate.places.insert(PodId(0), Place::of(&pod(0, 1)));
+    gate.places.list(pod(0, 1), at(1.0), 0.0);
     assert_eq!(gate.allow(HitId(0), (PodId(0), 1.0), &round(1.0)), want);
 }
 
@@ -610,7 +637,7 @@
 fn keys_of_a_build_not_announced_yet_are_kept() {
     let mut gate = gate(0, Phase::Released, 1.0);
     gate.met.insert(KeyId(5), BuildId(3));
-    gate.places.retain(|_, place| place.entry.build == BuildId(2));
+    remove_builds_below(&mut gate, 2);
     gate.forget_keys(&round(1.0));
     let news = StageNews { build: BuildId(3), ..news(Phase::OnTrial, 0.5) };
     gate.take(Note::Stage(news), &mut round(1.1));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -21,7 +21,7 @@
     CellId(u16),
     BuildId(u16)
 );
-ids!(ForwardNo(u16), StageNo(u8), KindId(u8));
+ids!(ForwardNo(u16), StageNo(u8), KindId(u16));
 
 /// Whether a hit of a path group may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,6 +97,10 @@
     pub zone: ZoneId,
     pub groups: Vec<PathGroup>,
     pub list_on_request: bool,
+    /// Lists come from an agent of this sidecar's own: what the agent has counts as told, heard or not.
+    pub list_pushed: bool,
+    /// For how long a list that is no longer heard of may be relied on; none: for good.
+    pub list_lease: Option<Duration>,
     pub may_cancel: bool,
     pub second_copies: bool,
     pub retry_after: Option<Duration>,
@@ -131,7 +135,17 @@
     Whole(Vec<PodEntry>),
     /// The list as last held before a restart; it may be old.
     Remembered(Vec<PodEntry>),
-    Failed,
+    /// A call for the list failed, or the watch on it ended: what changes from now on is not heard.
+    Failed(ListLoss),
+}
+
+/// How the list was lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListLoss {
+    /// For how long nothing had been heard by then.
+    pub silent: Duration,
+    /// The service answered that it can't take the call now.
+    pub refused: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,12 +1,14 @@
 //! What the parts of the decision module tell each other, and what each keeps on record. No decision is here.
 
+use crate::choice::REMEMBERED;
 use crate::figures::Figures;
 use crate::inbox::Inboxes;
 use crate::interface::*;
 use crate::ledger::{median, rank, DueTimes, Mean, Window};
 use nanorand::{Rng, WyRand};
+use std::cell::Cell;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -91,6 +93,10 @@
     pub now: Duration,
     /// How long past its beat this sidecar was called: it stood still.
     pub late: Duration,
+    /// Since when no list is heard; none while a watch stands, and where a list may be relied on for good.
+    pub list_lost: Option<Duration>,
+    /// Watches and calls for the list that have failed in a row.
+    pub list_failures: u32,
     pub figures: Figures,
     pub mail: Inboxes<To, Note>,
     pub due: DueTimes<(To, Note)>,
@@ -105,6 +111,8 @@
         Self {
             now,
             late: Duration::ZERO,
+            list_lost: None,
+            list_failures: 0,
             figures: Figures::of(now, terms),
             mail: Inboxes::default(),
             due: DueTimes::default(),
@@ -143,6 +151,30 @@
         parts.into_iter().for_each(|to| self.mail.put(to, note.clone()));
     }
 
+    /// Keeps on record since when no list is heard. One that was held before the start may be of any age.
+    fn hear(&mut self, news: &ListNews) {
+        let failed = matches!(news, ListNews::Failed(_));
+        self.list_failures = if failed { self.list_failures.saturating_add(1) } else { 0 };
+        let Some(lease) = self.figures.list_lease else { return };
+        self.list_lost = match news {
+            ListNews::Failed(loss) => self.list_lost.or(Some(self.ago(loss.silent))),
+            ListNews::Remembered(_) => Some(self.ago(lease.mul_f64(1.0 - REMEMBERED))),
+            ListNews::Change(_) | ListNews::Whole(_) => None,
+        };
+    }
+
+    pub fn hears_list(&self) -> bool {
+        self.list_lost.is_none()
+    }
+
+    /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately.
+    pub fn relies_since(&self) -> Duration {
+        match (self.list_lost, self.figures.list_lease) {
+            (Some(lost), Some(lease)) if self.now >= lost + lease => self.ago(lease),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// A number from 0 to 1, evenly.
     pub fn chance(&mut self) -> f64 {
         (self.chance.generate::<u64>() >> 11) as f64 / (1u64 << 53) as f64
@@ -156,7 +188,10 @@
     /// Brings an event to the parts that it concerns.
     pub fn deliver(&mut self, event: Event) {
         match event {
-            Event::List(news) => self.mail.put(To::Lister, Note::List(news)),
+            Event::List(news) => {
+                self.hear(&news);
+                self.mail.put(To::Lister, Note::List(news));
+            }
             Event::Hit(hit) => self.mail.put(To::Gate, Note::Taken(hit)),
             Event::Outcome(outcome) => self.mail.put(To::Gate, Note::Back(outcome)),
             Event::StreamStarted { hit } => self.mail.put(To::Gate, Note::Streams(hit)),
@@ -193,6 +228,8 @@
     pub usable: bool,
     /// Shut, but due for a hit that shows whether it is back.
     pub wants_proof: bool,
+    /// When the latest attempt was sent that it served.
+    pub served: Duration,
 }
 
 impl Card {
@@ -238,6 +275,13 @@
 
 impl Eq for Bid {}
 
+/// Puts the best bid at the end, and leaves the others in no order.
+pub fn best_last(bids: &mut [Bid]) {
+    if let Some(best) = (0..bids.len()).max_by(|a, b| bids[*a].cmp(&bids[*b])) {
+        bids.swap(best, bids.len() - 1);
+    }
+}
+
 /// The last card of each pod, by pod.
 #[derive(Default)]
 pub struct Cards {
@@ -350,11 +394,16 @@
 
     /// Puts a forward on record and tells its number.
     pub fn sent(&mut self, to: &PodEntry, at: Duration) -> ForwardNo {
-        let (pod, build, zone, cell) = (to.pod, to.build, to.zone, to.cell);
-        self.forwards.push(Sent { pod, build, zone, cell, at, fate: None });
+        let (pod, build, zone, cell, started) = (to.pod, to.build, to.zone, to.cell, to.started);
+        self.forwards.push(Sent { pod, build, zone, cell, started, at, fate: None });
         ForwardNo(self.forwards.len() as u16 - 1)
     }
 
+    /// An attempt that has no outcome yet.
+    pub fn out(&self, no: ForwardNo) -> Option<&Sent> {
+        self.forwards.get(usize::from(no.0)).filter(|sent| sent.fate.is_none())
+    }
+
     pub fn still_out(&self) -> Vec<ForwardNo> {
         let numbered = (0u16..).zip(&self.forwards);
         numbered.filter(|(_, f)| f.fate.is_none()).map(|(n, _)| ForwardNo(n)).collect()
@@ -366,6 +415,8 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub pod: PodId,
+    /// The start of the pod that it was meant for.
+    pub started: Option<Duration>,
     pub at: Duration,
     pub fate: Option<Fate>,
 }
@@ -411,12 +462,108 @@
         };
         self.entry = entry;
     }
+
+    /// Whether an attempt was meant for this life of the pod, and the pod neither drains nor is gone.
+    pub fn still_takes(&self, sent: &Sent) -> bool {
+        let same_life = (self.entry.build, self.entry.started) == (sent.build, sent.started);
+        self.ended.is_none() && same_life
+    }
+}
+
+/// The rows of the list as they were told last, each with the time since when its pod is gone.
+#[derive(Default)]
+pub struct Held(BTreeMap<PodId, (PodEntry, Option<Duration>)>);
+
+impl Held {
+    /// Keeps a row; tells whether its pod has gone by it.
+    pub fn put(&mut self, row: &PodEntry, now: Duration) -> bool {
+        let before = self.0.get(&row.pod).and_then(|(_, gone)| *gone);
+        let gone = (row.state == PodState::Gone).then(|| before.unwrap_or(now));
+        self.0.insert(row.pod, (row.clone(), gone));
+        gone.is_some() && before.is_none()
+    }
+
+    /// Forgets a pod that has been gone since then or longer; tells whether it did.
+    pub fn forget(&mut self, pod: PodId, since: Duration) -> bool {
+        let gone = self.0.get(&pod).and_then(|(_, gone)| *gone);
+        let forgets = gone.is_some_and(|gone| gone <= since);
+        if forgets {
+            self.0.remove(&pod);
+        }
+        forgets
+    }
+
+    /// The rows that a whole list no longer has, as gone.
+    pub fn gone_from(&self, list: &[PodEntry]) -> Vec<PodEntry> {
+        let listed: BTreeSet<PodId> = list.iter().map(|row| row.pod).collect();
+        let gone = self.0.values().filter(|(row, _)| !listed.contains(&row.pod));
+        gone.map(|(row, _)| PodEntry { state: PodState::Gone, ..row.clone() }).collect()
+    }
+}
+
+/// The gate's record of all pods, with what is derived from it.
+#[derive(Default)]
+pub struct Places {
+    places: BTreeMap<PodId, Place>,
+    /// The lowest build that runs on a pod which neither drains nor is gone, once it was asked for.
+    lowest: Cell<Option<Option<BuildId>>>,
+    /// The strength of all ready pods together, and the time for which it was summed up.
+    strength: Cell<Option<(Duration, f64)>>,
+}
+
+impl Places {
+    pub fn get(&self, pod: PodId) -> Option<&Place> {
+        self.places.get(&pod)
+    }
+
+    pub fn get_mut(&mut self, pod: PodId) -> Option<&mut Place> {
+        self.places.get_mut(&pod)
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Place> {
+        self.places.values()
+    }
+
+    pub fn remove(&mut self, pod: PodId) {
+        self.places.remove(&pod);
+    }
+
+    pub fn list(&mut self, entry: PodEntry, now: Duration, luck: f64) {
+        let place = self.places.entry(entry.pod).or_insert_with(|| Place::of(&entry));
+        place.list(entry, now, luck);
+        self.lowest.set(None);
+        self.strength.set(None);
+    }
+
+    /// The lowest build that runs on a pod which neither drains nor is gone, found once for each change of the list.
+    pub fn lowest(&self) -> Option<BuildId> {
+        let find = || {
+            let present = self.places.values().filter(|place| place.ended.is_none());
+            present.map(|place| place.entry.build).min()
+        };
+        let lowest = self.lowest.get().unwrap_or_else(find);
+        self.lowest.set(Some(lowest));
+        lowest
+    }
+
+    /// The strength of all ready pods together, summed up once for each time that it is asked for.
+    pub fn strength(&self, now: Duration, figures: &Figures) -> f64 {
+        if let Some((_, known)) = self.strength.get().filter(|(at, _)| *at == now) {
+            return known;
+        }
+        let ready = self.places.values().filter(|place| place.entry.state == PodState::Ready);
+        let sum = ready.map(|p| p.entry.size * figures.strength(p.entry.started, now)).sum();
+        self.strength.set(Some((now, sum)));
+        sum
+    }
 }
 
 /// What a pod has seen of itself since its start.
 #[derive(Default)]
 pub struct Health {
     pub last_answer: Duration,
+    /// When the latest attempt was sent that it served; zero once it has turned one away since.
+    pub served: Duration,
     /// Recent time taken, as a share of the target latency.
     pub pace: Mean,
     pub strikes: u32,
@@ -482,6 +629,13 @@
         })
     }
 
+    /// What was seen of each path group, and of all, beside what another sample saw of it.
+    pub fn beside(&self, other: &Self) -> Vec<(Count, Count)> {
+        let of_other = |group: &GroupId| other.groups.get(group).copied().unwrap_or_default();
+        let by_group = self.groups.iter().map(|(group, count)| (*count, of_other(group)));
+        by_group.chain([(self.all(), other.all())]).collect()
+    }
+
     pub fn count(&mut self, group: GroupId, pod: PodId, fate: Fate, time: Option<f64>) {
         let bad = matches!(fate, Fate::Errored | Fate::TimedOut);
         let (count, by_pod) = (self.groups.entry(group).or_default(), self.pods.entry(pod).or_default());
