--- a/crates/account/tests/planted.rs
+++ b/crates/account/tests/planted.rs
@@ -139,6 +139,25 @@
     assert_eq!(broken(entries).contains(&Rule::Drains), breach);
 }
 
+/// The first connection broke, and the attempt was dialled again beneath the decisions: each arrival counts by its own time.
+/// Pod 0 drains from 1 s on, with a grace of 1 s.
+#[rstest]
+#[case::again_within_the_grace(vec![(1.5, arrived(0, HIT, 0)), (1.9, arrived(0, HIT, 0))], false)]
+#[case::again_past_the_grace(vec![(1.5, arrived(0, HIT, 0)), (2.1, arrived(0, HIT, 0))], true)]
+#[case::first_sent_before_the_drain(vec![(0.9, arrived(0, HIT, 0)), (2.1, arrived(0, HIT, 0))], true)]
+#[case::to_another_pod(vec![(1.5, arrived(0, HIT, 0)), (2.1, arrived(1, HIT, 0))], false)]
+#[case::gone_then_past_the_grace(vec![(1.2, told(&[1, 2], &[])), (2.1, arrived(0, HIT, 0))], true)]
+#[case::back_and_told(vec![(2.0, told(&[1, 2], &[])), (3.0, up(0, 1, false)), (3.1, told(&[0, 1, 2], &[])), (3.2, arrived(0, HIT, 0))], false)]
+#[case::back_and_not_told(vec![(2.0, told(&[1, 2], &[])), (3.0, up(0, 1, false)), (3.2, arrived(0, HIT, 0))], true)]
+#[case::back_and_drains_anew(vec![(3.0, told(&[0, 1, 2], &[])), (4.0, told(&[1, 2], &[0])), (4.9, arrived(0, HIT, 0))], false)]
+#[case::back_and_past_its_second_grace(vec![(3.0, told(&[0, 1, 2], &[])), (4.0, told(&[1, 2], &[0])), (5.1, arrived(0, HIT, 0))], true)]
+fn drains_of_attempts_dialled_again(#[case] entries: Vec<(f64, Entry)>, #[case] breach: bool) {
+    let mut all = vec![(0.8, asked(HIT, 0)), (1.0, told(&[1, 2], &[0]))];
+    all.extend(entries);
+    all.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    assert_eq!(broken(all).contains(&Rule::Drains), breach);
+}
+
 // Half a core's work a second at the start, and a span of 2 s: about 2.3 s of work may come in the first 0.3 s.
 #[rstest]
 #[case::within_its_multiple(10, false)]
