--- a/crates/referee/src/crooked.rs
+++ b/crates/referee/src/crooked.rs
@@ -33,6 +33,19 @@
     Doubles,
     /// Never asks for the list again.
     AsksNoMore,
+    /// Writes an attempt without asking whether it may begin.
+    NeverAsks,
+    /// Asks on the first connection of an attempt alone.
+    RedialsUnasked,
+}
+
+/// Whether a host asks before the first byte of an attempt, on a connection after so many that broke.
+pub fn asks_to_begin(how: Crook, broken: u8) -> bool {
+    match how {
+        Crook::NeverAsks => false,
+        Crook::RedialsUnasked => broken == 0,
+        _ => true,
+    }
 }
 
 /// What becomes of actions; `held` is the list as this instance has it, of pods that are not gone.
--- a/crates/referee/src/rules.rs
+++ b/crates/referee/src/rules.rs
@@ -41,6 +41,12 @@
     pub after_run: usize,
     /// Forwards while a pod was known that had drained past its grace.
     pub drained_beside: usize,
+    /// Attempts begun on a connection after one that broke.
+    pub dialled_again: usize,
+    /// Attempts refused at their first byte.
+    pub withheld: usize,
+    /// Of these, attempts at pods known to have drained past their grace.
+    pub withheld_past_grace: usize,
     /// Forwards at cold pods.
     pub cold: usize,
     pub on_trial: usize,
@@ -129,6 +135,11 @@
         ended.last().map(|(at, _)| *at)
     }
 
+    /// Whether this instance has known for longer than the grace that a pod drains or is gone.
+    fn past_grace(&self, pod: PodId, now: Duration) -> bool {
+        self.ended(pod).is_some_and(|told| now > told + self.terms.rules.drain_grace)
+    }
+
     fn list(&mut self, now: Duration, news: &ListNews) {
         let rows = match news {
             ListNews::Failed(_) => {
@@ -348,6 +359,50 @@
         Ok(())
     }
 
+    /// The decisions refused the first byte of an attempt.
+    pub fn withheld(&mut self, sidecar: usize, now: Duration, pod: PodId) {
+        let past = self.lives.get(&sidecar).is_some_and(|life| life.past_grace(pod, now));
+        self.tested.withheld += 1;
+        self.tested.withheld_past_grace += usize::from(past);
+    }
+
+    /// The first byte of an attempt leaves: rule 3 speaks of this moment. Rules that count attempts by their time (4 and 5)
+    /// count at the decision, which comes first: what is never begun was counted all the same, so they are no easier.
+    ///
+    /// # Errors
+    /// The rule that this breaks.
+    pub fn first_byte(
+        &mut self,
+        sidecar: usize,
+        now: Duration,
+        (hit, no): (HitId, ForwardNo),
+        again: bool,
+    ) -> Result<(), Breach> {
+        self.tested.dialled_again += usize::from(again);
+        let broken = |(rule, what)| Breach { rule, sidecar, at: now, what };
+        self.may_leave(sidecar, now, hit, no).map_err(broken)
+    }
+
+    fn may_leave(
+        &mut self,
+        sidecar: usize,
+        now: Duration,
+        hit: HitId,
+        no: ForwardNo,
+    ) -> Result<(), (u8, String)> {
+        let Some(life) = self.lives.get(&sidecar) else { return Ok(()) };
+        let sent = life.stories.get(&hit).and_then(|story| story.sent.get(usize::from(no.0)));
+        let sent = sent.ok_or((1, format!("{no:?} of {hit:?} was never decided on")))?;
+        let pod = sent.entry.pod;
+        if life.past_grace(pod, now) {
+            return Err((3, format!("{no:?} of {hit:?} begins at {pod:?} past the grace")));
+        }
+        if life.row(pod).is_some_and(|row| row.build != sent.entry.build) {
+            return Err((5, format!("{no:?} of {hit:?} begins at {pod:?}, which has another build by now")));
+        }
+        Ok(())
+    }
+
     fn forward(&mut self, sidecar: usize, now: Duration, hit: HitId, pod: PodId) -> Result<(), (u8, String)> {
         let life = self.lives.get(&sidecar).ok_or((1, "an instance that is dead acts".to_owned()))?;
         let story = life.stories.get(&hit).ok_or((1, format!("{hit:?} was never taken")))?;
@@ -396,7 +451,7 @@
 
         // 3. Drains.
         let grace = terms.rules.drain_grace;
-        let past = |pod: PodId| life.ended(pod).is_some_and(|told| now > told + grace);
+        let past = |pod: PodId| life.past_grace(pod, now);
         if past(pod) {
             return Err((3, format!("{pod:?} is sent to past the grace")));
         }
--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -1,7 +1,7 @@
 //! A fleet drawn from a seed, with its troubles, in steps of 5 ms: pods, list service, installer, clients and
 //! links are stand-ins; the decisions are the real ones.
 
-use crate::crooked::{crook, Crook};
+use crate::crooked::{asks_to_begin, crook, Crook};
 use crate::rules::{Breach, Referee, Tested};
 use limewing::interface::*;
 use limewing::sidecar::Sidecar;
@@ -13,6 +13,11 @@
 const STEP: Duration = Duration::from_millis(5);
 const START: Duration = Duration::from_secs(1000);
 const LASTS: Duration = Duration::from_secs(24);
+/// The share of attempts that find no kept connection, and that of connections that break before the first byte.
+const DIALLED: f64 = 0.1;
+const BROKEN_UNUSED: [f64; 4] = [0.05, 0.5, 0.5, 0.0];
+/// The longest that a connection takes to stand.
+const LONGEST_DIAL: u64 = 1000;
 /// How long a stage lasts.
 const STAGE: Duration = Duration::from_secs(3);
 
@@ -30,6 +35,8 @@
 
 enum Happens {
     Tell(usize, u32, Event),
+    /// The connection of an attempt stands, after so many that broke.
+    Stands(Job, u8),
     /// A forward comes to its pod.
     Arrives(usize, Job),
     /// Its result comes back.
@@ -106,6 +113,8 @@
     listed: usize,
     held: BTreeMap<PodId, PodEntry>,
     watches: bool,
+    /// Connections that stand, each with its attempt and how many broke before it.
+    standing: Vec<(Job, u8)>,
     lag: Duration,
     news_lag: Duration,
     told: Option<StageNews>,
@@ -115,6 +124,10 @@
 
 pub struct World {
     chance: StdRng,
+    /// Draws what befalls connections, so that the rest of a run stays as its seed drew it.
+    links: StdRng,
+    /// Pods that drain turn new attempts away; else they serve them until they go.
+    drains_turn_away: bool,
     now: Duration,
     step: usize,
     terms: StartTerms,
@@ -155,9 +168,14 @@
     done.map_err(|breach| Box::new(Broken { seed, step: world.step, breach }))
 }
 
+fn is_control(event: &Event) -> bool {
+    matches!(event, Event::List(_) | Event::Stage { .. })
+}
+
 impl World {
     fn draw(seed: u64, crook: Crook) -> Self {
         let mut chance = StdRng::seed_from_u64(seed);
+        let mut links = StdRng::seed_from_u64(!seed);
         let reach = [Reach::All, Reach::Zone, Reach::Cell][chance.random_range(0..3)];
         let group = |repeat, target, timeout, streamed| PathGroup {
             repeat,
@@ -212,6 +230,7 @@
                 vote_allowance: None,
             },
         };
+        let drains_turn_away = links.random_bool(0.7);
         let (work, cores) = (0.05, 2);
         let pods = chance.random_range(6..=10usize);
         let rate = pods as f64 * cores as f64 / work * chance.random_range(0.25..0.8);
@@ -220,6 +239,8 @@
         let news = StageNews { build, stage: StageNo(2), phase: Phase::Released, cap: 1.0, age };
         let mut world = Self {
             chance,
+            links,
+            drains_turn_away,
             now,
             step: 0,
             terms,
@@ -268,6 +289,7 @@
                 listed: 1,
                 held,
                 watches: false,
+                standing: Vec::new(),
                 lag,
                 news_lag,
                 told: None,
@@ -397,15 +419,37 @@
 
     fn turn(&mut self, sidecar: usize) -> Result<(), Breach> {
         let host = &mut self.hosts[sidecar];
-        let idle = host.waiting.is_empty() && self.now < host.wake;
-        let Some(module) = host.module.as_mut().filter(|_| !host.stalled && !idle) else { return Ok(()) };
-        let mut events = std::mem::take(&mut host.waiting);
-        // Lists and news come by ways of their own: at times behind what came in the same step.
-        if self.chance.random_bool(0.5) {
-            events.sort_by_key(|event| matches!(event, Event::List(_) | Event::Stage { .. }));
+        if host.stalled || host.module.is_none() {
+            return Ok(());
+        }
+        if !host.waiting.is_empty() || self.now >= host.wake {
+            let mut events = std::mem::take(&mut host.waiting);
+            // Lists and news come by ways of their own: at times behind what came in the same step, and at times the
+            // host brings them first, before it writes to any pod.
+            if self.chance.random_bool(0.5) {
+                events.sort_by_key(is_control);
+            } else if self.links.random_bool(0.5) {
+                let (ahead, rest) = events.into_iter().partition(is_control);
+                events = rest;
+                self.bring(sidecar, ahead, Sidecar::learn)?;
+                self.write(sidecar)?;
+            }
+            self.bring(sidecar, events, Sidecar::handle)?;
         }
+        self.write(sidecar)
+    }
+
+    /// Brings events to the decisions, and carries out what these say.
+    fn bring(
+        &mut self,
+        sidecar: usize,
+        events: Vec<Event>,
+        to: fn(&mut Sidecar, Duration, Vec<Event>) -> Vec<Action>,
+    ) -> Result<(), Breach> {
+        let host = &mut self.hosts[sidecar];
+        let Some(module) = host.module.as_mut() else { return Ok(()) };
         self.referee.told(sidecar, self.now, &events);
-        let actions = module.handle(self.now, events);
+        let actions = to(module, self.now, events);
         self.turns += 1;
         let held: Vec<PodEntry> = host.held.values().cloned().collect();
         let groups: BTreeMap<HitId, (GroupId, Option<KeyId>)> =
@@ -416,6 +460,54 @@
         Ok(())
     }
 
+    /// Writes the attempts whose connections stand.
+    fn write(&mut self, sidecar: usize) -> Result<(), Breach> {
+        let standing = std::mem::take(&mut self.hosts[sidecar].standing);
+        standing.into_iter().try_for_each(|(job, broken)| self.begin(job, broken))
+    }
+
+    /// Writes an attempt on a connection that stands, if the decisions still allow it. The connection may break unused.
+    fn begin(&mut self, job: Job, broken: u8) -> Result<(), Breach> {
+        let host = &self.hosts[job.sidecar];
+        let (Some(module), Some(open)) = (&host.module, host.open.get(&job.hit)) else { return Ok(()) };
+        if open.out[usize::from(job.no.0)] {
+            return Ok(());
+        }
+        if open.over || open.streams || self.now >= open.due {
+            self.returns(&job, Fate::Void);
+            return Ok(());
+        }
+        let place = self.pods.iter().position(|now| now.entry.pod == job.pod && now.runs);
+        let Some(place) = place else {
+            // No process there: refused at once, or nothing at all for as long as a connection may take.
+            let wait = if self.chance.random_bool(0.5) { 2 } else { 250 };
+            self.later(ms(wait), Happens::Returns(job, Fate::Unreached));
+            return Ok(());
+        };
+        if asks_to_begin(self.crook, broken) && !module.may_begin(self.now, job.hit, job.no) {
+            self.referee.withheld(job.sidecar, self.now, job.pod);
+            self.returns(&job, Fate::Void);
+            return Ok(());
+        }
+        if self.links.random_bool(BROKEN_UNUSED[usize::from(broken)]) {
+            self.dial(job, broken + 1);
+            return Ok(());
+        }
+        self.referee.first_byte(job.sidecar, self.now, (job.hit, job.no), broken > 0)?;
+        let wait = ms(self.chance.random_range(1..5));
+        self.later(wait, Happens::Arrives(place, job));
+        Ok(())
+    }
+
+    /// Finds a connection for an attempt: mostly one that is kept, else one that has to be dialled.
+    fn dial(&mut self, job: Job, broken: u8) {
+        if broken == 0 && !self.links.random_bool(DIALLED) {
+            return self.hosts[job.sidecar].standing.push((job, broken));
+        }
+        let wait = ms(self.links.random_range(5..=LONGEST_DIAL));
+        self.later(wait, Happens::Stands(job, broken));
+    }
+
     fn carry_out(&mut self, sidecar: usize, action: Action) {
         let life = self.hosts[sidecar].life;
         match action {
@@ -466,18 +558,7 @@
             return self.tell_outcome(&job, Fate::Void, over, STEP);
         }
         self.at(due, Happens::Due(job.clone()));
-        let place = self.pods.iter().position(|now| now.entry.pod == pod && now.runs);
-        match place {
-            Some(place) => {
-                let wait = ms(self.chance.random_range(1..5));
-                self.later(wait, Happens::Arrives(place, job));
-            }
-            // No process there: refused at once, or nothing at all for as long as a connection may take.
-            None => {
-                let wait = if self.chance.random_bool(0.5) { 2 } else { 250 };
-                self.later(ms(wait), Happens::Returns(job, Fate::Unreached));
-            }
-        }
+        self.dial(job, 0);
     }
 
     fn tell_outcome(&mut self, job: &Job, fate: Fate, over: bool, took: Duration) {
@@ -499,6 +580,12 @@
                     host.waiting.push(event);
                 }
             }
+            Happens::Stands(job, broken) => {
+                let host = &mut self.hosts[job.sidecar];
+                if host.life == job.life {
+                    host.standing.push((job, broken));
+                }
+            }
             Happens::Arrives(place, job) => self.arrives(place, job),
             Happens::Returns(job, fate) => self.returns(&job, fate),
             Happens::Due(job) => self.returns(&job, Fate::TimedOut),
@@ -592,6 +679,7 @@
                 host.module = None;
                 host.life += 1;
                 host.waiting.clear();
+                host.standing.clear();
                 host.open.clear();
                 host.told = None;
                 self.referee.stop(sidecar);
@@ -639,7 +727,8 @@
         if !pod.runs || pod.entry.pod != job.pod {
             return self.returns(&job, Fate::Broken);
         }
-        if pod.waiting.len() >= 20 {
+        let leaves = self.drains_turn_away && pod.entry.state == PodState::Draining;
+        if leaves || pod.waiting.len() >= 20 {
             return self.later(ms(1), Happens::Returns(job, Fate::TurnedAway));
         }
         pod.waiting.push_back(job);
