--- a/crates/referee/src/crooked.rs
+++ b/crates/referee/src/crooked.rs
@@ -37,6 +37,8 @@
     NeverAsks,
     /// Asks on the first connection of an attempt alone.
     RedialsUnasked,
+    /// Relies for good on a list that is no longer heard.
+    ForgetsLease,
 }
 
 /// Whether a host asks before the first byte of an attempt, on a connection after so many that broke.
--- a/crates/referee/src/rules.rs
+++ b/crates/referee/src/rules.rs
@@ -11,6 +11,11 @@
 /// Short beside a run, or nobody who never asks would be caught within it.
 const ASK_LIST_WITHIN: Duration = Duration::from_secs(2);
 
+/// What crosses a link, or is told between two looks, may take this.
+const SLACK: Duration = Duration::from_millis(50);
+/// A pod with an attempt out for longer may be held for silent.
+const QUIET: Duration = Duration::from_millis(150);
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Breach {
     pub rule: u8,
@@ -47,6 +52,11 @@
     pub withheld: usize,
     /// Of these, attempts at pods known to have drained past their grace.
     pub withheld_past_grace: usize,
+    /// Attempts that began while nothing had been heard of the list for longer than lease and grace, and a pod of the
+    /// same build that had served within the lease could have taken them.
+    pub begun_unheard: usize,
+    /// Of these, those decided while a pod was held for ready that had drained for that long in truth.
+    pub left_aside: usize,
     /// Forwards at cold pods.
     pub cold: usize,
     pub on_trial: usize,
@@ -61,12 +71,23 @@
 /// One forward, with what the instance's list said of its pod.
 struct Sent {
     entry: PodEntry,
+    /// How it stood with the lease when this was decided; none while lists are heard or were until lately.
+    unheard: Option<Unheard>,
     at: Duration,
     fate: Option<Fate>,
     /// The turn in which the fate was told.
     told: usize,
 }
 
+/// A decision while nothing had been heard of the list for longer than its lease.
+#[derive(Clone, Copy)]
+struct Unheard {
+    /// The pod itself had served what was sent within the lease.
+    served: bool,
+    /// Another pod of its build that had, and could have taken the attempt.
+    better: Option<PodId>,
+}
+
 struct Story {
     hit: Hit,
     sent: Vec<Sent>,
@@ -89,6 +110,8 @@
     news: Vec<(Duration, StageNews)>,
     taken: Vec<(Duration, GroupId)>,
     forwards: Vec<(Duration, BuildId, GroupId)>,
+    /// When anything was heard of the list last.
+    heard: Duration,
     /// When the list was asked for last, whether that failed, and whether it is watched.
     asked: Duration,
     failed: bool,
@@ -161,6 +184,7 @@
             }
         };
         if !matches!(news, ListNews::Remembered(_)) {
+            self.heard = now;
             (self.failed, self.watched) = (false, true);
         }
         for row in rows {
@@ -168,6 +192,51 @@
         }
     }
 
+    /// The attempts of this instance at a pod as it is listed now: another start of it is another pod.
+    fn sent_to<'a>(&'a self, entry: &'a PodEntry) -> impl Iterator<Item = &'a Sent> {
+        let same = |sent: &&Sent| sent.entry.pod == entry.pod && sent.entry.started == entry.started;
+        self.stories.values().flat_map(|story| &story.sent).filter(same)
+    }
+
+    /// Whether a pod served what was sent since then, as far as this instance was told by a turn, and has turned nothing away
+    /// after that.
+    fn served_since(&self, entry: &PodEntry, since: Duration, by: usize) -> bool {
+        let ended: Vec<&Sent> = self.sent_to(entry).filter(|sent| sent.told <= by).collect();
+        let with = |fate: Fate| ended.iter().filter(move |sent| sent.fate == Some(fate));
+        let turned_away = with(Fate::TurnedAway).map(|sent| sent.told).max().unwrap_or(0);
+        with(Fate::Delivered).any(|sent| sent.at >= since && sent.told >= turned_away)
+    }
+
+    /// Whether nothing that this instance was told speaks against a pod: all that ended there lately was served,
+    /// and nothing has been out for long.
+    fn is_sound(&self, entry: &PodEntry, since: Duration, now: Duration) -> bool {
+        let mut lately = self.sent_to(entry).filter(|sent| sent.at >= since);
+        lately.all(|sent| match sent.fate {
+            None => now <= sent.at + QUIET,
+            Some(fate) => matches!(fate, Fate::Delivered | Fate::Void | Fate::Cancelled),
+        })
+    }
+
+    /// How a decision stands with the lease of the list.
+    fn unheard(&self, story: &Story, entry: &PodEntry, now: Duration) -> Option<Unheard> {
+        let lease = self.terms.list_lease.filter(|lease| now > self.heard + *lease)?;
+        let since = now.saturating_sub(lease);
+        let could = |other: &&PodEntry| {
+            let ready = other.state == PodState::Ready && other.build == entry.build;
+            let tried = story.sent.iter().any(|sent| sent.entry.pod == other.pod);
+            let warm = other.started.is_some_and(|at| now > at + self.terms.rules.cold_for);
+            let near = other.zone == entry.zone && other.cell == entry.cell || story.sent.is_empty();
+            ready && !tried && warm && near
+        };
+        let rows = self.rows.values().filter_map(|rows| rows.last()).map(|(_, row)| row);
+        let mut better = rows.filter(|other| other.pod != entry.pod).filter(could);
+        let better = better.find(|other| {
+            self.served_since(other, since + SLACK, self.turn - 1) && self.is_sound(other, since, now)
+        });
+        let served = self.served_since(entry, since, self.turn);
+        Some(Unheard { served, better: better.map(|other| other.pod) })
+    }
+
     /// The cap and stage of a build by the news of one moment; none for a build that is not on trial.
     fn trial(&self, build: BuildId, news: &StageNews) -> Option<(f64, u8)> {
         if build < news.build || (build == news.build && news.phase == Phase::Released) {
@@ -212,6 +281,7 @@
             news: Vec::new(),
             taken: Vec::new(),
             forwards: Vec::new(),
+            heard: now,
             asked: now,
             failed: false,
             watched: false,
@@ -359,6 +429,11 @@
         Ok(())
     }
 
+    /// Something was heard of the list, if only that nothing has changed.
+    pub fn heard(&mut self, sidecar: usize, now: Duration) {
+        self.lives.entry(sidecar).and_modify(|life| life.heard = now);
+    }
+
     /// The decisions refused the first byte of an attempt.
     pub fn withheld(&mut self, sidecar: usize, now: Duration, pod: PodId) {
         let past = self.lives.get(&sidecar).is_some_and(|life| life.past_grace(pod, now));
@@ -366,6 +441,12 @@
         self.tested.withheld_past_grace += usize::from(past);
     }
 
+    /// Since when a pod drains or is gone in truth.
+    fn ended_in_truth(&self, pod: PodId) -> Option<Duration> {
+        let ready = |rows: &[PodEntry]| rows.iter().any(|row| row.pod == pod && row.state == PodState::Ready);
+        self.truth.iter().rev().take_while(|(_, rows)| !ready(rows)).last().map(|(at, _)| *at)
+    }
+
     /// The first byte of an attempt leaves: rule 3 speaks of this moment. Rules that count attempts by their time (4 and 5)
     /// count at the decision, which comes first: what is never begun was counted all the same, so they are no easier.
     ///
@@ -383,6 +464,9 @@
         self.may_leave(sidecar, now, hit, no).map_err(broken)
     }
 
+    /// The rules at the first byte. Once nothing has been heard of the list for lease and grace, none goes to a pod that
+    /// has drained in truth for that long, as long as a pod of its build that served within the lease could take it.
+    /// Excepted is a pod that drains and serves what it is sent all the same: nobody can tell.
     fn may_leave(
         &mut self,
         sidecar: usize,
@@ -400,6 +484,24 @@
         if life.row(pod).is_some_and(|row| row.build != sent.entry.build) {
             return Err((5, format!("{no:?} of {hit:?} begins at {pod:?}, which has another build by now")));
         }
+        let grace = life.terms.rules.drain_grace;
+        let span = life.terms.list_lease.map(|lease| lease + grace);
+        let Some(span) = span.filter(|span| now > life.heard + *span) else { return Ok(()) };
+        // No rule of the pages, but of the design: what was decided holds for the grace then.
+        if now > sent.at + grace {
+            return Err((0, format!("{no:?} of {hit:?} begins at {pod:?}, unheard of, on an old decision")));
+        }
+        let Some(Unheard { served, better: Some(better) }) = sent.unheard else { return Ok(()) };
+        self.tested.begun_unheard += 1;
+        let left = |pod: PodId| self.ended_in_truth(pod).is_some_and(|at| now > at + span + SLACK);
+        if left(pod) && !served {
+            let what = format!("{no:?} of {hit:?} begins at {pod:?}, unheard of, though {better:?} serves");
+            return Err((3, what));
+        }
+        let ready = life.rows.values().filter_map(|rows| rows.last());
+        let mut ready = ready.filter(|(_, row)| row.state == PodState::Ready).map(|(_, row)| row.pod);
+        let aside = ready.any(left);
+        self.tested.left_aside += usize::from(aside);
         Ok(())
     }
 
@@ -545,6 +647,10 @@
                 self.tested.cold += usize::from(informed);
             }
         }
+        let unheard = self.lives.get(&sidecar).and_then(|life| {
+            let story = life.stories.get(&hit)?;
+            life.unheard(story, &entry, now)
+        });
         let Some(life) = self.lives.get_mut(&sidecar) else { return Ok(()) };
         life.forwards.push((now, build, group));
         // No rule of the pages, but of the design: further forwards are 15 for each 100 hits, and 20 saved up.
@@ -553,7 +659,7 @@
             return Err((0, format!("{sent} forwards for {taken} hits")));
         }
         if let Some(story) = life.stories.get_mut(&hit) {
-            story.sent.push(Sent { entry, at: now, fate: None, told: 0 });
+            story.sent.push(Sent { entry, unheard, at: now, fate: None, told: 0 });
         }
         Ok(())
     }
--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -18,6 +18,8 @@
 const BROKEN_UNUSED: [f64; 4] = [0.05, 0.5, 0.5, 0.0];
 /// The longest that a connection takes to stand.
 const LONGEST_DIAL: u64 = 1000;
+/// A watch that says nothing for this long, or a call that has no answer by then, is given up.
+const LIST_QUIET: Duration = Duration::from_millis(1200);
 /// How long a stage lasts.
 const STAGE: Duration = Duration::from_secs(3);
 
@@ -59,6 +61,9 @@
     LosesAnswers(usize, bool),
     Call(usize, u32),
     WatchBreaks(usize),
+    /// A call that has no answer is given up.
+    CallGivenUp(usize, u32),
+    Discovery(Discovery),
     Stalls(usize, bool),
     Dies(usize),
     Starts(usize),
@@ -70,6 +75,14 @@
     Overload(f64),
 }
 
+/// How the list service does.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Discovery {
+    Answers,
+    Refuses,
+    Silent,
+}
+
 #[derive(Clone)]
 struct Job {
     sidecar: usize,
@@ -113,6 +126,8 @@
     listed: usize,
     held: BTreeMap<PodId, PodEntry>,
     watches: bool,
+    /// When anything was last heard of the list: a standing watch has an empty line in each step.
+    heard: Duration,
     /// Connections that stand, each with its attempt and how many broke before it.
     standing: Vec<(Job, u8)>,
     lag: Duration,
@@ -124,8 +139,9 @@
 
 pub struct World {
     chance: StdRng,
-    /// Draws what befalls connections, so that the rest of a run stays as its seed drew it.
+    /// Draws what befalls connections and the list service, so that the rest of a run stays as its seed drew it.
     links: StdRng,
+    discovery: Discovery,
     /// Pods that drain turn new attempts away; else they serve them until they go.
     drains_turn_away: bool,
     now: Duration,
@@ -172,6 +188,13 @@
     matches!(event, Event::List(_) | Event::Stage { .. })
 }
 
+/// Tells truly for how long nothing had been heard when the loss of a list is told.
+fn fill_loss(event: &mut Event, silent: Duration) {
+    if let Event::List(ListNews::Failed(loss)) = event {
+        loss.silent = silent;
+    }
+}
+
 impl World {
     fn draw(seed: u64, crook: Crook) -> Self {
         let mut chance = StdRng::seed_from_u64(seed);
@@ -230,6 +253,9 @@
                 vote_allowance: None,
             },
         };
+        let leased = terms.list_on_request && links.random_bool(0.4);
+        let list_lease = leased.then(|| ms(links.random_range(1500..2500)));
+        let terms = StartTerms { list_lease, ..terms };
         let drains_turn_away = links.random_bool(0.7);
         let (work, cores) = (0.05, 2);
         let pods = chance.random_range(6..=10usize);
@@ -240,6 +266,7 @@
         let mut world = Self {
             chance,
             links,
+            discovery: Discovery::Answers,
             drains_turn_away,
             now,
             step: 0,
@@ -289,6 +316,7 @@
                 listed: 1,
                 held,
                 watches: false,
+                heard: START,
                 standing: Vec::new(),
                 lag,
                 news_lag,
@@ -298,9 +326,23 @@
             });
         }
         world.draw_troubles(pods);
+        if leased {
+            world.draw_outages();
+        }
         world
     }
 
+    /// The list service is lost for long, once or twice.
+    fn draw_outages(&mut self) {
+        for from in [1000, 12_000].into_iter().take(self.links.random_range(1..=2)) {
+            let how = [Discovery::Refuses, Discovery::Silent][self.links.random_range(0..2)];
+            let at = START + ms(from + self.links.random_range(0..4000));
+            let till = at + ms(self.links.random_range(5000..9000));
+            self.at(at, Happens::Discovery(how));
+            self.at(till, Happens::Discovery(Discovery::Answers));
+        }
+    }
+
     /// What goes wrong, and when. Each kind may come more than once, and beside others.
     fn draw_troubles(&mut self, pods: usize) {
         for sidecar in 0..self.hosts.len() {
@@ -424,6 +466,8 @@
         }
         if !host.waiting.is_empty() || self.now >= host.wake {
             let mut events = std::mem::take(&mut host.waiting);
+            let silent = self.now.saturating_sub(host.heard);
+            events.iter_mut().for_each(|event| fill_loss(event, silent));
             // Lists and news come by ways of their own: at times behind what came in the same step, and at times the
             // host brings them first, before it writes to any pod.
             if self.chance.random_bool(0.5) {
@@ -664,10 +708,21 @@
             Happens::Call(sidecar, life) => self.call(sidecar, life),
             Happens::WatchBreaks(sidecar) => {
                 if self.hosts[sidecar].module.is_some() && self.terms.list_on_request {
-                    self.hosts[sidecar].watches = false;
-                    self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed(ListLoss::default())));
+                    self.lose_list(sidecar, false);
                 }
             }
+            Happens::CallGivenUp(sidecar, life) => {
+                if self.hosts[sidecar].life == life && self.hosts[sidecar].module.is_some() {
+                    self.lose_list(sidecar, false);
+                }
+            }
+            Happens::Discovery(how) => {
+                self.discovery = how;
+                // One that refuses has closed what stood; one that is silent leaves it to be found out.
+                let watching = (0..self.hosts.len()).filter(|sidecar| self.hosts[*sidecar].watches);
+                let closed: Vec<usize> = watching.filter(|_| how == Discovery::Refuses).collect();
+                closed.into_iter().for_each(|sidecar| self.lose_list(sidecar, false));
+            }
             Happens::Stalls(sidecar, stalls) => {
                 self.hosts[sidecar].stalled = stalls;
                 if !stalls {
@@ -850,6 +905,9 @@
         {
             return;
         }
+        if self.terms.list_on_request && !self.hears(sidecar) {
+            return;
+        }
         let upto = self.known_by(sidecar);
         let from = self.hosts[sidecar].listed;
         if upto > from {
@@ -864,6 +922,27 @@
         }
     }
 
+    /// Whether a watch says anything in this step; one that has been silent for too long is given up.
+    fn hears(&mut self, sidecar: usize) -> bool {
+        let host = &mut self.hosts[sidecar];
+        let speaks = self.discovery == Discovery::Answers;
+        if speaks && !host.stalled {
+            host.heard = self.now;
+            self.referee.heard(sidecar, self.now);
+        }
+        if !speaks && self.now >= host.heard + LIST_QUIET {
+            self.lose_list(sidecar, false);
+        }
+        speaks
+    }
+
+    /// The host tells the decisions that a watch or a call was lost.
+    fn lose_list(&mut self, sidecar: usize, refused: bool) {
+        let host = &mut self.hosts[sidecar];
+        host.watches = false;
+        host.waiting.push(Event::List(ListNews::Failed(ListLoss { refused, ..ListLoss::default() })));
+    }
+
     fn give_list(&mut self, sidecar: usize, upto: usize, news: ListNews) {
         let held = self.list_at(upto).into_iter().map(|row| (row.pod, row)).collect();
         let host = &mut self.hosts[sidecar];
@@ -876,8 +955,11 @@
         if self.hosts[sidecar].life != life || self.hosts[sidecar].module.is_none() {
             return;
         }
-        if self.chance.random_bool(0.15) {
-            return self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed(ListLoss::default())));
+        match self.discovery {
+            Discovery::Refuses => return self.lose_list(sidecar, true),
+            Discovery::Silent => return self.later(LIST_QUIET, Happens::CallGivenUp(sidecar, life)),
+            Discovery::Answers if self.chance.random_bool(0.15) => return self.lose_list(sidecar, false),
+            Discovery::Answers => {}
         }
         self.hosts[sidecar].watches = true;
         let (from, upto) = (self.hosts[sidecar].listed, self.known_by(sidecar));
@@ -900,9 +982,10 @@
         self.referee.start(sidecar, self.now, terms.clone());
         let remembered: Vec<PodEntry> = self.hosts[sidecar].held.values().cloned().collect();
         let news = self.hosts[sidecar].told.unwrap_or(self.news);
+        let list_lease = terms.list_lease.filter(|_| self.crook != Crook::ForgetsLease);
         let host = &mut self.hosts[sidecar];
-        host.module = Some(Sidecar::new(self.now, terms));
-        (host.watches, host.wake, host.told) = (false, self.now, Some(news));
+        host.module = Some(Sidecar::new(self.now, StartTerms { list_lease, ..terms }));
+        (host.watches, host.wake, host.told, host.heard) = (false, self.now, Some(news), self.now);
         host.waiting = vec![
             Event::List(ListNews::Remembered(remembered)),
             Event::Stage { news: Some(news), answer: None },
@@ -989,7 +1072,11 @@
             self.pods[place].entry.state = PodState::Draining;
             let drains = self.pods[place].entry.clone();
             self.happen(Happens::Listed(vec![row, drains]));
-            let wait = ms(self.chance.random_range(1500..3500));
+            let mut wait = ms(self.chance.random_range(1500..3500));
+            if self.terms.list_lease.is_some() {
+                // Long beside the lease, or no pod would be there that has drained for longer.
+                wait += ms(self.links.random_range(0..5000));
+            }
             self.later(wait, Happens::PodGoes(place));
         }
     }
--- a/crates/referee/tests/runs.rs
+++ b/crates/referee/tests/runs.rs
@@ -23,7 +23,8 @@
     assert!(repeats > 100 && proofs > 3 && after_run > 50, "{all:?}");
     assert!(drained_beside > 5_000 && cold > 1_000 && on_trial > 1_000, "{all:?}");
     assert!(all.lowered > 5 && all.guarded > 100 && all.met > 50, "{all:?}");
-    assert!(all.dialled_again > 500 && all.withheld > 50 && all.withheld_past_grace > 2, "{all:?}");
+    assert!(all.dialled_again > 500 && all.withheld > 100 && all.withheld_past_grace > 2, "{all:?}");
+    assert!(all.begun_unheard > 100 && all.left_aside > 50, "{all:?}");
 }
 
 /// Found among thousands of runs, played by hand.
@@ -46,6 +47,8 @@
 #[case::asks_no_more(Crook::AsksNoMore, 3)]
 #[case::never_asks_at_the_first_byte(Crook::NeverAsks, 3)]
 #[case::dials_again_unasked(Crook::RedialsUnasked, 3)]
+#[case::forgets_the_lease(Crook::ForgetsLease, 3)]
+#[case::forgets_that_a_permission_expires(Crook::ForgetsLease, 0)]
 #[case::cold(Crook::Cold, 4)]
 #[case::cap(Crook::Cap, 5)]
 #[case::guarded(Crook::Guarded, 5)]
