--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,8 @@
 const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
 const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
-const UNLEASED: u8 = 8; // so many turns later comes a pod that may have left, as no list is heard
+pub const SERVED_LEASE: f64 = 0.5; // of the lease for a pod that served: in less time none drains and is back
+pub const OUTAGE: u32 = 5; // leases; no list for so long: the service is down, and all that is known may serve
 const FORGET_AFTER: Duration = Duration::from_secs(120); // nobody speaks of a pod that has been gone for this
 const MOST_SEEN: usize = 10_000; // a sample is halved here: what came late must still show, and memory end
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
@@ -566,14 +567,12 @@
         let want_trial = !open.no_trial && draw < share;
         let used = self.used(round);
         let among = |c: &Card| used[usize::from(on_trial(c))];
-        // While no list is heard a pod may have left that serves nothing, an older build the likelier. Guards against
-        // sending to one announced as leaving; hurts by more load on those known to be there.
-        let newest = self.overview.builds.map_or(0, |(_, newest)| newest.0);
-        let stale = |c: &Card| (1 + newest.saturating_sub(c.entry.build.0).min(2)) as u8 * UNLEASED;
         let since = round.relies_since();
-        let later = |c: &Card| if c.served >= since { 0 } else { stale(c) };
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
+            // It may have left, as no list is heard. Guards against sending to a pod that was announced as leaving,
+            // or is back after that; hurts by requests that find no pod, and by more load on those that serve.
+            _ if c.served < since => None,
             _ if proves && c.wants_proof => Some(0),
             _ if c.usable && on_trial(c) == want_trial && c.ranked() >= among(c).0 => Some(1),
             _ if c.usable && on_trial(c) == want_trial => Some(2),
@@ -585,7 +584,7 @@
         let (mut bids, mut first) = (Vec::with_capacity(self.cards.iter().len()), u8::MAX);
         for card in self.cards.iter() {
             let chance = round.chance();
-            let Some(turn) = turn(card).map(|turn| turn + later(card)) else { continue };
+            let Some(turn) = turn(card) else { continue };
             first = first.min(turn);
             let cost = if turn == first { self.cost(card, chance, round) } else { 0.0 };
             let (pod, build, part) = (card.entry.pod, card.entry.build, among(card).1);
--- a/src/choice/tests/lists.rs
+++ b/src/choice/tests/lists.rs
@@ -198,39 +198,37 @@
     assert!(gate.may_begin(HitId(0), ForwardNo(0), at(5.0), &round));
 }
 
-/// Pods 0 to 3, all usable; pod 0 served what was sent at 8 s, and pod 3 runs a later build that is released.
+/// Pods 0 to 2, all usable; pod 0 served what was sent at 11 s, pod 1 what was sent at 8 s, pod 2 never did.
 fn desk_of_served() -> Desk {
     let mut desk = desk(0);
-    desk.cards.put(Card { served: at(8.0), ..card(pod(0, 1)) });
-    [pod(1, 1), pod(2, 1), pod(3, 2)].into_iter().for_each(|entry| desk.cards.put(card(entry)));
+    for (id, served) in [(0, 11.0), (1, 8.0), (2, 0.0)] {
+        desk.cards.put(Card { served: at(served), ..card(pod(id, 1)) });
+    }
     desk.news = Some(news(Phase::Released, 1.0));
     desk
 }
 
-/// In which turns pods are asked for.
-fn turns(round: &mut Round) -> BTreeMap<u64, u8> {
+/// The pods that a request may go to.
+fn asked_for(round: &mut Round) -> Vec<u64> {
     desk_of_served().place(HitId(0), round);
     let Some((To::Gate, Note::Ask { bids, .. })) = round.mail.take() else { panic!("no bids") };
-    bids.into_iter().map(|bid| (bid.pod.0, bid.turn)).collect()
+    bids.into_iter().map(|bid| bid.pod.0).collect()
 }
 
-/// Once no list has been heard for its lease, pods that served what was sent since come before all others, and of these the
-/// later build first: older ones leave sooner.
+/// Once no list has been heard for its lease (6 s), only pods that served what was sent within half of it get requests; and
+/// all do again once the list service must be down.
 #[rstest]
-#[case::lists_are_heard(None, 13.0, false)]
-#[case::within_the_lease(Some(7.5), 13.0, false)]
-#[case::after_it(Some(6.5), 13.0, true)]
-fn a_silent_list_is_a_lease(#[case] lost_at: Option<f64>, #[case] now: f64, #[case] stale: bool) {
+#[case::lists_are_heard(None, 13.0, &[0, 1, 2])]
+#[case::within_the_lease(Some(7.5), 13.0, &[0, 1, 2])]
+#[case::after_it(Some(6.5), 13.0, &[0])]
+#[case::nobody_served_lately(Some(6.5), 15.0, &[])]
+#[case::long_after(Some(6.5), 37.0, &[0, 1, 2])]
+fn a_silent_list_is_a_lease(#[case] lost_at: Option<f64>, #[case] now: f64, #[case] pods: &[u64]) {
     let mut round = leased(lost_at.unwrap_or(now));
     lost_at.into_iter().for_each(|_| round.deliver(Event::List(ListNews::Failed(SILENT))));
     while round.mail.take().is_some() {}
     round.now = at(now);
-    let turns = turns(&mut round);
-    let all_alike = turns.values().all(|turn| *turn < UNLEASED);
-    assert_eq!(all_alike, !stale, "{turns:?}");
-    if stale {
-        assert!(turns[&0] < turns[&3] && turns[&3] < turns[&1] && turns[&3] < turns[&2], "{turns:?}");
-    }
+    assert_eq!(asked_for(&mut round), pods);
 }
 
 /// A loss that is told late counts from when the list was last heard.
@@ -241,7 +239,7 @@
     round.now = at(13.6);
     assert_eq!(round.relies_since(), Duration::ZERO);
     round.now = at(13.8);
-    assert_eq!(round.relies_since(), at(7.8));
+    assert_eq!(round.relies_since(), at(10.8));
 }
 
 /// A list that was held before the start may be of any age: a third of the lease is left to it.
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -1,6 +1,6 @@
 //! What the parts of the decision module tell each other, and what each keeps on record. No decision is here.
 
-use crate::choice::REMEMBERED;
+use crate::choice::{OUTAGE, REMEMBERED, SERVED_LEASE};
 use crate::figures::Figures;
 use crate::inbox::Inboxes;
 use crate::interface::*;
@@ -167,11 +167,17 @@
         self.list_lost.is_none()
     }
 
-    /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately.
+    /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately, and once
+    /// none has been heard for so long that the service must be down.
     pub fn relies_since(&self) -> Duration {
-        match (self.list_lost, self.figures.list_lease) {
-            (Some(lost), Some(lease)) if self.now >= lost + lease => self.ago(lease),
-            _ => Duration::ZERO,
+        let (Some(lost), Some(lease)) = (self.list_lost, self.figures.list_lease) else {
+            return Duration::ZERO;
+        };
+        let stale = lost + lease <= self.now && self.now < lost + lease * OUTAGE;
+        if stale {
+            self.ago(lease.mul_f64(SERVED_LEASE))
+        } else {
+            Duration::ZERO
         }
     }
 
