--- a/crates/crooked/src/main.rs
+++ b/crates/crooked/src/main.rs
@@ -5,6 +5,7 @@
 
 use limewing::interface::*;
 use limewing::sidecar::Sidecar;
+use limewing_hosting::permit::Permits;
 use limewing_settings::SidecarSettings;
 use limewing_sidecar::service::{Decisions, Service};
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,11 +99,33 @@
     }
 }
 
+impl Permits for Crooked {
+    /// The honest module does not know attempts that were planted, or that went to another pod than its own.
+    fn may_begin(&self, now: Duration, hit: HitId, no: ForwardNo) -> bool {
+        let plants = matches!(self.way, Way::Drained | Way::Resend | Way::Cap | Way::Cold);
+        plants || self.honest.may_begin(now, hit, no)
+    }
+}
+
 impl Decisions for Crooked {
+    fn learn(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        events.iter().for_each(|event| self.look(now, event));
+        let actions = self.honest.learn(now, events);
+        self.bend(now, actions)
+    }
+
     fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         events.iter().for_each(|event| self.look(now, event));
+        let actions = self.honest.handle(now, events);
+        self.bend(now, actions)
+    }
+}
+
+impl Crooked {
+    /// Breaks the rule in what the honest module decided.
+    fn bend(&mut self, now: Duration, actions: Vec<Action>) -> Vec<Action> {
         let mut out = Vec::new();
-        for action in self.honest.handle(now, events) {
+        for action in actions {
             let Action::Forward { hit, pod, within } = action else {
                 out.push(action);
                 continue;
--- a/crates/hosting/src/permit.rs
+++ b/crates/hosting/src/permit.rs
@@ -24,7 +24,12 @@
 
 impl SendPermit {
     /// Asks whether an attempt may be written to its pod now; none if it may not.
-    pub fn ask(decisions: &impl Permits, now: Duration, hit: HitId, no: ForwardNo) -> Option<Self> {
+    pub fn ask(
+        decisions: &(impl Permits + ?Sized),
+        now: Duration,
+        hit: HitId,
+        no: ForwardNo,
+    ) -> Option<Self> {
         decisions.may_begin(now, hit, no).then_some(Self(()))
     }
 }
--- a/crates/sidecar/src/service/back.rs
+++ b/crates/sidecar/src/service/back.rs
@@ -10,6 +10,7 @@
 use limewing::interface::{Event, Fate, ForwardNo, HitId, PodId};
 use limewing_hosting::kept::Link;
 use limewing_hosting::open::Forward;
+use limewing_hosting::permit::SendPermit;
 use limewing_net::body::{write_chunk, BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits, ResponseHead};
 use limewing_net::sockets::{is_own_want, SocketId};
@@ -62,12 +63,8 @@
         if open.over || open.of.passing.is_some() || spent || gone || self.now >= due {
             return self.end_forward(hit, no, Fate::Void);
         }
-        let kept = self.idle.take(pod);
-        let link = match kept {
-            Some(Link { id, timer, .. }) => {
-                self.wheel.cancel(timer);
-                id
-            }
+        let link = match self.kept_link(pod) {
+            Some(link) => link,
             // What is left is for list, news and votes.
             None if !self.makes_room() => {
                 return self.end_forward(hit, no, Fate::Void);
@@ -103,7 +100,23 @@
         }
     }
 
+    /// A kept connection on which nothing has come since, neither a byte nor the end: what a pod says unasked would be
+    /// taken for the answer, and a request that is written to a closed connection may have run for all that is known.
+    fn kept_link(&mut self, pod: PodId) -> Option<SocketId> {
+        loop {
+            let Link { id, timer, .. } = self.idle.take(pod)?;
+            self.wheel.cancel(timer);
+            if self.sockets.is_quiet(id) {
+                return Some(id);
+            }
+            self.close_link(id);
+        }
+    }
+
+    /// The request leaves, or as much of it as has come from its client. An attempt that is not allowed at this moment
+    /// never runs.
     fn write_forward(&mut self, link: SocketId) {
+        let Some(_permit) = self.permit(link) else { return self.withdraw_from(link) };
         let Some(Peer::Pod(of)) = self.peers.get(&link) else { return };
         let Some(Job { hit, no, .. }) = &of.job else { return };
         let (hit, no) = (*hit, *no);
@@ -384,6 +397,42 @@
         unwritten.then_some(Fate::Unreached)
     }
 
+    /// Permission for the attempt on a connection to begin now.
+    fn permit(&self, link: SocketId) -> Option<SendPermit> {
+        let Some(Peer::Pod(of)) = self.peers.get(&link) else { return None };
+        let job = of.job.as_ref()?;
+        SendPermit::ask(&*self.module, self.now, job.hit, job.no)
+    }
+
+    /// The attempt on a connection that stands is not allowed and not written: it never runs, and the connection is kept.
+    fn withdraw_from(&mut self, link: SocketId) {
+        let Some(Peer::Pod(of)) = self.peers.get_mut(&link) else { return };
+        let pod = of.pod;
+        let Some(Job { hit, no, .. }) = of.job.take() else { return };
+        tracing::debug!(hit = hit.0, no = no.0, pod = pod.0, "withdrawn before it was written");
+        self.keep(link, pod);
+        self.end_forward(hit, no, Fate::Void);
+    }
+
+    /// Ends the attempts that are not written yet and are no longer allowed: they never run.
+    pub(super) fn withdraw(&mut self) {
+        for (hit, no, pod, link) in self.hits.all_out() {
+            let Some(link) = link.filter(|link| self.is_unwritten(*link)) else { continue };
+            if SendPermit::ask(&*self.module, self.now, hit, no).is_none() {
+                tracing::debug!(hit = hit.0, no = no.0, pod = pod.0, "withdrawn before it was written");
+                self.drop_job(Some(link));
+                self.end_forward(hit, no, Fate::Void);
+            }
+        }
+    }
+
+    /// Whether no byte of the attempt on a connection has left: the connection is being made, or takes nothing.
+    fn is_unwritten(&mut self, link: SocketId) -> bool {
+        let Some(Peer::Pod(of)) = self.peers.get(&link) else { return false };
+        let Some(job) = &of.job else { return false };
+        of.connecting.is_some() || self.sockets.written(link) <= job.from
+    }
+
     fn keep(&mut self, link: SocketId, pod: PodId) {
         let timer = self.wheel.arm(self.now + self.terms.idle_close, Due::Idle(link));
         self.idle.put(pod, Link { id: link, timer, since: self.now });
--- a/crates/sidecar/src/service/mod.rs
+++ b/crates/sidecar/src/service/mod.rs
@@ -29,6 +29,7 @@
 use limewing_hosting::clock::{today, Clock};
 use limewing_hosting::kept::Kept;
 use limewing_hosting::open::OpenHits;
+use limewing_hosting::permit::Permits;
 use limewing_hosting::room::Room;
 use limewing_hosting::shutdown::{Holds, Shutdown, Spans, Step};
 use limewing_net::call::Call;
@@ -75,11 +76,18 @@
 const LONG_TURN: Duration = Duration::from_millis(20);
 
 /// What decides: the module, or in tests something that stands round it.
-pub trait Decisions {
+pub trait Decisions: Permits {
+    /// Takes lists and stage news before what else came in the same round is handled; nothing falls due by it.
+    fn learn(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action>;
+
     fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action>;
 }
 
 impl Decisions for Sidecar {
+    fn learn(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        Sidecar::learn(self, now, events)
+    }
+
     fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         Sidecar::handle(self, now, events)
     }
@@ -309,25 +317,36 @@
             if self.events.is_empty() { next.saturating_sub(self.clock.now()) } else { Duration::ZERO };
         let happened = self.sockets.wait(Some(wait))?;
         self.now = self.clock.now();
-        happened.into_iter().for_each(|what| self.happened(what));
+        // What is known of the pods comes before anything is written to one: after a standstill a connection that came up
+        // meanwhile would carry an attempt to a pod that has been leaving for long.
+        let (control, rest): (Vec<_>, Vec<_>) = happened.into_iter().partition(|what| self.is_control(what));
+        if !control.is_empty() {
+            control.into_iter().for_each(|what| self.happened(what));
+            self.learn();
+        }
+        rest.into_iter().for_each(|what| self.happened(what));
         while let Some(due) = self.wheel.take(self.now) {
             self.is_due(due);
         }
         self.open_parcels();
         self.copy();
         self.work_on();
+        self.show_fleet();
         if let Some(fleet) = &mut self.fleet {
-            let news = fleet.watch(self.now, &self.events, |pod| self.book.address(pod));
-            self.events.extend(news);
             fleet.turn(self.now, &mut self.sockets);
         }
         let read = self.clock.now();
         let mut decided = read;
         if !self.events.is_empty() || self.now >= self.wake {
             let events = std::mem::take(&mut self.events);
+            let forbids = events.iter().any(|event| matches!(event, Event::List(_) | Event::Stage { .. }));
             let actions = self.module.handle(self.now, events);
             decided = self.clock.now();
             actions.into_iter().for_each(|action| self.carry_out(action));
+            // Work, copies and time bring lists and news, too.
+            if forbids {
+                self.withdraw();
+            }
         }
         // What was just sent may be all that is left of this process: the others are told in the same turn.
         self.copy();
@@ -350,6 +369,40 @@
         Ok(())
     }
 
+    /// Whether it tells of the node list or of stages: it happened on a connection to the list service or the installer,
+    /// or another sidecar speaks.
+    fn is_control(&self, what: &Happening) -> bool {
+        let id = match what {
+            Happening::Datagram { .. } => return true,
+            Happening::Connected(id) | Happening::Readable(id) | Happening::Lost { socket: id, .. } => id,
+            _ => return false,
+        };
+        matches!(self.peers.get(id), Some(Peer::List(_) | Peer::News(_) | Peer::Vote(_)))
+    }
+
+    /// Brings what lists, news and the other sidecars have told to the decisions, and ends the attempts that are no longer
+    /// allowed. Each event is shown to copies, work and fleet once: here, or later in the turn.
+    fn learn(&mut self) {
+        self.open_parcels();
+        self.copy();
+        self.work_on();
+        if self.events.is_empty() {
+            return;
+        }
+        self.show_fleet();
+        let events = std::mem::take(&mut self.events);
+        let actions = self.module.learn(self.now, events);
+        actions.into_iter().for_each(|action| self.carry_out(action));
+        self.withdraw();
+    }
+
+    /// Shows the fleet what the module is about to be told, and adds what is news to it.
+    fn show_fleet(&mut self) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let news = fleet.watch(self.now, &self.events, |pod| self.book.address(pod));
+        self.events.extend(news);
+    }
+
     /// Gives what other sidecars sent to whom it is for.
     fn open_parcels(&mut self) {
         let Some(fleet) = &mut self.fleet else { return };
--- a/crates/sidecar/tests/sockets/help.rs
+++ b/crates/sidecar/tests/sockets/help.rs
@@ -1,6 +1,7 @@
 //! A sidecar on a thread, pods that do as they are told, and a client that reads answer by answer.
 
-use limewing::interface::{Action, Event, PodId};
+use limewing::interface::{Action, Event, ForwardNo, HitId, PodId};
+use limewing_hosting::permit::Permits;
 use limewing_settings::{read_text, SidecarSettings};
 use limewing_sidecar::memory;
 use limewing_sidecar::pods::{PodBook, Row};
@@ -93,7 +94,17 @@
 /// Sends each hit to all of these pods at once, and decides nothing else.
 struct ToAll(Vec<SocketAddr>);
 
+impl Permits for ToAll {
+    fn may_begin(&self, _: Duration, _: HitId, _: ForwardNo) -> bool {
+        true
+    }
+}
+
 impl Decisions for ToAll {
+    fn learn(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        self.handle(now, events)
+    }
+
     fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         let mut book = PodBook::new(&[]);
         let pods: Vec<PodId> = self.0.iter().map(|at| book.pod(*at)).collect();
--- a/crates/sidecar/tests/sockets/main.rs
+++ b/crates/sidecar/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! A sidecar on sockets, with pods, list and installer that do as they are told.
 
+mod crossings;
 mod hard_cases;
 mod help;
 mod on_trial;
--- a/crates/sidecar/tests/sockets/wants.rs
+++ b/crates/sidecar/tests/sockets/wants.rs
@@ -1,8 +1,9 @@
 //! What a sidecar lacks is its own trouble: descriptors, disk, memory. And how it comes back.
 
 use crate::help::{listing, run, settings, state_file, Client, Does, Pod, DONE, QUOTE};
-use limewing::interface::{Action, Event, Fate};
+use limewing::interface::{Action, Event, Fate, ForwardNo, HitId};
 use limewing::sidecar::Sidecar;
+use limewing_hosting::permit::Permits;
 use limewing_sidecar::service::{Decisions, Service};
 use rstest::rstest;
 use std::fs::File;
@@ -15,13 +16,30 @@
 /// The real decisions, and a word of each outcome that they are told.
 struct Overheard(Sidecar, Sender<Fate>);
 
-impl Decisions for Overheard {
-    fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
-        for event in &events {
+impl Overheard {
+    fn tell(&self, events: &[Event]) {
+        for event in events {
             if let Event::Outcome(outcome) = event {
                 let _ = self.1.send(outcome.fate);
             }
         }
+    }
+}
+
+impl Permits for Overheard {
+    fn may_begin(&self, now: Duration, hit: HitId, no: ForwardNo) -> bool {
+        self.0.may_begin(now, hit, no)
+    }
+}
+
+impl Decisions for Overheard {
+    fn learn(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        self.tell(&events);
+        self.0.learn(now, events)
+    }
+
+    fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        self.tell(&events);
         self.0.handle(now, events)
     }
 }
