--- a/crates/platform/src/service/discovery.rs
+++ b/crates/platform/src/service/discovery.rs
@@ -6,11 +6,12 @@
 use crate::lines::{Broken, Objects};
 use crate::listing::Listing;
 use bytes::{Bytes, BytesMut};
-use limewing::interface::{Event, ListLoss, ListNews};
+use limewing::interface::{Event, ListLoss, ListNews, LossCause};
 use limewing_net::body::Framing;
 use limewing_net::http;
 use limewing_net::sockets::SocketId;
 use limewing_net::wheel::TimerKey;
+use std::io::ErrorKind;
 use std::time::{Duration, SystemTime};
 use thiserror::Error;
 
@@ -24,6 +25,8 @@
     asked: Duration,
     /// The answer has begun.
     answered: bool,
+    /// A list has come whole by it.
+    listed: bool,
 }
 
 /// Why a watch is over.
@@ -31,6 +34,8 @@
 pub enum WatchEnd {
     #[error("the connection was lost")]
     Lost,
+    #[error("no connection: there is nobody at its address")]
+    Unreachable,
     #[error("the watch ended")]
     Ended,
     #[error("the watch says nothing")]
@@ -41,6 +46,30 @@
     Unusable(String),
 }
 
+impl WatchEnd {
+    /// A connection ended, or never came up.
+    pub(super) fn of(why: ErrorKind) -> Self {
+        match why {
+            ErrorKind::ConnectionRefused => Self::Unreachable,
+            _ => Self::Lost,
+        }
+    }
+
+    /// What that means of the list.
+    fn cause(&self, watch: &WatchLink) -> LossCause {
+        match self {
+            Self::Broken(broken) if broken.is_refusal() => LossCause::Refused,
+            // A call that can't be taken may end by a reset, too.
+            Self::Lost if !watch.answered => LossCause::Refused,
+            Self::Silent if !watch.answered => LossCause::Unanswered,
+            // Half an object, and no more of it.
+            Self::Silent if !watch.listed => LossCause::NoService,
+            Self::Unreachable | Self::Broken(_) | Self::Unusable(_) => LossCause::NoService,
+            Self::Lost | Self::Ended | Self::Silent => LossCause::Ended,
+        }
+    }
+}
+
 impl Service {
     pub(super) fn request(&self, method: &str, target: &str, host: String, body: &[u8]) -> BytesMut {
         let fields = [("host", &host[..]), ("user-agent", "limewing"), ("accept", "application/json")];
@@ -56,12 +85,13 @@
             return;
         }
         let Ok(link) = self.sockets.connect(self.places.discovery) else {
-            return self.list_fails(false);
+            return self.list_fails(LossCause::Ended);
         };
         let quiet = self.wheel.arm(self.now + LIST_BEGINS_WITHIN, Due::WatchQuiet(link));
         let objects = Objects::new(LONGEST_LISTING);
-        let (asked, answered) = (self.now, false);
-        self.peers.insert(link, Peer::Watch(Box::new(WatchLink { objects, quiet, asked, answered })));
+        let (asked, answered, listed) = (self.now, false, false);
+        let watch = WatchLink { objects, quiet, asked, answered, listed };
+        self.peers.insert(link, Peer::Watch(Box::new(watch)));
         self.watch = Some(link);
     }
 
@@ -87,6 +117,7 @@
             let waited_ms = (self.now - of.asked).as_millis() as u64;
             tracing::debug!(waited_ms, objects = came.objects.len(), "discovery answers");
         }
+        of.listed |= !came.objects.is_empty();
         // What came whole before something that can't be read is told.
         let told = came.objects.iter().try_for_each(|object| self.listed(object));
         match told.and(came.broken.map_or(Ok(()), |broken| Err(broken.into()))) {
@@ -124,7 +155,9 @@
     }
 
     pub(super) fn watch_lost(&mut self, link: SocketId, why: &WatchEnd) {
+        let mut cause = LossCause::Ended;
         if let Some(Peer::Watch(of)) = self.peers.get(&link) {
+            cause = why.cause(of);
             let waited_ms = (self.now - of.asked).as_millis() as u64;
             tracing::debug!(waited_ms, answered = of.answered, %why, "a watch ends");
         }
@@ -135,12 +168,12 @@
         } else if self.watch == Some(link) {
             tracing::warn!(%why, "no watch on the list; the old one stays");
             self.watch = None;
-            self.list_fails(matches!(why, WatchEnd::Broken(broken) if broken.is_refusal()));
+            self.list_fails(cause);
         }
     }
 
-    fn list_fails(&mut self, refused: bool) {
+    fn list_fails(&mut self, why: LossCause) {
         let silent = self.now.saturating_sub(self.list_heard);
-        self.events.push(Event::List(ListNews::Failed(ListLoss { silent, refused })));
+        self.events.push(Event::List(ListNews::Failed(ListLoss { silent, why })));
     }
 }
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -328,7 +328,7 @@
             Happening::Lost { socket, written, why } => match self.peers.get(&socket) {
                 Some(Peer::Client(_)) => self.client_gone(socket),
                 Some(Peer::Pod(_)) => self.pod_lost(socket, written, why),
-                Some(Peer::Watch(_)) => self.watch_lost(socket, &WatchEnd::Lost),
+                Some(Peer::Watch(_)) => self.watch_lost(socket, &WatchEnd::of(why)),
                 Some(Peer::News(_)) => self.news_lost(socket, "the connection was lost"),
                 Some(Peer::Vote(_)) => {
                     let answer = if written == 0 { VoteAnswer::Failed } else { VoteAnswer::Unanswered };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,8 @@
 const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
 pub const SERVED_LEASE: f64 = 0.5; // of the lease for a pod that served: in less time none drains and is back
-pub const OUTAGE: u32 = 5; // leases; no list for so long: the service is down, and all that is known may serve
+pub const OUTAGE: u32 = 5; // leases; no list for so long: the service is down, and all that is known may serve,
+const LATER: u8 = 8; // so many turns after those that do
 const FORGET_AFTER: Duration = Duration::from_secs(120); // nobody speaks of a pod that has been gone for this
 const MOST_SEEN: usize = 10_000; // a sample is halved here: what came late must still show, and memory end
 const DOUBT_EVERY: Duration = Duration::from_millis(60); // an open forward is looked at again
@@ -59,21 +60,22 @@
                 let first = round.figures.on_request && !std::mem::replace(&mut self.watched, true);
                 round.out.extend(first.then_some(Action::Watch));
             }
-            // A lost watch is asked for again soon, spread out so that not all ask at once; one that is refused, or
-            // twice in a row silent, ever later. Guards against a fleet whose calls keep the service too busy to
-            // answer any of them; hurts by a list that comes late after a long outage.
+            // Soon after a loss, ever later after calls that are refused or twice left unanswered, spread by chance. Guards
+            // against calls that keep the service too busy to answer any; hurts by late lists after a long outage.
             Note::List(ListNews::Failed(loss)) => {
-                let doubled = round.list_failures.saturating_sub(if loss.refused { 0 } else { 2 });
+                let doubled = match loss.why {
+                    LossCause::Ended | LossCause::NoService => 0,
+                    LossCause::Unanswered => round.list_failures.saturating_sub(2),
+                    LossCause::Refused => round.list_failures,
+                };
                 let shared = ASK_AGAIN * (1 << doubled.min(MOST_DOUBLED));
-                // An agent of this sidecar's own has no crowd, and what it has counts as told at once.
-                let own = (round.figures.grace / 4).clamp(BEAT, ASK_AGAIN);
-                let wait = if round.figures.list_pushed { own } else { shared };
-                let wait = wait.mul_f64(0.3 + 0.7 * round.chance());
+                let own = (round.figures.grace / 4).clamp(BEAT, ASK_AGAIN); // what an own agent has counts as told
+                let longest = if round.figures.list_pushed { own } else { shared };
+                let wait = longest.mul_f64(0.3 + 0.7 * round.chance());
                 round.later(wait, To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
-            // Guards a sidecar that lives for months against a pile of pods that left. No rule speaks of one:
-            // the gate sends nothing to a pod that it does not know.
+            // Guards against a pile of pods that left long ago; the gate sends nothing to one that it does not know.
             Note::Forget(pod) if self.held.forget(pod, round.ago(FORGET_AFTER)) => {
                 round.tell([To::Gate, To::Pod(pod), To::Desk, To::Judge], &Note::Forget(pod));
             }
@@ -297,9 +299,8 @@
         self.allow_exposure(account, place.entry.build, round)
     }
 
-    /// Asked right before the first byte of an attempt leaves, on whichever connection: its pod may have been told to
-    /// leave since it was allowed. While no list is heard what was allowed expires with the grace. Hurts by
-    /// attempts that have to be decided on anew.
+    /// Asked right before the first byte of an attempt leaves: its pod may have been told to leave since it was allowed.
+    /// While no list is heard what was allowed expires with the grace. Hurts by attempts that are decided on anew.
     pub fn may_begin(&self, hit: HitId, no: ForwardNo, now: Duration, round: &Round) -> bool {
         let account = self.accounts.get(&hit).filter(|account| !account.over);
         let Some(sent) = account.and_then(|account| account.out(no)) else { return false };
@@ -567,12 +568,12 @@
         let want_trial = !open.no_trial && draw < share;
         let used = self.used(round);
         let among = |c: &Card| used[usize::from(on_trial(c))];
-        let since = round.relies_since();
+        let (since, down) = (round.relies_since(), round.is_list_service_down());
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
             // It may have left, as no list is heard. Guards against sending to a pod that was announced as leaving,
             // or is back after that; hurts by requests that find no pod, and by more load on those that serve.
-            _ if c.served < since => None,
+            _ if c.served < since && !down => None,
             _ if proves && c.wants_proof => Some(0),
             _ if c.usable && on_trial(c) == want_trial && c.ranked() >= among(c).0 => Some(1),
             _ if c.usable && on_trial(c) == want_trial => Some(2),
@@ -584,7 +585,8 @@
         let (mut bids, mut first) = (Vec::with_capacity(self.cards.iter().len()), u8::MAX);
         for card in self.cards.iter() {
             let chance = round.chance();
-            let Some(turn) = turn(card) else { continue };
+            let later = if card.served < since { LATER } else { 0 };
+            let Some(turn) = turn(card).map(|turn| turn + later) else { continue };
             first = first.min(turn);
             let cost = if turn == first { self.cost(card, chance, round) } else { 0.0 };
             let (pod, build, part) = (card.entry.pod, card.entry.build, among(card).1);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -144,8 +144,21 @@
 pub struct ListLoss {
     /// For how long nothing had been heard by then.
     pub silent: Duration,
+    pub why: LossCause,
+}
+
+/// What a list was lost by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LossCause {
+    /// A watch ended or fell silent, or a call failed otherwise.
+    #[default]
+    Ended,
+    /// There is no service, or what it says can't be read.
+    NoService,
+    /// A call was not answered in time.
+    Unanswered,
     /// The service answered that it can't take the call now.
-    pub refused: bool,
+    Refused,
 }
 
 #[derive(Clone, Debug)]
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -157,6 +157,7 @@
         self.list_failures = if failed { self.list_failures.saturating_add(1) } else { 0 };
         let Some(lease) = self.figures.list_lease else { return };
         self.list_lost = match news {
+            ListNews::Failed(ListLoss { why: LossCause::NoService, .. }) => Some(self.now),
             ListNews::Failed(loss) => self.list_lost.or(Some(self.ago(loss.silent))),
             ListNews::Remembered(_) => Some(self.ago(lease.mul_f64(1.0 - REMEMBERED))),
             ListNews::Change(_) | ListNews::Whole(_) => None,
@@ -167,20 +168,27 @@
         self.list_lost.is_none()
     }
 
-    /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately, and once
-    /// none has been heard for so long that the service must be down.
+    /// Whether no list has been heard for so many leases.
+    fn is_unheard_for(&self, leases: u32) -> bool {
+        let until = |lost: Duration, lease: Duration| lost + lease * leases;
+        self.list_lost
+            .zip(self.figures.list_lease)
+            .is_some_and(|(lost, lease)| self.now >= until(lost, lease))
+    }
+
+    /// Since when a pod must have served to be relied on: any time, while lists are heard or were until lately.
     pub fn relies_since(&self) -> Duration {
-        let (Some(lost), Some(lease)) = (self.list_lost, self.figures.list_lease) else {
-            return Duration::ZERO;
-        };
-        let stale = lost + lease <= self.now && self.now < lost + lease * OUTAGE;
-        if stale {
-            self.ago(lease.mul_f64(SERVED_LEASE))
-        } else {
-            Duration::ZERO
+        match self.figures.list_lease {
+            Some(lease) if self.is_unheard_for(1) => self.ago(lease.mul_f64(SERVED_LEASE)),
+            _ => Duration::ZERO,
         }
     }
 
+    /// Whether no list has been heard for so long that its service must be down.
+    pub fn is_list_service_down(&self) -> bool {
+        self.is_unheard_for(OUTAGE)
+    }
+
     /// A number from 0 to 1, evenly.
     pub fn chance(&mut self) -> f64 {
         (self.chance.generate::<u64>() >> 11) as f64 / (1u64 << 53) as f64
