--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,13 +29,13 @@
 const MOST_SHED: f64 = 0.9; // turned away by chance at most, so that what goes on tells when it ends
 const FADES: Duration = Duration::from_secs(4); // what is known of a customer's hits, when none end
 pub const ASK_AGAIN: Duration = Duration::from_millis(700); // a lost list is asked for again within this,
-pub const REMEMBERED: f64 = 1.0 / 3.0; // of the lease is left to a list from before the start: to find who serves
+pub const REMEMBERED: f64 = 1.0 / 3.0; // of the lease is left to a list held before the start
 const MOST_DOUBLED: u32 = 3; // which is doubled so often at most
 const PROOFS: f64 = 0.15; // the share of hits that may go to shut pods to see whether they are back
 const FEW_PODS: usize = 5; // that an idle sidecar uses
 const PACE_OVER: usize = 10; // a pod's pace is the mean of about so many of its last answers
 pub const SERVED_LEASE: f64 = 0.5; // of the lease for a pod that served: in less time none drains and is back
-pub const OUTAGE: u32 = 5; // leases; no list for so long: the service is down, and all that is known may serve,
+pub const OUTAGE: u32 = 5; // leases without a list: its service is down, and all known pods may serve,
 const LATER: u8 = 8; // so many turns after those that do
 const FORGET_AFTER: Duration = Duration::from_secs(120); // nobody speaks of a pod that has been gone for this
 const MOST_SEEN: usize = 10_000; // a sample is halved here: what came late must still show, and memory end
@@ -60,8 +60,8 @@
                 let first = round.figures.on_request && !std::mem::replace(&mut self.watched, true);
                 round.out.extend(first.then_some(Action::Watch));
             }
-            // Soon after a loss, ever later after calls that are refused or twice left unanswered, spread by chance. Guards
-            // against calls that keep the service too busy to answer any; hurts by late lists after a long outage.
+            // Soon after a loss, ever later after calls that are refused or twice unanswered. Guards against
+            // calls that keep the service too busy to answer any; hurts by late lists after a long outage.
             Note::List(ListNews::Failed(loss)) => {
                 let doubled = match loss.why {
                     LossCause::Ended | LossCause::NoService => 0,
@@ -69,13 +69,13 @@
                     LossCause::Refused => round.list_failures,
                 };
                 let shared = ASK_AGAIN * (1 << doubled.min(MOST_DOUBLED));
-                let own = (round.figures.grace / 4).clamp(BEAT, ASK_AGAIN); // what an own agent has counts as told
+                let own = (round.figures.grace / 4).clamp(BEAT, ASK_AGAIN); // its own agent's, told at once
                 let longest = if round.figures.list_pushed { own } else { shared };
                 let wait = longest.mul_f64(0.3 + 0.7 * round.chance());
                 round.later(wait, To::Lister, Note::Watch);
             }
             Note::Watch => round.out.push(Action::Watch),
-            // Guards against a pile of pods that left long ago; the gate sends nothing to one that it does not know.
+            // Guards against a pile of pods that left long ago; the gate sends nothing to unknown ones.
             Note::Forget(pod) if self.held.forget(pod, round.ago(FORGET_AFTER)) => {
                 round.tell([To::Gate, To::Pod(pod), To::Desk, To::Judge], &Note::Forget(pod));
             }
@@ -220,7 +220,7 @@
             Note::Forget(pod) => self.places.remove(pod),
             Note::Taken(hit) => self.open(hit, round),
             Note::Ask { hit, mut bids, turn } => {
-                best_last(&mut bids); // nearly always it may have it: only if not, the others are put in order
+                best_last(&mut bids); // nearly always that one is allowed: only if not, the others are sorted
                 let mut sorted = false;
                 while let Some(Bid { pod, build, part, .. }) = bids.pop_if(|bid| bid.turn == turn) {
                     match self.allow(hit, (pod, part), round) {
@@ -299,8 +299,8 @@
         self.allow_exposure(account, place.entry.build, round)
     }
 
-    /// Asked right before the first byte of an attempt leaves: its pod may have been told to leave since it was allowed.
-    /// While no list is heard what was allowed expires with the grace. Hurts by attempts that are decided on anew.
+    /// Asked right before the first byte of an attempt leaves: its pod may have been told to leave meanwhile.
+    /// While no list is heard what was allowed expires with the grace. Hurts by attempts decided on anew.
     pub fn may_begin(&self, hit: HitId, no: ForwardNo, now: Duration, round: &Round) -> bool {
         let account = self.accounts.get(&hit).filter(|account| !account.over);
         let Some(sent) = account.and_then(|account| account.out(no)) else { return false };
@@ -375,7 +375,7 @@
         let was_open = !account.over;
         account.over |= outcome.over;
         (outcome.fate == Fate::Delivered).then(|| self.answered.add(round.now, RATE_OVER));
-        // An answer may have been whole though its connection broke or was given up under it: it counts as had.
+        // An answer may have been whole though its connection broke or was given up: it counts as had.
         let had = !outcome.fate.never_ran() && outcome.fate != Fate::Errored;
         let key = account.key.filter(|_| round.figures.keys_stay && had);
         key.into_iter().for_each(|key| round.mail.put(To::Gate, Note::Met(key, build)));
@@ -571,8 +571,8 @@
         let (since, down) = (round.relies_since(), round.is_list_service_down());
         let turn = |c: &Card| match () {
             _ if !c.ready || open.tried.contains(&c.entry.pod) => None,
-            // It may have left, as no list is heard. Guards against sending to a pod that was announced as leaving,
-            // or is back after that; hurts by requests that find no pod, and by more load on those that serve.
+            // It may have left, as no list is heard. Guards against pods that were announced as leaving, or
+            // are back after that; hurts by requests that find no pod, and by more load on those that serve.
             _ if c.served < since && !down => None,
             _ if proves && c.wants_proof => Some(0),
             _ if c.usable && on_trial(c) == want_trial && c.ranked() >= among(c).0 => Some(1),
