--- a/crates/referee/src/world.rs
+++ b/crates/referee/src/world.rs
@@ -1,7 +1,7 @@
 //! A fleet drawn from a seed, with its troubles, in steps of 5 ms: pods, list service, installer, clients and
 //! links are stand-ins; the decisions are the real ones.
 
-use crate::crooked::{crook, Crook};
+use crate::crooked::{asks_to_begin, crook, Crook};
 use crate::rules::{Breach, Referee, Tested};
 use limewing::interface::*;
 use limewing::sidecar::Sidecar;
@@ -13,6 +13,13 @@
 const STEP: Duration = Duration::from_millis(5);
 const START: Duration = Duration::from_secs(1000);
 const LASTS: Duration = Duration::from_secs(24);
+/// The share of attempts that find no kept connection, and that of connections that break before the first byte.
+const DIALLED: f64 = 0.1;
+const BROKEN_UNUSED: [f64; 4] = [0.05, 0.5, 0.5, 0.0];
+/// The longest that a connection takes to stand.
+const LONGEST_DIAL: u64 = 1000;
+/// A watch that says nothing for this long, or a call that has no answer by then, is given up.
+const LIST_QUIET: Duration = Duration::from_millis(1200);
 /// How long a stage lasts.
 const STAGE: Duration = Duration::from_secs(3);
 
@@ -30,6 +37,8 @@
 
 enum Happens {
     Tell(usize, u32, Event),
+    /// The connection of an attempt stands, after so many that broke.
+    Stands(Job, u8),
     /// A forward comes to its pod.
     Arrives(usize, Job),
     /// Its result comes back.
@@ -52,6 +61,9 @@
     LosesAnswers(usize, bool),
     Call(usize, u32),
     WatchBreaks(usize),
+    /// A call that has no answer is given up.
+    CallGivenUp(usize, u32),
+    Discovery(Discovery),
     Stalls(usize, bool),
     Dies(usize),
     Starts(usize),
@@ -63,6 +75,14 @@
     Overload(f64),
 }
 
+/// How the list service does.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Discovery {
+    Answers,
+    Refuses,
+    Silent,
+}
+
 #[derive(Clone)]
 struct Job {
     sidecar: usize,
@@ -106,6 +126,10 @@
     listed: usize,
     held: BTreeMap<PodId, PodEntry>,
     watches: bool,
+    /// When anything was last heard of the list: a standing watch has an empty line in each step.
+    heard: Duration,
+    /// Connections that stand, each with its attempt and how many broke before it.
+    standing: Vec<(Job, u8)>,
     lag: Duration,
     news_lag: Duration,
     told: Option<StageNews>,
@@ -115,6 +139,11 @@
 
 pub struct World {
     chance: StdRng,
+    /// Draws what befalls connections and the list service, so that the rest of a run stays as its seed drew it.
+    links: StdRng,
+    discovery: Discovery,
+    /// Pods that drain turn new attempts away; else they serve them until they go.
+    drains_turn_away: bool,
     now: Duration,
     step: usize,
     terms: StartTerms,
@@ -155,9 +184,21 @@
     done.map_err(|breach| Box::new(Broken { seed, step: world.step, breach }))
 }
 
+fn is_control(event: &Event) -> bool {
+    matches!(event, Event::List(_) | Event::Stage { .. })
+}
+
+/// Tells truly for how long nothing had been heard when the loss of a list is told.
+fn fill_loss(event: &mut Event, silent: Duration) {
+    if let Event::List(ListNews::Failed(loss)) = event {
+        loss.silent = silent;
+    }
+}
+
 impl World {
     fn draw(seed: u64, crook: Crook) -> Self {
         let mut chance = StdRng::seed_from_u64(seed);
+        let mut links = StdRng::seed_from_u64(!seed);
         let reach = [Reach::All, Reach::Zone, Reach::Cell][chance.random_range(0..3)];
         let group = |repeat, target, timeout, streamed| PathGroup {
             repeat,
@@ -213,6 +254,10 @@
                 vote_allowance: None,
             },
         };
+        let leased = terms.list_on_request && links.random_bool(0.4);
+        let list_lease = leased.then(|| ms(links.random_range(1500..2500)));
+        let terms = StartTerms { list_lease, ..terms };
+        let drains_turn_away = links.random_bool(0.7);
         let (work, cores) = (0.05, 2);
         let pods = chance.random_range(6..=10usize);
         let rate = pods as f64 * cores as f64 / work * chance.random_range(0.25..0.8);
@@ -221,6 +266,9 @@
         let news = StageNews { build, stage: StageNo(2), phase: Phase::Released, cap: 1.0, age };
         let mut world = Self {
             chance,
+            links,
+            discovery: Discovery::Answers,
+            drains_turn_away,
             now,
             step: 0,
             terms,
@@ -269,6 +317,8 @@
                 listed: 1,
                 held,
                 watches: false,
+                heard: START,
+                standing: Vec::new(),
                 lag,
                 news_lag,
                 told: None,
@@ -277,9 +327,23 @@
             });
         }
         world.draw_troubles(pods);
+        if leased {
+            world.draw_outages();
+        }
         world
     }
 
+    /// The list service is lost for long, once or twice.
+    fn draw_outages(&mut self) {
+        for from in [1000, 12_000].into_iter().take(self.links.random_range(1..=2)) {
+            let how = [Discovery::Refuses, Discovery::Silent][self.links.random_range(0..2)];
+            let at = START + ms(from + self.links.random_range(0..4000));
+            let till = at + ms(self.links.random_range(5000..9000));
+            self.at(at, Happens::Discovery(how));
+            self.at(till, Happens::Discovery(Discovery::Answers));
+        }
+    }
+
     /// What goes wrong, and when. Each kind may come more than once, and beside others.
     fn draw_troubles(&mut self, pods: usize) {
         for sidecar in 0..self.hosts.len() {
@@ -398,15 +462,39 @@
 
     fn turn(&mut self, sidecar: usize) -> Result<(), Breach> {
         let host = &mut self.hosts[sidecar];
-        let idle = host.waiting.is_empty() && self.now < host.wake;
-        let Some(module) = host.module.as_mut().filter(|_| !host.stalled && !idle) else { return Ok(()) };
-        let mut events = std::mem::take(&mut host.waiting);
-        // Lists and news come by ways of their own: at times behind what came in the same step.
-        if self.chance.random_bool(0.5) {
-            events.sort_by_key(|event| matches!(event, Event::List(_) | Event::Stage { .. }));
+        if host.stalled || host.module.is_none() {
+            return Ok(());
+        }
+        if !host.waiting.is_empty() || self.now >= host.wake {
+            let mut events = std::mem::take(&mut host.waiting);
+            let silent = self.now.saturating_sub(host.heard);
+            events.iter_mut().for_each(|event| fill_loss(event, silent));
+            // Lists and news come by ways of their own: at times behind what came in the same step, and at times the
+            // host brings them first, before it writes to any pod.
+            if self.chance.random_bool(0.5) {
+                events.sort_by_key(is_control);
+            } else if self.links.random_bool(0.5) {
+                let (ahead, rest) = events.into_iter().partition(is_control);
+                events = rest;
+                self.bring(sidecar, ahead, Sidecar::learn)?;
+                self.write(sidecar)?;
+            }
+            self.bring(sidecar, events, Sidecar::handle)?;
         }
+        self.write(sidecar)
+    }
+
+    /// Brings events to the decisions, and carries out what these say.
+    fn bring(
+        &mut self,
+        sidecar: usize,
+        events: Vec<Event>,
+        to: fn(&mut Sidecar, Duration, Vec<Event>) -> Vec<Action>,
+    ) -> Result<(), Breach> {
+        let host = &mut self.hosts[sidecar];
+        let Some(module) = host.module.as_mut() else { return Ok(()) };
         self.referee.told(sidecar, self.now, &events);
-        let actions = module.handle(self.now, events);
+        let actions = to(module, self.now, events);
         self.turns += 1;
         let held: Vec<PodEntry> = host.held.values().cloned().collect();
         let groups: BTreeMap<HitId, (GroupId, Option<KeyId>)> =
@@ -417,6 +505,54 @@
         Ok(())
     }
 
+    /// Writes the attempts whose connections stand.
+    fn write(&mut self, sidecar: usize) -> Result<(), Breach> {
+        let standing = std::mem::take(&mut self.hosts[sidecar].standing);
+        standing.into_iter().try_for_each(|(job, broken)| self.begin(job, broken))
+    }
+
+    /// Writes an attempt on a connection that stands, if the decisions still allow it. The connection may break unused.
+    fn begin(&mut self, job: Job, broken: u8) -> Result<(), Breach> {
+        let host = &self.hosts[job.sidecar];
+        let (Some(module), Some(open)) = (&host.module, host.open.get(&job.hit)) else { return Ok(()) };
+        if open.out[usize::from(job.no.0)] {
+            return Ok(());
+        }
+        if open.over || open.streams || self.now >= open.due {
+            self.returns(&job, Fate::Void);
+            return Ok(());
+        }
+        let place = self.pods.iter().position(|now| now.entry.pod == job.pod && now.runs);
+        let Some(place) = place else {
+            // No process there: refused at once, or nothing at all for as long as a connection may take.
+            let wait = if self.chance.random_bool(0.5) { 2 } else { 250 };
+            self.later(ms(wait), Happens::Returns(job, Fate::Unreached));
+            return Ok(());
+        };
+        if asks_to_begin(self.crook, broken) && !module.may_begin(self.now, job.hit, job.no) {
+            self.referee.withheld(job.sidecar, self.now, job.pod);
+            self.returns(&job, Fate::Void);
+            return Ok(());
+        }
+        if self.links.random_bool(BROKEN_UNUSED[usize::from(broken)]) {
+            self.dial(job, broken + 1);
+            return Ok(());
+        }
+        self.referee.first_byte(job.sidecar, self.now, (job.hit, job.no), broken > 0)?;
+        let wait = ms(self.chance.random_range(1..5));
+        self.later(wait, Happens::Arrives(place, job));
+        Ok(())
+    }
+
+    /// Finds a connection for an attempt: mostly one that is kept, else one that has to be dialled.
+    fn dial(&mut self, job: Job, broken: u8) {
+        if broken == 0 && !self.links.random_bool(DIALLED) {
+            return self.hosts[job.sidecar].standing.push((job, broken));
+        }
+        let wait = ms(self.links.random_range(5..=LONGEST_DIAL));
+        self.later(wait, Happens::Stands(job, broken));
+    }
+
     fn carry_out(&mut self, sidecar: usize, action: Action) {
         let life = self.hosts[sidecar].life;
         match action {
@@ -467,18 +603,7 @@
             return self.tell_outcome(&job, Fate::Void, over, STEP);
         }
         self.at(due, Happens::Due(job.clone()));
-        let place = self.pods.iter().position(|now| now.entry.pod == pod && now.runs);
-        match place {
-            Some(place) => {
-                let wait = ms(self.chance.random_range(1..5));
-                self.later(wait, Happens::Arrives(place, job));
-            }
-            // No process there: refused at once, or nothing at all for as long as a connection may take.
-            None => {
-                let wait = if self.chance.random_bool(0.5) { 2 } else { 250 };
-                self.later(ms(wait), Happens::Returns(job, Fate::Unreached));
-            }
-        }
+        self.dial(job, 0);
     }
 
     fn tell_outcome(&mut self, job: &Job, fate: Fate, over: bool, took: Duration) {
@@ -500,6 +625,12 @@
                     host.waiting.push(event);
                 }
             }
+            Happens::Stands(job, broken) => {
+                let host = &mut self.hosts[job.sidecar];
+                if host.life == job.life {
+                    host.standing.push((job, broken));
+                }
+            }
             Happens::Arrives(place, job) => self.arrives(place, job),
             Happens::Returns(job, fate) => self.returns(&job, fate),
             Happens::Due(job) => self.returns(&job, Fate::TimedOut),
@@ -578,10 +709,21 @@
             Happens::Call(sidecar, life) => self.call(sidecar, life),
             Happens::WatchBreaks(sidecar) => {
                 if self.hosts[sidecar].module.is_some() && self.terms.list_on_request {
-                    self.hosts[sidecar].watches = false;
-                    self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed(ListLoss::default())));
+                    self.lose_list(sidecar, LossCause::Ended);
+                }
+            }
+            Happens::CallGivenUp(sidecar, life) => {
+                if self.hosts[sidecar].life == life && self.hosts[sidecar].module.is_some() {
+                    self.lose_list(sidecar, LossCause::Ended);
                 }
             }
+            Happens::Discovery(how) => {
+                self.discovery = how;
+                // One that refuses has closed what stood; one that is silent leaves it to be found out.
+                let watching = (0..self.hosts.len()).filter(|sidecar| self.hosts[*sidecar].watches);
+                let closed: Vec<usize> = watching.filter(|_| how == Discovery::Refuses).collect();
+                closed.into_iter().for_each(|sidecar| self.lose_list(sidecar, LossCause::Ended));
+            }
             Happens::Stalls(sidecar, stalls) => {
                 self.hosts[sidecar].stalled = stalls;
                 if !stalls {
@@ -593,6 +735,7 @@
                 host.module = None;
                 host.life += 1;
                 host.waiting.clear();
+                host.standing.clear();
                 host.open.clear();
                 host.told = None;
                 self.referee.stop(sidecar);
@@ -640,7 +783,8 @@
         if !pod.runs || pod.entry.pod != job.pod {
             return self.returns(&job, Fate::Broken);
         }
-        if pod.waiting.len() >= 20 {
+        let leaves = self.drains_turn_away && pod.entry.state == PodState::Draining;
+        if leaves || pod.waiting.len() >= 20 {
             return self.later(ms(1), Happens::Returns(job, Fate::TurnedAway));
         }
         pod.waiting.push_back(job);
@@ -762,6 +906,9 @@
         {
             return;
         }
+        if self.terms.list_on_request && !self.hears(sidecar) {
+            return;
+        }
         let upto = self.known_by(sidecar);
         let from = self.hosts[sidecar].listed;
         if upto > from {
@@ -776,6 +923,27 @@
         }
     }
 
+    /// Whether a watch says anything in this step; one that has been silent for too long is given up.
+    fn hears(&mut self, sidecar: usize) -> bool {
+        let host = &mut self.hosts[sidecar];
+        let speaks = self.discovery == Discovery::Answers;
+        if speaks && !host.stalled {
+            host.heard = self.now;
+            self.referee.heard(sidecar, self.now);
+        }
+        if !speaks && self.now >= host.heard + LIST_QUIET {
+            self.lose_list(sidecar, LossCause::Ended);
+        }
+        speaks
+    }
+
+    /// The host tells the decisions that a watch or a call was lost.
+    fn lose_list(&mut self, sidecar: usize, why: LossCause) {
+        let host = &mut self.hosts[sidecar];
+        host.watches = false;
+        host.waiting.push(Event::List(ListNews::Failed(ListLoss { why, ..ListLoss::default() })));
+    }
+
     fn give_list(&mut self, sidecar: usize, upto: usize, news: ListNews) {
         let held = self.list_at(upto).into_iter().map(|row| (row.pod, row)).collect();
         let host = &mut self.hosts[sidecar];
@@ -788,8 +956,13 @@
         if self.hosts[sidecar].life != life || self.hosts[sidecar].module.is_none() {
             return;
         }
-        if self.chance.random_bool(0.15) {
-            return self.hosts[sidecar].waiting.push(Event::List(ListNews::Failed(ListLoss::default())));
+        match self.discovery {
+            Discovery::Refuses => return self.lose_list(sidecar, LossCause::Refused),
+            Discovery::Silent => return self.later(LIST_QUIET, Happens::CallGivenUp(sidecar, life)),
+            Discovery::Answers if self.chance.random_bool(0.15) => {
+                return self.lose_list(sidecar, LossCause::Ended)
+            }
+            Discovery::Answers => {}
         }
         self.hosts[sidecar].watches = true;
         let (from, upto) = (self.hosts[sidecar].listed, self.known_by(sidecar));
@@ -812,9 +985,10 @@
         self.referee.start(sidecar, self.now, terms.clone());
         let remembered: Vec<PodEntry> = self.hosts[sidecar].held.values().cloned().collect();
         let news = self.hosts[sidecar].told.unwrap_or(self.news);
+        let list_lease = terms.list_lease.filter(|_| self.crook != Crook::ForgetsLease);
         let host = &mut self.hosts[sidecar];
-        host.module = Some(Sidecar::new(self.now, terms));
-        (host.watches, host.wake, host.told) = (false, self.now, Some(news));
+        host.module = Some(Sidecar::new(self.now, StartTerms { list_lease, ..terms }));
+        (host.watches, host.wake, host.told, host.heard) = (false, self.now, Some(news), self.now);
         host.waiting = vec![
             Event::List(ListNews::Remembered(remembered)),
             Event::Stage { news: Some(news), answer: None },
@@ -901,7 +1075,11 @@
             self.pods[place].entry.state = PodState::Draining;
             let drains = self.pods[place].entry.clone();
             self.happen(Happens::Listed(vec![row, drains]));
-            let wait = ms(self.chance.random_range(1500..3500));
+            let mut wait = ms(self.chance.random_range(1500..3500));
+            if self.terms.list_lease.is_some() {
+                // Long beside the lease, or no pod would be there that has drained for longer.
+                wait += ms(self.links.random_range(0..5000));
+            }
             self.later(wait, Happens::PodGoes(place));
         }
     }
