--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod known_red;
 mod leaving;
+mod memory;
 mod platform;
 mod played_day;
 mod support;
--- /dev/null
+++ b/crates/cli/tests/command/memory.rs
@@ -0,0 +1,189 @@
+//! Tests `limewing platform` processes with little memory.
+
+use crate::support::PlatformProcess;
+use limewing_emulators::platform::{
+    Answer, Client, ListedPod, Pod, PodBehavior, SidecarConfigFile,
+};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+/// The lowest memory limit of the platform, in megabytes.
+const MAX_MEMORY_MB: usize = 32;
+const KIB_PER_MB: usize = 1024;
+/// The length of the longest value, in bytes.
+const MAX_VALUE: usize = 64 * 1024;
+/// Time after its deadline until which a response still counts as one.
+const MAX_LATENESS: Duration = Duration::from_millis(550);
+/// Time within which a bad client gets an error or a close.
+const BAD_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Returns the memory of a process that is neither shared nor backed by files, in KiB (proc(5)).
+fn anonymous_memory(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("RssAnon:"));
+    let field = line.and_then(|line| line.split_ascii_whitespace().nth(1));
+    field.unwrap().parse().unwrap()
+}
+
+/// Samples the memory of a process while `run` runs; returns the highest value in KiB.
+fn peak_memory(process: u32, run: impl FnOnce()) -> usize {
+    let is_done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let sampler = scope.spawn(|| {
+            let mut peak = 0;
+            while !is_done.load(Ordering::Relaxed) {
+                peak = peak.max(anonymous_memory(process));
+                sleep(SAMPLE_INTERVAL);
+            }
+            peak
+        });
+        run();
+        is_done.store(true, Ordering::Relaxed);
+        sampler.join().unwrap()
+    })
+}
+
+fn assert_within_memory_limit(peak: usize) {
+    println!("peak memory: {peak} KiB");
+    assert!(peak <= MAX_MEMORY_MB * KIB_PER_MB, "{peak} KiB");
+}
+
+fn comment(id: usize) -> String {
+    let timeout_ms = CLIENT_TIMEOUT.as_millis();
+    format!("/* id={id:x},c=look,t=acme,d={timeout_ms} */")
+}
+
+fn select(id: usize) -> String {
+    format!(
+        "SELECT blob FROM rows WHERE handle = '7f3a' {}",
+        comment(id)
+    )
+}
+
+fn insert(id: usize, value_length: usize) -> String {
+    let value = "ab".repeat(value_length);
+    format!(
+        "INSERT INTO rows (handle, blob) VALUES ('7f3a', '\\x{value}') RETURNING blob {}",
+        comment(id)
+    )
+}
+
+/// A response with the time after which it arrived.
+type TimedAnswer = (Answer, Duration);
+
+/// Sends one statement on each of `clients` new connections at the same time, and returns the responses.
+fn request_at_once(
+    address: SocketAddr,
+    clients: usize,
+    statement: impl Fn(usize) -> String + Sync,
+) -> Vec<TimedAnswer> {
+    let send = |id: usize| {
+        let mut client = Client::without_session(address);
+        client.send_startup_message();
+        let sent_at = Instant::now();
+        client.send_query(&statement(id));
+        (client.read_first_answer(), sent_at.elapsed())
+    };
+    thread::scope(|scope| {
+        let send = &send;
+        let clients: Vec<_> = (0..clients)
+            .map(|id| scope.spawn(move || send(id)))
+            .collect();
+        clients
+            .into_iter()
+            .map(|client| client.join().unwrap())
+            .collect()
+    })
+}
+
+/// Asserts that each response is a row or an error, and in time.
+fn assert_answered_in_time(answers: &[TimedAnswer]) {
+    for (answer, after) in answers {
+        assert!(
+            matches!(answer, Answer::Row(_) | Answer::Error(..)),
+            "{answer:?}"
+        );
+        assert!(
+            *after < CLIENT_TIMEOUT + MAX_LATENESS,
+            "{answer:?} after {after:?}"
+        );
+    }
+}
+
+fn config_with_pod(pod: &Pod, max_descriptors: usize) -> SidecarConfigFile {
+    SidecarConfigFile {
+        max_descriptors,
+        max_memory_mb: MAX_MEMORY_MB,
+        client_timeout_s: CLIENT_TIMEOUT.as_secs_f64(),
+        second_copies: true,
+        ..SidecarConfigFile::new(vec![ListedPod::new("p1", pod.address)])
+    }
+}
+
+/// Returns a length between a sixteenth and the whole of the longest value, a different one for consecutive numbers.
+fn mixed_length(number: usize) -> usize {
+    const STEPS: usize = 16;
+    const STRIDE: usize = 7;
+    MAX_VALUE / STEPS * (1 + number * STRIDE % STEPS)
+}
+
+/// Statements of open requests count against the memory limit: a third of the descriptors hold clients that insert long values, while
+/// the pod does not answer. Previously nothing counted them, and the process exceeded its limit.
+#[rstest]
+#[case::largest_values(|_| MAX_VALUE)]
+#[case::mixed_values(mixed_length)]
+fn statements_of_open_requests_stay_within_the_memory_limit(#[case] length: fn(usize) -> usize) {
+    const DESCRIPTORS: usize = 512;
+    const ROUNDS: usize = 3;
+    let pod = Pod::new(vec![PodBehavior::NoAnswer]);
+    let sidecar = PlatformProcess::start(&config_with_pod(&pod, DESCRIPTORS));
+    let clients = DESCRIPTORS / 3;
+    let peak = peak_memory(sidecar.id(), || {
+        for round in 0..ROUNDS {
+            let statement = |client| {
+                let id = round * clients + client;
+                insert(id, length(id))
+            };
+            let answers = request_at_once(sidecar.address, clients, statement);
+            assert_answered_in_time(&answers);
+        }
+    });
+    assert_within_memory_limit(peak);
+}
+
+/// Clients that send most of a long statement and stay get an error or a close in time, and the bytes that they sent stay within the
+/// memory limit. Small requests of others are served meanwhile.
+#[test]
+fn unfinished_statements_stay_within_the_memory_limit() {
+    const DESCRIPTORS: usize = 1024;
+    const BAD_CLIENTS: usize = 120;
+    const SENT: usize = 120 * 1024;
+    let pod = Pod::new(vec![PodBehavior::Answer("red")]);
+    let sidecar = PlatformProcess::start(&config_with_pod(&pod, DESCRIPTORS));
+    let peak = peak_memory(sidecar.id(), || {
+        let mut bad_clients: Vec<Client> = (0..BAD_CLIENTS)
+            .map(|_| Client::new(sidecar.address))
+            .collect();
+        let started_at = Instant::now();
+        let statement = insert(0, MAX_VALUE);
+        for client in &mut bad_clients {
+            client.send_part_of_query(&statement, SENT);
+        }
+        let mut usual_client = Client::new(sidecar.address);
+        usual_client.send_query(&select(1));
+        assert_eq!(usual_client.read_answer(), Answer::Row("red".into()));
+        for client in &mut bad_clients {
+            assert!(matches!(
+                client.read_answer(),
+                Answer::Error(..) | Answer::ConnectionClosed
+            ));
+        }
+        assert!(started_at.elapsed() < BAD_CLIENT_TIMEOUT);
+    });
+    assert_within_memory_limit(peak);
+}
--- a/crates/emulators/src/platform/client.rs
+++ b/crates/emulators/src/platform/client.rs
@@ -119,6 +119,16 @@
         self.send_bytes(&out)
     }
 
+    /// Sends the first `length` bytes of the message for a statement; returns whether they could be written.
+    ///
+    /// # Panics
+    /// Panics if the message is shorter.
+    pub fn send_part_of_query(&mut self, statement: &str, length: usize) -> bool {
+        let mut out = BytesMut::new();
+        encode::query(&mut out, statement);
+        self.send_bytes(&out[..length])
+    }
+
     /// Reads the next answer, up to ReadyForQuery.
     ///
     /// # Panics
--- a/crates/emulators/src/platform/mod.rs
+++ b/crates/emulators/src/platform/mod.rs
@@ -145,6 +145,8 @@
     pub cached_endpoints: Vec<ListedPod>,
     /// The number of file descriptors that it may use.
     pub max_descriptors: usize,
+    /// The memory that it may use, in megabytes.
+    pub max_memory_mb: usize,
     /// The client timeout of all request classes, in seconds.
     pub client_timeout_s: f64,
     /// Whether requests are hedged.
@@ -169,6 +171,7 @@
             rollouts: None,
             cached_endpoints,
             max_descriptors: 256,
+            max_memory_mb: 64,
             client_timeout_s: 5.0,
             second_copies: false,
             connect_timeout_s: 1.0,
@@ -184,6 +187,7 @@
         let Self {
             discovery,
             max_descriptors,
+            max_memory_mb,
             client_timeout_s,
             second_copies,
             connect_timeout_s,
@@ -213,7 +217,7 @@
         .join(",");
         format!(
             r#"{{"name":"n{own_index}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{max_descriptors}}},{rollouts}"known":{cached_endpoints},
+            "limits":{{"cores":1.0,"memory_mb":{max_memory_mb},"sockets":{max_descriptors}}},{rollouts}"known":{cached_endpoints},
             "settings":{{"balancers":{sidecar_count},"me":{own_index},"zone":0,"azs":["a"],"shapes":["m"],"layers":["pods"],"membership_mode":"subscribe",
               "profiles":[{classes}],"realms":[{{"name":"acme"}}],
               "rules":{{"cold_from":0.5,"cold_s":1,"fall_multiple":2,"fall_s":1,"stop_sending_within_s":0.5}},
--- a/crates/net/src/sockets/closing.rs
+++ b/crates/net/src/sockets/closing.rs
@@ -2,6 +2,7 @@
 
 use super::connection::LingerProgress;
 use super::event::{SocketEvent, SocketId};
+use super::output_queue::OutputQueue;
 use super::socket_table::Socket;
 use super::Sockets;
 use bytes::BytesMut;
@@ -20,6 +21,7 @@
         if let Socket::Connection(connection) = &socket {
             self.accepted_count -= usize::from(connection.accepted);
             self.lingering_count -= usize::from(connection.is_lingering());
+            self.buffered_bytes -= connection.counted_bytes;
         }
         // There is now room for a connection waiting in a backlog.
         if self.accept_at.is_some() {
@@ -41,6 +43,7 @@
         }
         connection.linger_until = Some(Instant::now() + LINGER_TIMEOUT);
         connection.input = BytesMut::new();
+        self.count_buffered(id);
         self.lingering_count += 1;
         self.lingering.push_back(id);
         self.linger(id);
@@ -94,8 +97,9 @@
             return self.close(id);
         }
         connection.lost = Some(error);
-        connection.output = BytesMut::new();
+        connection.output = OutputQueue::default();
         let was_established = !connection.connecting;
+        self.count_buffered(id);
         self.newly_lost.push(id);
         if was_established {
             self.read(id);
--- a/crates/net/src/sockets/connection.rs
+++ b/crates/net/src/sockets/connection.rs
@@ -1,6 +1,7 @@
 //! The state and system calls of one TCP connection.
 
-use bytes::{Buf, BytesMut};
+use super::output_queue::OutputQueue;
+use bytes::{Bytes, BytesMut};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::io::{self, ErrorKind, Read, Write};
@@ -10,6 +11,9 @@
 /// The maximum input buffered for one connection, in bytes. Further input stays in the system's receive buffer, so that
 /// a peer is not read faster than its input is consumed.
 pub const MAX_INPUT: usize = 32 * 1024;
+/// The maximum input buffered for one connection while the limit on buffered bytes is reached, in bytes. Reading goes on
+/// in such small pieces, because input that is not read is not answered either.
+pub const MAX_INPUT_WHEN_SHORT: usize = 4 * 1024;
 /// The maximum input that a closing connection reads and discards, in bytes, so that a peer that never stops sending
 /// can't occupy the event loop. A peer that is still sending a larger message when it is rejected may see a reset instead
 /// of the response.
@@ -23,7 +27,7 @@
     /// Input received and not taken by the owner yet.
     pub(super) input: BytesMut,
     /// Output waiting to be sent.
-    pub(super) output: BytesMut,
+    pub(super) output: OutputQueue,
     /// The connection is not established yet.
     pub(super) connecting: bool,
     /// Input was left in the system's receive buffer because `input` was full.
@@ -34,6 +38,10 @@
     pub(super) peer_hung_up: bool,
     /// The connection was accepted by a listener.
     pub(super) accepted: bool,
+    /// The bytes of this connection that are included in the total of all connections.
+    pub(super) counted_bytes: usize,
+    /// The owner may have taken input since the connection was last counted.
+    pub(super) is_input_borrowed: bool,
     /// Bytes written to the socket.
     pub(super) written: u64,
     /// Set once the owner has closed the connection: until this time it may send its output and discard the peer's input.
@@ -87,12 +95,14 @@
         Self {
             stream,
             input: BytesMut::new(),
-            output: BytesMut::new(),
+            output: OutputQueue::default(),
             connecting: false,
             has_unread_input: false,
             input_ended: false,
             peer_hung_up: false,
             accepted: false,
+            counted_bytes: 0,
+            is_input_borrowed: false,
             written: 0,
             linger_until: None,
             write_shut_down: false,
@@ -149,16 +159,30 @@
         }
     }
 
-    /// Reads the available input into `input`, up to [`MAX_INPUT`], through a buffer shared by all connections.
-    pub(super) fn read_available(&mut self, buffer: &mut [u8]) -> ReadProgress {
+    /// The bytes that this connection buffers, without those that its owner shares.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.input.len() + self.output.copied_bytes()
+    }
+
+    /// Frees the space of the input that the owner has taken, so that idle connections hold no memory.
+    pub(super) fn release_taken_input(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        } else if self.input.len() < self.counted_bytes {
+            self.input = BytesMut::from(&self.input[..]);
+        }
+    }
+
+    /// Reads the available input into `input`, up to `max_input` bytes, through a buffer shared by all connections.
+    pub(super) fn read_available(&mut self, buffer: &mut [u8], max_input: usize) -> ReadProgress {
         let mut has_new_input = false;
         self.has_unread_input = false;
         while !self.input_ended {
-            if self.input.len() >= MAX_INPUT {
+            if self.input.len() >= max_input {
                 self.has_unread_input = true;
                 break;
             }
-            let room = buffer.len().min(MAX_INPUT - self.input.len());
+            let room = buffer.len().min(max_input - self.input.len());
             match self.stream.read(&mut buffer[..room]) {
                 // After a loss, the end of the remaining input does not mean that the peer closed its side.
                 Ok(0) if self.lost.is_some() => break,
@@ -197,24 +221,44 @@
         if !self.connecting && self.output.is_empty() {
             self.write(&mut rest)?;
         }
-        self.output.extend_from_slice(rest);
+        self.output.push_copy(rest);
         Ok(())
     }
 
-    /// Writes the queued output.
-    pub(super) fn flush(&mut self) -> io::Result<()> {
-        let output = std::mem::take(&mut self.output);
-        let mut rest = &output[..];
-        let result = self.write(&mut rest);
-        // The buffer is freed once everything is sent, so that idle connections hold no memory.
-        if !rest.is_empty() {
-            let sent = output.len() - rest.len();
-            self.output = output;
-            self.output.advance(sent);
+    /// Like [`send`](Self::send), but queues the bytes without copying them.
+    pub(super) fn send_shared(&mut self, mut bytes: Bytes) -> io::Result<()> {
+        if !self.connecting && self.output.is_empty() {
+            let mut rest = &bytes[..];
+            self.write(&mut rest)?;
+            bytes = bytes.slice_ref(rest);
         }
+        self.output.push_shared(bytes);
+        Ok(())
+    }
+
+    /// Writes the queued output, as much as the system accepts.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        let mut output = std::mem::take(&mut self.output);
+        let result = self.flush_from(&mut output);
+        self.output = output;
         result
     }
 
+    fn flush_from(&mut self, output: &mut OutputQueue) -> io::Result<()> {
+        while !output.is_empty() {
+            let mut rest = output.front();
+            let length = rest.len();
+            let result = self.write(&mut rest);
+            let unsent = rest.len();
+            output.advance(length - unsent);
+            result?;
+            if unsent > 0 {
+                break;
+            }
+        }
+        Ok(())
+    }
+
     /// Writes as many bytes as the system accepts and leaves the rest in `bytes`.
     fn write(&mut self, bytes: &mut &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
--- a/crates/net/src/sockets/mod.rs
+++ b/crates/net/src/sockets/mod.rs
@@ -2,7 +2,8 @@
 //! independent of any protocol.
 //!
 //! Reading stops while a connection's input buffer is full and continues with [`Sockets::resume_reading`], so that a peer
-//! is not read faster than its input is consumed. When the process has no file descriptor left, accepting pauses and is
+//! is not read faster than its input is consumed. The bytes buffered on all connections are counted; beyond a limit, reading
+//! goes on in small pieces. When the process has no file descriptor left, accepting pauses and is
 //! retried: further connections stay in the backlog.
 
 mod closing;
@@ -10,17 +11,18 @@
 mod datagrams;
 mod event;
 mod listener;
+mod output_queue;
 mod polling;
 mod resource_limits;
 mod socket_table;
 #[cfg(test)]
 mod tests;
 
-pub use connection::MAX_INPUT;
+pub use connection::{MAX_INPUT, MAX_INPUT_WHEN_SHORT};
 pub use event::{SocketEvent, SocketId};
 pub use resource_limits::{is_resource_exhaustion, resource_limits};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use connection::Connection;
 use listener::ConnectionLimits;
 use mio::net::TcpStream;
@@ -56,6 +58,12 @@
     /// Number of open connections accepted by a listener.
     accepted_count: usize,
     limits: ConnectionLimits,
+    /// Bytes buffered on all connections together, without those that their owners share.
+    buffered_bytes: usize,
+    /// The number of buffered bytes from which on reading goes on in small pieces.
+    max_buffered_bytes: usize,
+    /// Connections whose input the owner may have taken since they were last counted.
+    borrowed_inputs: Vec<SocketId>,
     /// When paused listeners accept again.
     accept_at: Option<Instant>,
     signals: Option<Signals>,
@@ -85,6 +93,9 @@
                 accepted: usize::MAX,
                 all: usize::MAX,
             },
+            buffered_bytes: 0,
+            max_buffered_bytes: usize::MAX,
+            borrowed_inputs: Vec::new(),
             accept_at: None,
             signals: None,
             read_buffer: vec![0; READ_BUFFER_BYTES].into_boxed_slice(),
@@ -120,12 +131,51 @@
         self.table.insert(self.poll.registry(), socket)
     }
 
+    /// Limits the bytes buffered on all connections together: from `max_bytes` on, at most [`MAX_INPUT_WHEN_SHORT`] bytes
+    /// are read ahead on each connection. Output is counted, but not limited.
+    pub fn limit_buffered_bytes(&mut self, max_bytes: usize) {
+        self.max_buffered_bytes = max_bytes;
+    }
+
+    /// Number of bytes buffered on all connections together: input that is not taken yet, and output that is not sent yet,
+    /// without shared output.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes
+    }
+
+    /// Updates the total of buffered bytes after a connection's buffers have changed.
+    pub(super) fn count_buffered(&mut self, id: SocketId) {
+        let Some(connection) = self.table.connection(id) else {
+            return;
+        };
+        let now = connection.buffered_bytes();
+        let before = std::mem::replace(&mut connection.counted_bytes, now);
+        self.buffered_bytes = self.buffered_bytes + now - before;
+    }
+
+    /// Frees the space of input that was taken, and counts the connections concerned anew.
+    pub(super) fn release_taken_inputs(&mut self) {
+        for id in std::mem::take(&mut self.borrowed_inputs) {
+            if let Some(connection) = self.table.connection(id) {
+                connection.is_input_borrowed = false;
+                connection.release_taken_input();
+                self.count_buffered(id);
+            }
+        }
+    }
+
     /// The input received on a connection and not taken yet; `None` once the connection is closed.
     pub fn input(&mut self, id: SocketId) -> Option<&mut BytesMut> {
-        self.table
-            .connection(id)
-            .filter(|connection| !connection.is_lingering())
-            .map(|connection| &mut connection.input)
+        let connection = self.table.connection(id)?;
+        if connection.is_lingering() {
+            return None;
+        }
+        if !connection.is_input_borrowed {
+            connection.is_input_borrowed = true;
+            self.borrowed_inputs.push(id);
+        }
+        Some(&mut connection.input)
     }
 
     /// Resumes reading after input was taken.
@@ -144,7 +194,15 @@
         let Some(connection) = self.table.connection(id) else {
             return;
         };
-        let progress = connection.read_available(&mut self.read_buffer);
+        // The loss of a connection is reported only after its input is read.
+        let is_short = self.buffered_bytes >= self.max_buffered_bytes && connection.lost.is_none();
+        let max_input = if is_short {
+            MAX_INPUT_WHEN_SHORT
+        } else {
+            MAX_INPUT
+        };
+        let progress = connection.read_available(&mut self.read_buffer, max_input);
+        self.count_buffered(id);
         if progress.has_new_input {
             self.events.push_back(SocketEvent::Readable(id));
         }
@@ -155,13 +213,24 @@
 
     /// Queues bytes and writes as many as the system accepts now. Bytes for a closed or lost connection are dropped.
     pub fn send(&mut self, id: SocketId, bytes: &[u8]) {
+        self.send_with(id, |connection| connection.send(bytes));
+    }
+
+    /// Like [`send`](Self::send), but queues the bytes without copying them.
+    pub fn send_shared(&mut self, id: SocketId, bytes: Bytes) {
+        self.send_with(id, |connection| connection.send_shared(bytes));
+    }
+
+    fn send_with(&mut self, id: SocketId, send: impl FnOnce(&mut Connection) -> io::Result<()>) {
         let Some(connection) = self.table.connection(id) else {
             return;
         };
         if connection.is_lingering() || connection.lost.is_some() {
             return;
         }
-        if let Err(error) = connection.send(bytes) {
+        let result = send(connection);
+        self.count_buffered(id);
+        if let Err(error) = result {
             self.mark_lost(id, error.kind());
         }
     }
--- a/crates/net/src/sockets/polling.rs
+++ b/crates/net/src/sockets/polling.rs
@@ -43,6 +43,7 @@
         let accept_in = self
             .accept_at
             .map(|at| at.saturating_duration_since(Instant::now()));
+        self.release_taken_inputs();
         self.report_lost();
         let has_pending_work = !self.events.is_empty()
             || !self.unread_datagrams.is_empty()
@@ -137,14 +138,12 @@
                 ConnectProgress::Established => self.events.push_back(SocketEvent::Connected(id)),
             }
         }
-        if readiness.writable && !connection.output.is_empty() {
-            if let Err(e) = connection.flush() {
-                return self.mark_lost(id, e.kind());
-            }
-            if connection.output.is_empty() && !connection.is_lingering() {
-                self.events.push_back(SocketEvent::Flushed(id));
-            }
+        if readiness.writable && !connection.output.is_empty() && !self.flush(id) {
+            return;
         }
+        let Some(connection) = self.table.connection(id) else {
+            return;
+        };
         if connection.is_lingering() {
             return self.linger(id);
         }
@@ -152,6 +151,25 @@
             self.read(id);
         }
     }
+
+    /// Sends queued output; returns whether the connection still works.
+    fn flush(&mut self, id: SocketId) -> bool {
+        let Some(connection) = self.table.connection(id) else {
+            return false;
+        };
+        let result = connection.flush();
+        let is_flushed = connection.output.is_empty() && !connection.is_lingering();
+        self.count_buffered(id);
+        match result {
+            Err(error) => {
+                self.mark_lost(id, error.kind());
+                return false;
+            }
+            Ok(()) if is_flushed => self.events.push_back(SocketEvent::Flushed(id)),
+            Ok(()) => {}
+        }
+        true
+    }
 }
 
 fn is_interrupted(result: &io::Result<()>) -> bool {
--- a/crates/net/src/sockets/tests.rs
+++ b/crates/net/src/sockets/tests.rs
@@ -5,7 +5,7 @@
 use super::connection::Connection;
 use super::listener::ACCEPT_BATCH;
 use super::socket_table::Socket;
-use super::{SocketEvent, SocketId, Sockets, MAX_INPUT};
+use super::{SocketEvent, SocketId, Sockets, MAX_INPUT, MAX_INPUT_WHEN_SHORT};
 use mio::net::TcpStream;
 use std::fs::File;
 use std::io::Write;
@@ -214,3 +214,52 @@
     let refused = sockets.insert(Socket::Connection(Box::new(Connection::accepted(stream))));
     assert!(refused.is_err() && sockets.open_count() == 0 && sockets.accepted_count == 0);
 }
+
+/// While the limit on buffered bytes is reached, input is still read, in small pieces. Guards against peers that are not read because
+/// others hold the memory.
+#[test]
+fn input_is_read_in_small_pieces_while_memory_is_short() {
+    let mut sockets = Sockets::new().unwrap();
+    sockets.limit_buffered_bytes(MAX_INPUT);
+    let (holder, mut holder_peer) = connected_pair(&mut sockets);
+    let (id, mut peer) = connected_pair(&mut sockets);
+    let writer = thread::spawn(move || {
+        holder_peer.write_all(&[b'x'; MAX_INPUT]).unwrap();
+        holder_peer
+    });
+    while sockets.buffered_bytes() < MAX_INPUT {
+        sockets.wait(Some(TEST_TIMEOUT)).unwrap();
+    }
+    let _holder_peer = writer.join().unwrap();
+    peer.write_all(&[b'y'; 3 * MAX_INPUT_WHEN_SHORT]).unwrap();
+    let mut read = 0;
+    let end = Instant::now() + TEST_TIMEOUT;
+    while read < 3 * MAX_INPUT_WHEN_SHORT {
+        assert!(Instant::now() < end, "{read} bytes read");
+        sockets.wait(Some(TEST_TIMEOUT)).unwrap();
+        assert!(sockets.buffered_bytes() <= MAX_INPUT + MAX_INPUT_WHEN_SHORT);
+        read += sockets.input(id).unwrap().split().len();
+        sockets.resume_reading(id);
+    }
+    sockets.input(holder).unwrap().clear();
+    sockets.wait(Some(Duration::ZERO)).unwrap();
+    assert_eq!(sockets.buffered_bytes(), 0);
+}
+
+/// Unsent output is counted until it is sent or dropped, unless it is shared.
+#[test]
+fn unsent_output_is_counted_while_it_is_held() {
+    /// More than the buffers of the system hold for one connection.
+    const OUTPUT: usize = 64 * 1024 * 1024;
+    let mut sockets = Sockets::new().unwrap();
+    let (id, _peer) = connected_pair(&mut sockets);
+    let (other, _other_peer) = connected_pair(&mut sockets);
+    sockets.send_shared(other, vec![b'x'; OUTPUT].into());
+    assert!(sockets.unsent_bytes(other) > 0);
+    assert_eq!(sockets.buffered_bytes(), 0);
+    sockets.send(id, &vec![b'x'; OUTPUT]);
+    assert!(sockets.unsent_bytes(id) > 0);
+    assert_eq!(sockets.buffered_bytes(), sockets.unsent_bytes(id));
+    sockets.close(id);
+    assert_eq!(sockets.buffered_bytes(), 0);
+}
--- a/crates/postgres-protocol/src/encode.rs
+++ b/crates/postgres-protocol/src/encode.rs
@@ -83,6 +83,14 @@
     message(out, frontend::QUERY, |out| put_string(out, statement));
 }
 
+/// Encodes the header of a Query whose statement is `length` bytes long. The statement and a zero
+/// byte have to follow.
+pub fn query_header(out: &mut BytesMut, length: usize) {
+    out.put_u8(frontend::QUERY);
+    let with_length_field_and_end = length + 5;
+    out.put_u32(with_length_field_and_end as u32);
+}
+
 /// Writes the messages with which a server starts a session: AuthenticationOk, ParameterStatus for
 /// each of `parameters`, BackendKeyData, ReadyForQuery.
 pub fn session_start(out: &mut BytesMut, parameters: &[(&str, &str)]) {
--- a/crates/postgres-protocol/src/lib.rs
+++ b/crates/postgres-protocol/src/lib.rs
@@ -17,7 +17,7 @@
 mod message;
 
 pub use error::ProtocolError;
-pub use message::{count_complete_messages, Message, MessageDecoder};
+pub use message::{count_complete_messages, Message, MessageDecoder, Received};
 
 /// Version 3.0 of the protocol, as sent in a StartupMessage.
 pub const PROTOCOL_VERSION: u32 = 3 << 16;
--- a/crates/postgres-protocol/src/message.rs
+++ b/crates/postgres-protocol/src/message.rs
@@ -17,17 +17,38 @@
     pub body: Bytes,
 }
 
-/// The header of a message whose body is incomplete.
+/// What has been received on a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// A complete message.
+    Message(Message),
+    /// A complete message of this type, whose body was not buffered.
+    Discarded(u8),
+}
+
+/// The type byte and the body length of a message.
 #[derive(Clone, Copy)]
 struct Header {
     kind: u8,
     body_length: usize,
 }
 
+/// A message whose body is incomplete.
+#[derive(Clone, Copy)]
+struct IncompleteMessage {
+    kind: u8,
+    /// Bytes of the body that have not arrived.
+    missing: usize,
+    is_discarded: bool,
+}
+
+/// Factor by which the space for a body exceeds the bytes that have arrived, up to the whole body.
+const BODY_GROWTH: usize = 4;
+
 /// Splits the bytes of a connection into messages, and buffers an incomplete one.
 #[derive(Default)]
 pub struct MessageDecoder {
-    header: Option<Header>,
+    incomplete: Option<IncompleteMessage>,
     body: BytesMut,
 }
 
@@ -35,7 +56,7 @@
     /// Whether the header of a message has been read and its body is incomplete.
     #[must_use]
     pub fn is_mid_message(&self) -> bool {
-        self.header.is_some()
+        self.incomplete.is_some()
     }
 
     /// Returns the number of buffered bytes of an incomplete body.
@@ -55,34 +76,110 @@
         input: &mut BytesMut,
         max_length: impl Fn(u8) -> Option<usize>,
     ) -> Result<Option<Message>, ProtocolError> {
-        let header = match self.header {
-            Some(header) => header,
-            None => match take_header(input, max_length)? {
-                Some(header) => header,
-                None => return Ok(None),
-            },
+        match self.next_within_memory(input, max_length, |_| true)? {
+            Some(Received::Message(message)) => Ok(Some(message)),
+            Some(Received::Discarded(_)) | None => Ok(None),
+        }
+    }
+
+    /// Like [`next_message`](Self::next_message), but asks `may_buffer` whether a body may take
+    /// this many bytes in total. A body that may not is read to its end and discarded.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes are not a message, or not one that is allowed.
+    pub fn next_within_memory(
+        &mut self,
+        input: &mut BytesMut,
+        max_length: impl Fn(u8) -> Option<usize>,
+        mut may_buffer: impl FnMut(usize) -> bool,
+    ) -> Result<Option<Received>, ProtocolError> {
+        let incomplete = match self.incomplete {
+            Some(incomplete) => incomplete,
+            None => {
+                let Some(header) = take_header(input, max_length)? else {
+                    return Ok(None);
+                };
+                if input.len() >= header.body_length {
+                    return Ok(Some(take_whole_body(input, header, may_buffer)));
+                }
+                IncompleteMessage {
+                    kind: header.kind,
+                    missing: header.body_length,
+                    is_discarded: false,
+                }
+            }
         };
-        Ok(self.take_body(input, header))
+        Ok(self.take_part(input, incomplete, &mut may_buffer))
     }
 
-    fn take_body(&mut self, input: &mut BytesMut, header: Header) -> Option<Message> {
-        let Header { kind, body_length } = header;
-        if self.body.is_empty() && input.len() >= body_length {
-            // The input contains the whole body, so nothing is copied.
-            self.header = None;
-            let body = input.split_to(body_length).freeze();
-            return Some(Message { kind, body });
+    /// Takes a part of a body that arrives in several parts.
+    fn take_part(
+        &mut self,
+        input: &mut BytesMut,
+        mut incomplete: IncompleteMessage,
+        may_buffer: &mut impl FnMut(usize) -> bool,
+    ) -> Option<Received> {
+        let part = input.split_to(input.len().min(incomplete.missing));
+        let has_room =
+            !incomplete.is_discarded && self.make_room(part.len(), incomplete.missing, may_buffer);
+        if has_room {
+            self.body.extend_from_slice(&part);
+        } else {
+            incomplete.is_discarded = true;
+            self.body = BytesMut::new();
         }
-        let missing = body_length - self.body.len();
-        let part = input.split_to(input.len().min(missing));
-        self.body.extend_from_slice(&part);
-        if self.body.len() < body_length {
-            self.header = Some(header);
+        incomplete.missing -= part.len();
+        if incomplete.missing > 0 {
+            self.incomplete = Some(incomplete);
             return None;
         }
-        self.header = None;
+        self.incomplete = None;
         let body = std::mem::take(&mut self.body).freeze();
-        Some(Message { kind, body })
+        let kind = incomplete.kind;
+        Some(if incomplete.is_discarded {
+            Received::Discarded(kind)
+        } else {
+            Received::Message(Message { kind, body })
+        })
+    }
+
+    /// Makes room for the next part of a body of which `missing` bytes have not arrived; returns
+    /// whether that is allowed.
+    fn make_room(
+        &mut self,
+        part: usize,
+        missing: usize,
+        may_buffer: &mut impl FnMut(usize) -> bool,
+    ) -> bool {
+        let needed = self.body.len() + part;
+        if needed <= self.body.capacity() {
+            return true;
+        }
+        let whole = self.body.len() + missing;
+        let capacity = (needed * BODY_GROWTH).min(whole);
+        if !may_buffer(capacity) {
+            return false;
+        }
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(&self.body);
+        self.body = grown;
+        true
+    }
+}
+
+/// Takes a body that `input` contains as a whole, so nothing is copied.
+fn take_whole_body(
+    input: &mut BytesMut,
+    header: Header,
+    mut may_buffer: impl FnMut(usize) -> bool,
+) -> Received {
+    let Header { kind, body_length } = header;
+    let body = input.split_to(body_length);
+    if may_buffer(body_length) {
+        let body = body.freeze();
+        Received::Message(Message { kind, body })
+    } else {
+        Received::Discarded(kind)
     }
 }
 
--- a/crates/postgres-protocol/tests/messages.rs
+++ b/crates/postgres-protocol/tests/messages.rs
@@ -5,7 +5,7 @@
 use limewing_postgres_protocol::decode::StartupPacket;
 use limewing_postgres_protocol::encode::{ErrorResponse, Severity};
 use limewing_postgres_protocol::{
-    count_complete_messages, decode, encode, Message, MessageDecoder, ProtocolError,
+    count_complete_messages, decode, encode, Message, MessageDecoder, ProtocolError, Received,
 };
 use proptest::prelude::{any, prop};
 use proptest::{prop_assert, prop_assert_eq, proptest};
@@ -66,6 +66,39 @@
 }
 
 proptest! {
+    /// Messages whose bodies may not be buffered are discarded to their end, however they are split, and the others are decoded. The
+    /// space for a body never exceeds the body, nor what was granted.
+    #[test]
+    fn messages_without_memory_are_discarded_to_their_end(
+        lengths in prop::collection::vec(0usize..=MAX_BODY, 1..8),
+        cuts in prop::collection::vec(1usize..400, 1..30),
+        max_granted in 0usize..=MAX_BODY,
+    ) {
+        let mut bytes = BytesMut::new();
+        for length in &lengths {
+            encode::message_with_body(&mut bytes, b'Q', &vec![b'x'; *length]);
+        }
+        let (mut decoder, mut input) = (MessageDecoder::default(), BytesMut::new());
+        let (mut received, mut cuts) = (Vec::new(), cuts.into_iter().cycle());
+        while !bytes.is_empty() {
+            let part = bytes.split_to(cuts.next().unwrap().min(bytes.len()));
+            input.extend_from_slice(&part);
+            let grant = |requested: usize| requested <= max_granted;
+            while let Some(next) = decoder.next_within_memory(&mut input, |_| Some(MAX_BODY), grant).unwrap() {
+                received.push(next);
+            }
+            prop_assert!(input.len() < 5 && decoder.buffered_bytes() <= max_granted);
+        }
+        prop_assert_eq!(received.len(), lengths.len());
+        for (next, length) in received.into_iter().zip(lengths) {
+            let expected = match length {
+                length if length > max_granted => Received::Discarded(b'Q'),
+                length => Received::Message(Message { kind: b'Q', body: vec![b'x'; length].into() }),
+            };
+            prop_assert_eq!(next, expected);
+        }
+    }
+
     /// The messages do not depend on how the bytes are split.
     #[test]
     fn decoded_messages_do_not_depend_on_how_bytes_are_split(cuts in prop::collection::vec(1usize..40, 1..30)) {
--- a/crates/postgres-proxy/src/service/attempt_writer.rs
+++ b/crates/postgres-proxy/src/service/attempt_writer.rs
@@ -7,8 +7,9 @@
 use super::pod_connection::{CarriedAttempt, PartialAnswer, Phase};
 use super::upstream::replace_phase_timer;
 use super::{ConnectionRole, Service, TimerEvent};
+use crate::statement::StatementParts;
 use crate::timeouts::LAST_BYTE_DELAY;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use limewing_decision::interface::{AttemptIndex, RequestId};
 use limewing_net::sockets::SocketId;
 use limewing_postgres_protocol::encode;
@@ -18,6 +19,60 @@
 const LAST_BYTE: &[u8] = &[0];
 /// Length of the empty query and of the framing of the statement, in bytes.
 const MESSAGE_OVERHEAD: usize = 24;
+/// Maximum length of a statement that is copied to be sent in one write, in bytes.
+const MAX_COPIED_STATEMENT: usize = 4 * 1024;
+
+/// The bytes of an attempt up to its last one, in the order in which they are sent.
+struct EncodedQuery {
+    /// The empty query and the beginning of the statement.
+    head: BytesMut,
+    /// The largest part of a long statement, shared with the request.
+    shared: Bytes,
+    /// The rest of the statement, without the last byte.
+    tail: BytesMut,
+}
+
+impl EncodedQuery {
+    /// Returns the number of bytes including the last one.
+    fn length(&self) -> u64 {
+        (self.head.len() + self.shared.len() + self.tail.len() + LAST_BYTE.len()) as u64
+    }
+}
+
+/// Encodes the empty query and the statement. A long statement is not copied.
+fn encode_query(statement: StatementParts) -> EncodedQuery {
+    let StatementParts {
+        before,
+        timeout_ms,
+        after,
+    } = statement;
+    let mut digits = itoa::Buffer::new();
+    let digits = digits.format(timeout_ms).as_bytes();
+    let length = before.len() + digits.len() + after.len();
+    let is_copied = length <= MAX_COPIED_STATEMENT;
+    let copied_length = if is_copied { length } else { 0 };
+    let mut head = BytesMut::with_capacity(MESSAGE_OVERHEAD + copied_length);
+    encode::query(&mut head, "");
+    encode::query_header(&mut head, length);
+    if is_copied {
+        head.extend_from_slice(&before);
+        head.extend_from_slice(digits);
+        head.extend_from_slice(&after);
+        return EncodedQuery {
+            head,
+            shared: Bytes::new(),
+            tail: BytesMut::new(),
+        };
+    }
+    let mut tail = BytesMut::with_capacity(digits.len() + after.len());
+    tail.extend_from_slice(digits);
+    tail.extend_from_slice(&after);
+    EncodedQuery {
+        head,
+        shared: before,
+        tail,
+    }
+}
 
 impl Service {
     /// Requests permission to write an attempt now.
@@ -49,12 +104,9 @@
         let Some(request) = self.requests.get(carried.request) else {
             return;
         };
-        let statement = &request.protocol_state;
         let time_left = request.deadline.saturating_sub(self.now);
-        let mut out = BytesMut::with_capacity(statement.text.len() + MESSAGE_OVERHEAD);
-        encode::query(&mut out, "");
-        encode::query(&mut out, &statement.with_timeout(time_left));
-        carried.end_offset = self.sockets.bytes_written(socket) + out.len() as u64;
+        let query = encode_query(request.protocol_state.with_timeout(time_left));
+        carried.end_offset = self.sockets.bytes_written(socket) + query.length();
         let started_at = request
             .attempts
             .get(usize::from(carried.index.0))
@@ -70,8 +122,9 @@
         let deadline = self.now + self.settings.connect_timeout;
         let event = TimerEvent::PodPhaseTimeout(socket);
         replace_phase_timer(&mut self.timers, connection, deadline, event);
-        self.sockets
-            .send(socket, &out[..out.len() - LAST_BYTE.len()]);
+        self.sockets.send(socket, &query.head);
+        self.sockets.send_shared(socket, query.shared);
+        self.sockets.send(socket, &query.tail);
     }
 
     /// Handles the answer to the empty query. The last byte is held back, because a reset of the
--- a/crates/postgres-proxy/src/service/client_closing.rs
+++ b/crates/postgres-proxy/src/service/client_closing.rs
@@ -3,7 +3,7 @@
 use super::clients::FatalError;
 use super::{ConnectionRole, Service, TimerEvent};
 use crate::idle_clients::{exceeds_idle_timeout, select_for_eviction, IdleClient};
-use crate::timeouts::{IDLE_CLIENT_CHECK_INTERVAL, PROTOCOL_ERROR_DELAY};
+use crate::timeouts::{IDLE_CLIENT_CHECK_INTERVAL, PROTOCOL_ERROR_DELAY, SLOW_CLIENT_TIMEOUT};
 use bytes::BytesMut;
 use limewing_net::sockets::SocketId;
 use limewing_postgres_protocol::encode::{self, ErrorResponse, Severity};
@@ -28,6 +28,7 @@
         };
         client.fatal_error = Some(error);
         client.decoder = MessageDecoder::default();
+        client.reservation.resize(0);
         if let Some(timer) = client.timer.take() {
             self.timers.cancel(timer);
         }
@@ -93,6 +94,21 @@
                 self.close_if_idle(id);
             }
         }
+        self.close_slow_clients();
+    }
+
+    /// Closes the connections of clients that do not read their responses, if the memory budget is
+    /// used up.
+    fn close_slow_clients(&mut self) {
+        if self.held_bytes() <= self.clients.memory.limit() {
+            return;
+        }
+        for (client, id) in self.idle_clients() {
+            if self.now >= client.since + SLOW_CLIENT_TIMEOUT && self.sockets.unsent_bytes(id) > 0 {
+                tracing::debug!("client that does not read its responses disconnected");
+                self.disconnect_client(id);
+            }
+        }
     }
 
     /// Closes a connection without a request; returns whether it did. A connection stays open if a
--- a/crates/postgres-proxy/src/service/clients.rs
+++ b/crates/postgres-proxy/src/service/clients.rs
@@ -1,6 +1,6 @@
 //! Client sessions: connections, startup packets and messages.
 
-use super::{ConnectionRole, Service, TimerEvent, MAX_UNSENT};
+use super::{ConnectionRole, Service, TimerEvent, MAX_UNCOUNTED_STATEMENT, MAX_UNSENT};
 use crate::statement::{StatementParser, MAX_STATEMENT};
 use crate::timeouts::CLIENT_MESSAGE_TIMEOUT;
 use bytes::BytesMut;
@@ -9,8 +9,9 @@
 use limewing_net::timer_wheel::TimerKey;
 use limewing_postgres_protocol::decode::StartupPacket;
 use limewing_postgres_protocol::{
-    count_complete_messages, decode, encode, frontend, Message, MessageDecoder,
+    count_complete_messages, decode, encode, frontend, Message, MessageDecoder, Received,
 };
+use limewing_proxy_core::memory_budget::{MemoryBudget, MemoryReservation};
 use limewing_proxy_core::shutdown::ClientListener;
 use rustc_hash::FxHashSet;
 use std::ops::ControlFlow;
@@ -43,17 +44,24 @@
     /// Whether connections could not be accepted in this turn because of a lack of resources.
     pub(super) needs_room: bool,
     pub(super) parser: StatementParser,
+    /// Limits the memory for statements and for bytes buffered on connections.
+    pub(super) memory: MemoryBudget,
     /// The ids that clients gave to the requests in flight.
     pub(super) request_ids: FxHashSet<String>,
 }
 
 impl ClientState {
-    pub(super) fn new(listener: ClientListener, parser: StatementParser) -> Self {
+    pub(super) fn new(
+        listener: ClientListener,
+        parser: StatementParser,
+        memory: MemoryBudget,
+    ) -> Self {
         Self {
             listener,
             connected: 0,
             needs_room: false,
             parser,
+            memory,
             request_ids: FxHashSet::default(),
         }
     }
@@ -62,6 +70,8 @@
 /// The connection of a client.
 pub(super) struct Client {
     pub(super) decoder: MessageDecoder,
+    /// The memory for the message that it is sending.
+    pub(super) reservation: MemoryReservation,
     /// Whether its session has started.
     has_session: bool,
     /// Whether it has received a response to a request.
@@ -140,6 +150,7 @@
             .schedule(deadline, TimerEvent::ClientTimeout(id));
         let client = Client {
             decoder: MessageDecoder::default(),
+            reservation: self.clients.memory.reservation(),
             has_session: false,
             was_served: false,
             request: None,
@@ -230,6 +241,7 @@
     }
 
     fn read_session_message(&mut self, id: SocketId, has_ended: bool) -> ControlFlow<()> {
+        let buffered = self.sockets.buffered_bytes();
         let Some(ConnectionRole::Client(client)) = self.connections.get_mut(&id) else {
             return ControlFlow::Break(());
         };
@@ -237,8 +249,22 @@
             return ControlFlow::Break(());
         };
         let had_input = !input.is_empty();
-        match client.decoder.next_message(input, max_message) {
-            Ok(Some(message)) => return self.handle_client_message(id, &message),
+        let reservation = &mut client.reservation;
+        let may_buffer = |bytes| {
+            bytes <= MAX_UNCOUNTED_STATEMENT || reservation.resize_or_release(bytes, buffered)
+        };
+        let received = client
+            .decoder
+            .next_within_memory(input, max_message, may_buffer);
+        match received {
+            Ok(Some(Received::Message(message))) => {
+                let reservation = reservation.take();
+                return self.handle_client_message(id, &message, reservation);
+            }
+            Ok(Some(Received::Discarded(_))) => {
+                self.reject_discarded_statement(id);
+                return ControlFlow::Continue(());
+            }
             Ok(None) if has_ended => self.disconnect_client(id),
             Ok(None) => self.await_more_from_client(id, had_input),
             Err(error) => {
@@ -249,11 +275,17 @@
         ControlFlow::Break(())
     }
 
-    fn handle_client_message(&mut self, id: SocketId, message: &Message) -> ControlFlow<()> {
+    /// Handles a message, for which `reservation` holds the memory.
+    fn handle_client_message(
+        &mut self,
+        id: SocketId,
+        message: &Message,
+        reservation: MemoryReservation,
+    ) -> ControlFlow<()> {
         match message.kind {
             frontend::QUERY => match decode::string(&message.body) {
                 Some(text) => {
-                    self.handle_statement(id, text);
+                    self.handle_statement(id, text, reservation);
                     return ControlFlow::Continue(());
                 }
                 None => {
@@ -300,14 +332,14 @@
 
     /// Answers statements that client drivers send besides requests; any other statement is a
     /// request.
-    fn handle_statement(&mut self, id: SocketId, text: &str) {
+    fn handle_statement(&mut self, id: SocketId, text: &str, reservation: MemoryReservation) {
         let trimmed = text.trim().trim_end_matches(';').trim();
         let verb = trimmed.split_ascii_whitespace().next().unwrap_or_default();
         let mut out = BytesMut::new();
         match verb.to_ascii_uppercase().as_str() {
             "" => encode::empty_query_response(&mut out),
             verb @ ("SET" | "RESET" | "DISCARD") => encode::command_complete(&mut out, verb),
-            _ => return self.handle_request(id, text),
+            _ => return self.handle_request(id, text, reservation),
         }
         encode::ready_for_query(&mut out);
         self.sockets.send(id, &out);
--- a/crates/postgres-proxy/src/service/mod.rs
+++ b/crates/postgres-proxy/src/service/mod.rs
@@ -39,6 +39,7 @@
 use limewing_proxy_core::clock::Clock;
 use limewing_proxy_core::descriptor_budget::DescriptorBudget;
 use limewing_proxy_core::in_flight::InFlightRequests;
+use limewing_proxy_core::memory_budget::MemoryBudget;
 use limewing_proxy_core::shutdown::{ClientListener, Shutdown};
 use limewing_proxy_core::signals;
 use limewing_proxy_core::vote_call::VoteCall;
@@ -54,6 +55,12 @@
 
 /// Maximum number of unsent bytes to a client before reading from it is suspended.
 const MAX_UNSENT: usize = 64 * 1024;
+/// Maximum length of a message from a client that is buffered without counting it against the
+/// memory budget, in bytes, so that small requests are served when large ones use up the budget.
+const MAX_UNCOUNTED_STATEMENT: usize = 4 * 1024;
+/// Input is read ahead in large pieces while buffers hold less than the memory budget divided by
+/// this.
+const INPUT_MEMORY_DIVISOR: usize = 4;
 
 /// Why a sidecar cannot start.
 #[derive(Debug, Error)]
@@ -174,6 +181,8 @@
             .map_err(|error| StartError::Listen { address, error })?;
         let budget = descriptor_budget(&config);
         sockets.limit_connections(budget.max_accepted, budget.max_connections);
+        let memory = MemoryBudget::for_process(max_memory(&config));
+        sockets.limit_buffered_bytes(memory.limit() / INPUT_MEMORY_DIVISOR);
         let clock = Clock::default();
         let now = clock.now();
         let settings = Settings::new(&config);
@@ -191,7 +200,7 @@
             engine: DecisionEngine::new(now, config.engine),
             engine_wake_at: now,
             events: Vec::new(),
-            clients: ClientState::new(listener, parser),
+            clients: ClientState::new(listener, parser, memory),
             requests: InFlightRequests::default(),
             upstream: UpstreamState::new(budget),
             discovery: DiscoveryState::new(endpoints, now),
@@ -249,13 +258,18 @@
 /// Computes the connection limits from the configured limits and those of the system, whichever are
 /// lower.
 fn descriptor_budget(config: &ProxyConfig) -> DescriptorBudget {
-    let (descriptors, memory) = resource_limits();
+    let (descriptors, _) = resource_limits();
     let descriptors = config
         .max_descriptors
         .unwrap_or(usize::MAX)
         .min(descriptors);
-    let memory = config.max_memory.unwrap_or(usize::MAX).min(memory);
-    DescriptorBudget::new(descriptors, memory, MAX_INPUT + MAX_UNSENT)
+    DescriptorBudget::new(descriptors, max_memory(config), MAX_INPUT + MAX_UNSENT)
+}
+
+/// Returns the configured memory limit in bytes, or that of the system if it is lower.
+fn max_memory(config: &ProxyConfig) -> usize {
+    let (_, memory) = resource_limits();
+    config.max_memory.unwrap_or(usize::MAX).min(memory)
 }
 
 fn statement_parser(config: &ProxyConfig) -> StatementParser {
--- a/crates/postgres-proxy/src/service/pod_connection.rs
+++ b/crates/postgres-proxy/src/service/pod_connection.rs
@@ -5,6 +5,7 @@
 use limewing_decision::interface::{AttemptIndex, AttemptOutcome, PodId, RequestId};
 use limewing_net::timer_wheel::TimerKey;
 use limewing_postgres_protocol::{backend, decode, Message, MessageDecoder};
+use limewing_proxy_core::memory_budget::MemoryReservation;
 use std::mem;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
     pub(super) incarnation: Incarnation,
     pub(super) phase: Phase,
     pub(super) decoder: MessageDecoder,
+    /// The memory for the answer that the pod is sending.
+    pub(super) reservation: MemoryReservation,
     /// Limits the current phase.
     pub(super) timer: Option<TimerKey>,
     /// How long it had been idle before the current attempt, if it came from the pool.
@@ -130,12 +133,18 @@
 }
 
 impl PodConnection {
-    pub(super) fn connecting(pod: PodId, incarnation: Incarnation, timer: TimerKey) -> Self {
+    pub(super) fn connecting(
+        pod: PodId,
+        incarnation: Incarnation,
+        timer: TimerKey,
+        reservation: MemoryReservation,
+    ) -> Self {
         Self {
             pod,
             incarnation,
             phase: Phase::Connecting(None),
             decoder: MessageDecoder::default(),
+            reservation,
             timer: Some(timer),
             idle_time: None,
         }
--- a/crates/postgres-proxy/src/service/requests.rs
+++ b/crates/postgres-proxy/src/service/requests.rs
@@ -8,6 +8,7 @@
 use limewing_decision::interface::{Event, Request, RequestId};
 use limewing_net::sockets::SocketId;
 use limewing_postgres_protocol::encode::{self, ErrorResponse, Severity};
+use limewing_proxy_core::memory_budget::MemoryReservation;
 use std::time::Duration;
 
 /// `too_many_connections`: the request had no effect.
@@ -18,9 +19,14 @@
 const FAILED_SQLSTATE: &str = "58000";
 
 impl Service {
-    /// Accepts a request from a statement of a client.
-    pub(super) fn handle_request(&mut self, client: SocketId, text: &str) {
-        let statement = match self.clients.parser.parse(text) {
+    /// Accepts a request from a statement of a client, for which `reservation` holds the memory.
+    pub(super) fn handle_request(
+        &mut self,
+        client: SocketId,
+        text: &str,
+        reservation: MemoryReservation,
+    ) {
+        let mut statement = match self.clients.parser.parse(text) {
             Ok(statement) => statement,
             Err(error) => {
                 let error = FatalError::invalid_statement(error.to_string());
@@ -40,6 +46,7 @@
         let tenant = statement.tenant;
         let routing_key = statement.routing_key;
         self.clients.request_ids.insert(statement.id.clone());
+        statement.attach_reservation(reservation);
         let id = self.requests.insert(client, deadline, statement);
         self.events.push(Event::RequestArrived(Request {
             id,
@@ -55,22 +62,40 @@
 
     /// Responds that a request had no effect, and when it may be retried.
     pub(super) fn reject_request(&mut self, id: RequestId, retry_after: Duration) {
-        let mut digits = itoa::Buffer::new();
-        // Zero means that no retry delay is recommended.
-        let retry_after_ms = if retry_after.is_zero() {
-            None
-        } else {
-            Some(digits.format(retry_after.as_millis() as u64))
-        };
-        let mut out = BytesMut::new();
-        let error = ErrorResponse {
-            severity: Severity::Error,
-            sqlstate: REJECTED_SQLSTATE,
-            message: "not served now: a retry is harmless",
-            detail: retry_after_ms,
-        };
-        encode::error_response(&mut out, &error);
-        self.complete_request(id, out);
+        self.complete_request(id, rejection(retry_after));
+    }
+
+    /// Responds to a statement that was read but not buffered for lack of memory: it had no effect.
+    pub(super) fn reject_discarded_statement(&mut self, client: SocketId) {
+        let memory = &self.clients.memory;
+        tracing::debug!(
+            reserved = memory.reserved(),
+            buffered = self.sockets.buffered_bytes(),
+            limit = memory.limit(),
+            open_requests = self.requests.len(),
+            "statement rejected for lack of memory"
+        );
+        let mut out = rejection(Duration::ZERO);
+        encode::ready_for_query(&mut out);
+        self.sockets.send(client, &out);
+        self.end_wait_for_message(client);
+    }
+
+    /// Responds with the answer of a pod, or with a failure if the client has not read its earlier
+    /// responses and there is no memory for another one.
+    pub(super) fn answer_request(&mut self, id: RequestId, answer: BytesMut) {
+        let client = self.requests.get(id).and_then(|request| request.client);
+        let is_slow = client.is_some_and(|socket| self.sockets.unsent_bytes(socket) > 0);
+        if is_slow && self.held_bytes() + answer.len() > self.clients.memory.limit() {
+            tracing::debug!(request_id = id.0, "answer dropped for lack of memory");
+            return self.fail_request(id);
+        }
+        self.complete_request(id, answer);
+    }
+
+    /// Returns the number of bytes that count against the memory budget.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.clients.memory.reserved() + self.sockets.buffered_bytes()
     }
 
     /// Responds that a request failed and may have had an effect.
@@ -150,3 +175,23 @@
         }
     }
 }
+
+/// Returns the response that a request had no effect, and when it may be retried. Zero means that
+/// no retry delay is recommended.
+fn rejection(retry_after: Duration) -> BytesMut {
+    let mut digits = itoa::Buffer::new();
+    let retry_after_ms = if retry_after.is_zero() {
+        None
+    } else {
+        Some(digits.format(retry_after.as_millis() as u64))
+    };
+    let mut out = BytesMut::new();
+    let error = ErrorResponse {
+        severity: Severity::Error,
+        sqlstate: REJECTED_SQLSTATE,
+        message: "not served now: a retry is harmless",
+        detail: retry_after_ms,
+    };
+    encode::error_response(&mut out, &error);
+    out
+}
--- a/crates/postgres-proxy/src/service/upstream.rs
+++ b/crates/postgres-proxy/src/service/upstream.rs
@@ -8,7 +8,7 @@
 use limewing_decision::interface::AttemptOutcome;
 use limewing_net::sockets::SocketId;
 use limewing_net::timer_wheel::TimerWheel;
-use limewing_postgres_protocol::{backend, encode};
+use limewing_postgres_protocol::{backend, encode, Received};
 use std::io::ErrorKind;
 use std::time::Duration;
 
@@ -118,8 +118,20 @@
             let Some(input) = self.sockets.input(socket) else {
                 return;
             };
-            let progress = match connection.decoder.next_message(input, max_message) {
-                Ok(Some(message)) => connection.handle_message(message),
+            let reservation = &mut connection.reservation;
+            // What a pod answers is counted, but always read.
+            let may_buffer = |bytes| {
+                if bytes > MAX_OTHER_MESSAGE {
+                    reservation.resize(bytes);
+                }
+                true
+            };
+            let received = connection
+                .decoder
+                .next_within_memory(input, max_message, may_buffer);
+            let progress = match received {
+                Ok(Some(Received::Message(message))) => connection.handle_message(message),
+                Ok(Some(Received::Discarded(_))) => Progress::ProtocolViolation,
                 Ok(None) if has_ended => return self.handle_end_of_pod_stream(socket),
                 Ok(None) => {
                     let has_input = !input.is_empty();
@@ -216,6 +228,7 @@
         let Some(connection) = self.pod_connection(socket) else {
             return;
         };
+        connection.reservation.resize(0);
         if let Some(idle_time) = connection.idle_time.take() {
             self.upstream.idle_timeout.record(idle_time, true, self.now);
         }
@@ -230,7 +243,7 @@
         for (kind, body) in messages {
             encode::message_with_body(&mut out, kind, body);
         }
-        self.complete_request(carried.request, out);
+        self.answer_request(carried.request, out);
         self.end_attempt(carried.request, carried.index, AttemptOutcome::Succeeded);
     }
 
--- a/crates/postgres-proxy/src/service/upstream_pool.rs
+++ b/crates/postgres-proxy/src/service/upstream_pool.rs
@@ -98,7 +98,8 @@
         let timer = self
             .timers
             .schedule(deadline, TimerEvent::PodPhaseTimeout(socket));
-        let connection = PodConnection::connecting(pod, incarnation, timer);
+        let reservation = self.clients.memory.reservation();
+        let connection = PodConnection::connecting(pod, incarnation, timer, reservation);
         self.connections
             .insert(socket, ConnectionRole::Pod(Box::new(connection)));
         Ok(socket)
--- a/crates/postgres-proxy/src/statement.rs
+++ b/crates/postgres-proxy/src/statement.rs
@@ -1,8 +1,11 @@
 //! Parses the statements that are requests, with their comments. No other statement is sent to a
 //! pod.
 
+use bytes::Bytes;
 use limewing_decision::interface::{ClassId, RoutingKey, TenantId};
+use limewing_proxy_core::memory_budget::MemoryReservation;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
 use std::time::Duration;
@@ -88,22 +91,53 @@
     pub routing_key: Option<RoutingKey>,
     /// How long the client waits for the response.
     pub timeout: Duration,
-    /// The original text of the statement.
-    pub text: String,
+    /// The original text of the statement, shared by all attempts.
+    text: Bytes,
     /// Range of the digits of the timeout in `text`.
     timeout_range: Range<usize>,
 }
 
 impl Statement {
+    /// Returns the original text of the statement.
+    #[must_use]
+    pub fn text(&self) -> &[u8] {
+        &self.text
+    }
+
+    /// Makes `reservation` last as long as the text is held, by this statement or by an attempt.
+    pub fn attach_reservation(&mut self, reservation: MemoryReservation) {
+        let text = std::mem::take(&mut self.text);
+        self.text = reservation.attach_to(text);
+    }
+
     /// Returns the statement with another timeout, as it is sent to a pod. Fractions of a
     /// millisecond are dropped.
     #[must_use]
-    pub fn with_timeout(&self, timeout: Duration) -> String {
-        let mut digits = itoa::Buffer::new();
-        let digits = digits.format(timeout.as_millis() as u64);
-        let before = &self.text[..self.timeout_range.start];
-        let after = &self.text[self.timeout_range.end..];
-        [before, digits, after].concat()
+    pub fn with_timeout(&self, timeout: Duration) -> StatementParts {
+        StatementParts {
+            before: self.text.slice(..self.timeout_range.start),
+            timeout_ms: timeout.as_millis() as u64,
+            after: self.text.slice(self.timeout_range.end..),
+        }
+    }
+}
+
+/// A statement with another timeout, without a copy of the original text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementParts {
+    /// The text before the timeout.
+    pub before: Bytes,
+    /// The timeout, in milliseconds.
+    pub timeout_ms: u64,
+    /// The text after the timeout.
+    pub after: Bytes,
+}
+
+impl fmt::Display for StatementParts {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let before = String::from_utf8_lossy(&self.before);
+        let after = String::from_utf8_lossy(&self.after);
+        write!(out, "{before}{}{after}", self.timeout_ms)
     }
 }
 
@@ -175,7 +209,7 @@
             tenant,
             routing_key: Some(routing_key(sql.handle)),
             timeout: parse_timeout(timeout.text)?,
-            text: text.to_owned(),
+            text: Bytes::copy_from_slice(text.as_bytes()),
             timeout_range: timeout.range,
         })
     }
--- a/crates/postgres-proxy/src/timeouts.rs
+++ b/crates/postgres-proxy/src/timeouts.rs
@@ -8,6 +8,8 @@
 pub const CLIENT_MESSAGE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval between searches for client connections that exceed the idle timeout.
 pub const IDLE_CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// A client that has not read its last response for this time is disconnected if memory is short.
+pub const SLOW_CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay before a client gets the error for an invalid message. Nothing is read from it during this
 /// time, so that a client that resends the same message immediately does not take processor time
 /// from others.
--- a/crates/postgres-proxy/tests/golden.rs
+++ b/crates/postgres-proxy/tests/golden.rs
@@ -58,8 +58,8 @@
     let mut decoded = String::new();
     for text in read_golden("statements.txt").lines() {
         let statement = parser.parse(text).unwrap();
-        assert_eq!(statement.text, text);
-        assert_eq!(statement.with_timeout(statement.timeout), text);
+        assert_eq!(statement.text(), text.as_bytes());
+        assert_eq!(statement.with_timeout(statement.timeout).to_string(), text);
         let verb = match statement.verb {
             Verb::Select => "select",
             Verb::Insert => "insert",
--- a/crates/postgres-proxy/tests/sockets/clients.rs
+++ b/crates/postgres-proxy/tests/sockets/clients.rs
@@ -4,7 +4,9 @@
     start_sidecar, start_sidecar_with_pod, statement_of_class, statement_with_comment,
 };
 use bytes::{BufMut, BytesMut};
-use limewing_emulators::platform::{Answer, Client, PodBehavior, SidecarConfigFile};
+use limewing_emulators::platform::{
+    Answer, Client, ListedPod, Pod, PodBehavior, SidecarConfigFile,
+};
 use limewing_postgres_protocol::encode;
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -188,3 +190,44 @@
     assert!(client.reads_end_of_stream());
     assert_eq!(pod.next_event(), "gone");
 }
+
+/// A statement for which there is no memory is read and rejected, and its connection stays usable. Guards against an answer that never
+/// comes, and against bytes that are counted for longer than they are held.
+#[test]
+fn statement_without_memory_is_read_and_rejected() {
+    const MAX_VALUE: usize = 64 * 1024;
+    /// Half of a megabyte holds this many of the longest statements.
+    const HELD: usize = 3;
+    let mut script = vec![PodBehavior::NoAnswer; HELD];
+    script.push(PodBehavior::Answer("red"));
+    let pod = Pod::new(script);
+    let address = start_sidecar(&SidecarConfigFile {
+        max_memory_mb: 1,
+        ..SidecarConfigFile::new(vec![ListedPod::new("p1", pod.address)])
+    });
+    let insert = || {
+        statement_of_class("look", 60_000).replace(
+            "SELECT blob FROM rows WHERE handle = '",
+            "INSERT INTO rows (handle, blob) VALUES ('",
+        )
+    };
+    let long_insert = || {
+        let value = "ab".repeat(MAX_VALUE);
+        insert().replace(" /*", &format!(", '\\x{value}') RETURNING blob /*"))
+    };
+    let mut holders: Vec<Client> = (0..HELD).map(|_| Client::new(address)).collect();
+    for holder in &mut holders {
+        holder.send_query(&long_insert());
+        assert!(pod.next_event().starts_with("INSERT"));
+    }
+    let mut client = Client::new(address);
+    client.send_query(&long_insert());
+    assert!(is_error(&client.read_answer(), "53300"));
+    client.send_query(&statement_of_class("look", 2000));
+    assert_eq!(client.read_answer(), Answer::Row("red".into()));
+    holders.pop();
+    // The memory is available once the sidecar has seen the close.
+    while pod.next_event() != "gone" {}
+    client.send_query(&long_insert());
+    assert_eq!(client.read_answer(), Answer::Row("red".into()));
+}
--- a/crates/postgres-proxy/tests/statement.rs
+++ b/crates/postgres-proxy/tests/statement.rs
@@ -37,7 +37,9 @@
         ("9b1f", Duration::from_millis(480))
     );
     assert_eq!(
-        statement.with_timeout(Duration::from_micros(99_900)),
+        statement
+            .with_timeout(Duration::from_micros(99_900))
+            .to_string(),
         INSERT.replace("d=480", "d=99")
     );
     let same_row = parser().parse(
@@ -83,7 +85,8 @@
         let mut modified = INSERT.to_owned();
         modified.insert_str(position.min(modified.len()), &inserted);
         if let Ok(statement) = parser().parse(&modified) {
-            prop_assert!(statement.with_timeout(Duration::from_millis(7)).contains("d=7"));
+            let sent = statement.with_timeout(Duration::from_millis(7));
+            prop_assert!(sent.to_string().contains("d=7"));
         }
     }
 }
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`signals`]: the signals that a sidecar handles
 //! - [`shutdown`]: the steps of a graceful shutdown, and the listener that it closes
 //! - [`eviction`]: eviction of idle connections when file descriptors run out
+//! - [`memory_budget`]: a limit on the bytes held for clients
 //! - [`vote_call`]: the call that sends one vote to the rollout service
 
 pub mod backoff;
@@ -21,6 +22,7 @@
 pub mod eviction;
 pub mod idle_timeout;
 pub mod in_flight;
+pub mod memory_budget;
 pub mod send_permit;
 pub mod shutdown;
 pub mod signals;
