Connections are limited by what they hold uncounted, not by a worst case

Cause: max_accepted was half of the memory limit divided by 96 KiB, 170 connections, where clients may hold 341. Requests on the others stayed with the system, unread, while the process used 1.5 of its 32 MB.

Requests without memory are read and rejected.

A new test holds 340 clients that do not read their responses within the memory limit. The sampler of these tests ends when an assertion fails; before, such a failure hung.

--- a/crates/cli/tests/command/memory.rs
+++ b/crates/cli/tests/command/memory.rs
@@ -4,8 +4,10 @@
 use limewing_emulators::platform::{
     Answer, Client, ListedPod, Pod, PodBehavior, SidecarConfigFile,
 };
+use limewing_postgres_proxy::timeouts::SLOW_CLIENT_TIMEOUT;
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -42,8 +44,12 @@
             }
             peak
         });
-        run();
+        // The sampler has to end, too, if an assertion fails.
+        let result = catch_unwind(AssertUnwindSafe(run));
         is_done.store(true, Ordering::Relaxed);
+        if let Err(panic) = result {
+            resume_unwind(panic);
+        }
         sampler.join().unwrap()
     })
 }
@@ -76,7 +82,8 @@
 /// A response with the time after which it arrived.
 type TimedAnswer = (Answer, Duration);
 
-/// Sends one statement on each of `clients` new connections at the same time, and returns the responses.
+/// Sends one statement on each of `clients` new connections at the same time, and returns the responses. All connections stay open
+/// until the last response.
 fn request_at_once(
     address: SocketAddr,
     clients: usize,
@@ -87,17 +94,17 @@
         client.send_startup_message();
         let sent_at = Instant::now();
         client.send_query(&statement(id));
-        (client.read_first_answer(), sent_at.elapsed())
+        let answer = client.read_first_answer();
+        (client, (answer, sent_at.elapsed()))
     };
     thread::scope(|scope| {
         let send = &send;
         let clients: Vec<_> = (0..clients)
             .map(|id| scope.spawn(move || send(id)))
             .collect();
-        clients
-            .into_iter()
-            .map(|client| client.join().unwrap())
-            .collect()
+        let joined = clients.into_iter().map(|client| client.join().unwrap());
+        let (_open, answers): (Vec<Client>, Vec<TimedAnswer>) = joined.unzip();
+        answers
     })
 }
 
@@ -187,3 +194,69 @@
     });
     assert_within_memory_limit(peak);
 }
+
+/// As many connections as clients may hold, a third of the descriptors, are accepted with the lowest memory limit, and a request on each
+/// of them is answered in time while the pod is slow. Previously the memory limit allowed half as many connections, and requests on the
+/// others were not read.
+#[test]
+fn requests_on_a_third_of_the_descriptors_are_answered_with_little_memory() {
+    const DESCRIPTORS: usize = 1024;
+    let pod = Pod::new(vec![PodBehavior::NoAnswer]);
+    let sidecar = PlatformProcess::start(&config_with_pod(&pod, DESCRIPTORS));
+    let peak = peak_memory(sidecar.id(), || {
+        let answers = request_at_once(sidecar.address, DESCRIPTORS / 3, select);
+        assert_answered_in_time(&answers);
+    });
+    assert_within_memory_limit(peak);
+}
+
+/// The same with the longest values: requests for which there is no memory are answered, too.
+#[test]
+fn long_requests_on_a_third_of_the_descriptors_are_answered_with_little_memory() {
+    const DESCRIPTORS: usize = 1024;
+    let pod = Pod::new(vec![PodBehavior::NoAnswer]);
+    let sidecar = PlatformProcess::start(&config_with_pod(&pod, DESCRIPTORS));
+    let peak = peak_memory(sidecar.id(), || {
+        let statement = |id| insert(id, MAX_VALUE);
+        let answers = request_at_once(sidecar.address, DESCRIPTORS / 3, statement);
+        assert_answered_in_time(&answers);
+    });
+    assert_within_memory_limit(peak);
+}
+
+/// Clients that do not read long responses keep the memory within its limit and are disconnected, and others are served meanwhile.
+#[test]
+fn unread_responses_stay_within_the_memory_limit() {
+    const DESCRIPTORS: usize = 1024;
+    const SLOW_CLIENTS: usize = DESCRIPTORS / 3 - 1;
+    /// Statements in one write, the most that a client may send at once.
+    const PIPELINED: usize = 8;
+    const RECEIVE_BUFFER: usize = 4 * 1024;
+    let value: &'static str = "x".repeat(MAX_VALUE).leak();
+    let pod = Pod::new(vec![PodBehavior::Answer(value)]);
+    let sidecar = PlatformProcess::start(&config_with_pod(&pod, DESCRIPTORS));
+    let mut usual_client = Client::new(sidecar.address);
+    let mut next_id = 0..;
+    let mut select_next = || select(next_id.next().unwrap());
+    let peak = peak_memory(sidecar.id(), || {
+        let mut slow_clients: Vec<Client> = (0..SLOW_CLIENTS)
+            .map(|_| Client::with_receive_buffer(sidecar.address, RECEIVE_BUFFER))
+            .collect();
+        for slow_client in &mut slow_clients {
+            (0..PIPELINED).for_each(|_| {
+                slow_client.send_query(&select_next());
+            });
+        }
+        let started_at = Instant::now();
+        while started_at.elapsed() < 2 * SLOW_CLIENT_TIMEOUT {
+            usual_client.send_query(&select_next());
+            assert!(matches!(
+                usual_client.read_answer(),
+                Answer::Row(_) | Answer::Error(..)
+            ));
+        }
+        usual_client.send_query(&select_next());
+        assert_eq!(usual_client.read_answer(), Answer::Row(value.into()));
+    });
+    assert_within_memory_limit(peak);
+}
--- a/crates/emulators/src/platform/client.rs
+++ b/crates/emulators/src/platform/client.rs
@@ -3,6 +3,8 @@
 use super::{Connection, READ_TIMEOUT};
 use bytes::BytesMut;
 use limewing_postgres_protocol::{decode, encode, Message};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::{self, AddressFamily, SocketType};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -56,6 +58,22 @@
         client
     }
 
+    /// Like `new`, with a receive buffer of this size in bytes: what the peer sends beyond it waits at the peer.
+    ///
+    /// # Panics
+    /// Panics if the connection is refused or the session does not start.
+    #[must_use]
+    pub fn with_receive_buffer(to: SocketAddr, bytes: usize) -> Self {
+        let socket =
+            net::socket(AddressFamily::INET, SocketType::STREAM, None).expect("a file descriptor");
+        set_socket_recv_buffer_size(&socket, bytes).expect("the socket option can be set");
+        net::connect(&socket, &to).expect("the address accepts connections");
+        let mut client = Self::with_stream(TcpStream::from(socket));
+        client.send_startup_message();
+        client.await_session().expect("the session starts");
+        client
+    }
+
     /// Like `new`, but returns `None` if the connection is refused or the session does not start; `read_timeout` is the read timeout.
     #[must_use]
     pub fn try_new(to: SocketAddr, read_timeout: Duration) -> Option<Self> {
@@ -88,7 +106,10 @@
     /// Panics if the connection is refused.
     #[must_use]
     pub fn without_session(to: SocketAddr) -> Self {
-        let stream = TcpStream::connect(to).expect("the address accepts connections");
+        Self::with_stream(TcpStream::connect(to).expect("the address accepts connections"))
+    }
+
+    fn with_stream(stream: TcpStream) -> Self {
         Self {
             connection: Connection::new(stream).expect("the socket options can be set"),
             sent_at: Instant::now(),
--- a/crates/postgres-proxy/src/service/mod.rs
+++ b/crates/postgres-proxy/src/service/mod.rs
@@ -34,7 +34,7 @@
 use discovery::{DiscoveryState, WatchConnection};
 use limewing_decision::interface::{AttemptIndex, Event, Idempotency, RequestId};
 use limewing_decision::DecisionEngine;
-use limewing_net::sockets::{resource_limits, SocketId, Sockets, MAX_INPUT};
+use limewing_net::sockets::{resource_limits, SocketId, Sockets, MAX_INPUT_WHEN_SHORT};
 use limewing_net::timer_wheel::TimerWheel;
 use limewing_proxy_core::clock::Clock;
 use limewing_proxy_core::descriptor_budget::DescriptorBudget;
@@ -58,6 +58,12 @@
 /// Maximum length of a message from a client that is buffered without counting it against the
 /// memory budget, in bytes, so that small requests are served when large ones use up the budget.
 const MAX_UNCOUNTED_STATEMENT: usize = 4 * 1024;
+/// Memory for the state of one client connection, its request and the attempts of that, in bytes.
+const CONNECTION_STATE: usize = 4 * 1024;
+/// Maximum memory of one client connection that is not counted against the memory budget, or needed
+/// when the budget is used up, in bytes.
+const MAX_UNCOUNTED_MEMORY: usize =
+    CONNECTION_STATE + MAX_INPUT_WHEN_SHORT + MAX_UNCOUNTED_STATEMENT;
 /// Input is read ahead in large pieces while buffers hold less than the memory budget divided by
 /// this.
 const INPUT_MEMORY_DIVISOR: usize = 4;
@@ -179,9 +185,9 @@
         let address = config.listen;
         let listener = ClientListener::bind(&mut sockets, address)
             .map_err(|error| StartError::Listen { address, error })?;
-        let budget = descriptor_budget(&config);
-        sockets.limit_connections(budget.max_accepted, budget.max_connections);
         let memory = MemoryBudget::for_process(max_memory(&config));
+        let budget = descriptor_budget(&config, &memory);
+        sockets.limit_connections(budget.max_accepted, budget.max_connections);
         sockets.limit_buffered_bytes(memory.limit() / INPUT_MEMORY_DIVISOR);
         let clock = Clock::default();
         let now = clock.now();
@@ -256,14 +262,15 @@
 }
 
 /// Computes the connection limits from the configured limits and those of the system, whichever are
-/// lower.
-fn descriptor_budget(config: &ProxyConfig) -> DescriptorBudget {
+/// lower. Connections may use a part of the memory that the memory budget leaves.
+fn descriptor_budget(config: &ProxyConfig, memory_budget: &MemoryBudget) -> DescriptorBudget {
     let (descriptors, _) = resource_limits();
     let descriptors = config
         .max_descriptors
         .unwrap_or(usize::MAX)
         .min(descriptors);
-    DescriptorBudget::new(descriptors, max_memory(config), MAX_INPUT + MAX_UNSENT)
+    let memory = max_memory(config) - memory_budget.limit();
+    DescriptorBudget::new(descriptors, memory, MAX_UNCOUNTED_MEMORY)
 }
 
 /// Returns the configured memory limit in bytes, or that of the system if it is lower.
