The memory for a pod's answer is released after an error, too

Cause: an error after a complete row left the reservation of that row on the connection until its next long answer, so up to 64 KiB counted for a kept connection that held nothing. Found by reading. The release now stands where the wait for ReadyForQuery begins, after an answer and after an error.

--- a/crates/postgres-proxy/src/service/upstream.rs
+++ b/crates/postgres-proxy/src/service/upstream.rs
@@ -214,12 +214,13 @@
         }
     }
 
-    /// Limits the wait for ReadyForQuery.
+    /// Limits the wait for ReadyForQuery after an answer or an error, whose memory is released.
     fn await_ready_for_query(&mut self, socket: SocketId) {
         let deadline = self.now + READY_FOR_QUERY_TIMEOUT;
         let Some(ConnectionRole::Pod(connection)) = self.connections.get_mut(&socket) else {
             return;
         };
+        connection.reservation.resize(0);
         let event = TimerEvent::PodPhaseTimeout(socket);
         replace_phase_timer(&mut self.timers, connection, deadline, event);
     }
@@ -228,7 +229,6 @@
         let Some(connection) = self.pod_connection(socket) else {
             return;
         };
-        connection.reservation.resize(0);
         if let Some(idle_time) = connection.idle_time.take() {
             self.upstream.idle_timeout.record(idle_time, true, self.now);
         }
