--- a/crates/net/src/sockets/connection.rs
+++ b/crates/net/src/sockets/connection.rs
@@ -164,12 +164,8 @@
         self.input.len() + self.output.copied_bytes()
     }
 
-    /// Frees the space of the input that the owner has taken if it was large, so that idle connections hold little memory.
-    /// The space for small input is kept for the next one.
+    /// Frees the space of the input that the owner has taken, so that idle connections hold no memory.
     pub(super) fn release_taken_input(&mut self) {
-        if self.counted_bytes <= MAX_INPUT_WHEN_SHORT {
-            return;
-        }
         if self.input.is_empty() {
             self.input = BytesMut::new();
         } else if self.input.len() < self.counted_bytes {
--- a/crates/net/src/sockets/tests.rs
+++ b/crates/net/src/sockets/tests.rs
@@ -246,6 +246,24 @@
     assert_eq!(sockets.buffered_bytes(), 0);
 }
 
+/// A connection keeps no space of input that was taken, even if little was read last. Guards against idle connections that each keep a
+/// full input buffer.
+#[test]
+fn space_of_taken_input_is_freed() {
+    let mut sockets = Sockets::new().unwrap();
+    let (id, mut peer) = connected_pair(&mut sockets);
+    peer.write_all(&[b'x'; MAX_INPUT + 10]).unwrap();
+    let mut taken = 0;
+    while taken < MAX_INPUT + 10 {
+        sockets.wait(Some(TEST_TIMEOUT)).unwrap();
+        taken += sockets.input(id).unwrap().split().len();
+        sockets.resume_reading(id);
+        taken += sockets.input(id).unwrap().split().len();
+    }
+    sockets.wait(Some(Duration::ZERO)).unwrap();
+    assert_eq!(sockets.input(id).unwrap().capacity(), 0);
+}
+
 /// Unsent output is counted until it is sent or dropped, unless it is shared.
 #[test]
 fn unsent_output_is_counted_while_it_is_held() {
