--- a/crates/net/src/sockets/connection.rs
+++ b/crates/net/src/sockets/connection.rs
@@ -40,6 +40,8 @@
     pub(super) accepted: bool,
     /// The bytes of this connection that are included in the total of all connections.
     pub(super) counted_bytes: usize,
+    /// The longest input since its space was last freed, in bytes. Input that is taken leaves its space allocated.
+    input_space: usize,
     /// The owner may have taken input since the connection was last counted.
     pub(super) is_input_borrowed: bool,
     /// Bytes written to the socket.
@@ -102,6 +104,7 @@
             peer_hung_up: false,
             accepted: false,
             counted_bytes: 0,
+            input_space: 0,
             is_input_borrowed: false,
             written: 0,
             linger_until: None,
@@ -164,13 +167,14 @@
         self.input.len() + self.output.copied_bytes()
     }
 
-    /// Frees the space of the input that the owner has taken, so that idle connections hold no memory.
+    /// Frees the space of the input that the owner has taken, so that a connection holds no more than its input.
     pub(super) fn release_taken_input(&mut self) {
         if self.input.is_empty() {
             self.input = BytesMut::new();
-        } else if self.input.len() < self.counted_bytes {
+        } else if self.input.len() < self.input_space {
             self.input = BytesMut::from(&self.input[..]);
         }
+        self.input_space = self.input.len();
     }
 
     /// Reads the available input into `input`, up to `max_input` bytes, through a buffer shared by all connections.
@@ -192,6 +196,7 @@
                 }
                 Ok(length) => {
                     self.input.extend_from_slice(&buffer[..length]);
+                    self.input_space = self.input_space.max(self.input.len());
                     has_new_input = true;
                     // A short read means that no input is left, and the system reports later input (epoll(7)). If the
                     // system has already reported the end along with these bytes, the end is read now.
--- a/crates/net/src/sockets/tests.rs
+++ b/crates/net/src/sockets/tests.rs
@@ -7,6 +7,7 @@
 use super::socket_table::Socket;
 use super::{SocketEvent, SocketId, Sockets, MAX_INPUT, MAX_INPUT_WHEN_SHORT};
 use mio::net::TcpStream;
+use rstest::rstest;
 use std::fs::File;
 use std::io::Write;
 use std::net::{TcpListener as Listener, TcpStream as Stream};
@@ -246,22 +247,25 @@
     assert_eq!(sockets.buffered_bytes(), 0);
 }
 
-/// A connection keeps no space of input that was taken, even if little was read last. Guards against idle connections that each keep a
-/// full input buffer.
-#[test]
-fn space_of_taken_input_is_freed() {
+/// A connection keeps no space of input that was taken, whether or not the peer has begun another message. Guards against connections
+/// that each keep a full input buffer.
+#[rstest]
+#[case::all_taken(0)]
+#[case::begun_message_left(10)]
+fn space_of_taken_input_is_freed(#[case] left: usize) {
     let mut sockets = Sockets::new().unwrap();
     let (id, mut peer) = connected_pair(&mut sockets);
     peer.write_all(&[b'x'; MAX_INPUT + 10]).unwrap();
-    let mut taken = 0;
-    while taken < MAX_INPUT + 10 {
+    while sockets.input(id).unwrap().len() < MAX_INPUT {
         sockets.wait(Some(TEST_TIMEOUT)).unwrap();
-        taken += sockets.input(id).unwrap().split().len();
-        sockets.resume_reading(id);
-        taken += sockets.input(id).unwrap().split().len();
     }
+    sockets.input(id).unwrap().clear();
+    sockets.resume_reading(id);
+    let input = sockets.input(id).unwrap();
+    assert_eq!(input.len(), 10);
+    input.truncate(left);
     sockets.wait(Some(Duration::ZERO)).unwrap();
-    assert_eq!(sockets.input(id).unwrap().capacity(), 0);
+    assert_eq!(sockets.input(id).unwrap().capacity(), left);
 }
 
 /// Unsent output is counted until it is sent or dropped, unless it is shared.
--- a/crates/postgres-protocol/src/encode.rs
+++ b/crates/postgres-protocol/src/encode.rs
@@ -1,8 +1,11 @@
 //! Encodes messages at the end of a buffer.
 
+use crate::message::LENGTH_FIELD;
 use crate::{backend, frontend, PROTOCOL_VERSION};
 use bytes::{BufMut, BytesMut};
 
+/// Bytes of the zero that ends a string.
+const STRING_END: usize = 1;
 /// Object identifier of the type `bytea`.
 const BYTEA_OID: u32 = 17;
 /// Transaction status of a ReadyForQuery outside of a transaction.
@@ -83,12 +86,11 @@
     message(out, frontend::QUERY, |out| put_string(out, statement));
 }
 
-/// Encodes the header of a Query whose statement is `length` bytes long. The statement and a zero
-/// byte have to follow.
+/// Writes the type and the length of a Query whose statement is `length` bytes long. The statement
+/// and a zero byte have to follow.
 pub fn query_header(out: &mut BytesMut, length: usize) {
     out.put_u8(frontend::QUERY);
-    let with_length_field_and_end = length + 5;
-    out.put_u32(with_length_field_and_end as u32);
+    out.put_u32((LENGTH_FIELD + length + STRING_END) as u32);
 }
 
 /// Writes the messages with which a server starts a session: AuthenticationOk, ParameterStatus for
--- a/crates/postgres-protocol/src/message.rs
+++ b/crates/postgres-protocol/src/message.rs
@@ -6,7 +6,7 @@
 /// Bytes of the type and the length of a message.
 const HEADER_LENGTH: usize = 5;
 /// Bytes of the length field, which includes itself.
-const LENGTH_FIELD: usize = 4;
+pub(crate) const LENGTH_FIELD: usize = 4;
 
 /// A message: its type byte and its body, which follows the length.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/postgres-proxy/tests/sockets/clients.rs
+++ b/crates/postgres-proxy/tests/sockets/clients.rs
@@ -191,30 +191,69 @@
     assert_eq!(pod.next_event(), "gone");
 }
 
+/// The length of the longest value, in bytes.
+const MAX_VALUE: usize = 64 * 1024;
+/// A memory limit of which half holds three of the longest statements.
+const LITTLE_MEMORY_MB: usize = 1;
+
+/// Returns a statement that inserts the longest value.
+fn long_insert() -> String {
+    let value = "ab".repeat(MAX_VALUE);
+    statement_of_class("look", 60_000)
+        .replace(
+            "SELECT blob FROM rows WHERE handle = '",
+            "INSERT INTO rows (handle, blob) VALUES ('",
+        )
+        .replace(" /*", &format!(", '\\x{value}') RETURNING blob /*"))
+}
+
+/// Clients that do not read their responses are disconnected when these use up the memory, so that long requests of others are served
+/// again. Guards against memory that a few such clients hold for good.
+#[test]
+fn clients_that_do_not_read_lose_their_connection_when_memory_is_used_up() {
+    const SLOW_CLIENTS: usize = 10;
+    const RECEIVE_BUFFER: usize = 4 * 1024;
+    /// Much longer than a request takes: the sidecar no longer reads from a client after this time.
+    const SERVED_WITHIN: Duration = Duration::from_millis(500);
+    let pod = Pod::new(vec![PodBehavior::Answer("x".repeat(MAX_VALUE).leak())]);
+    let address = start_sidecar(&SidecarConfigFile {
+        max_memory_mb: LITTLE_MEMORY_MB,
+        ..SidecarConfigFile::new(vec![ListedPod::new("p1", pod.address)])
+    });
+    let is_served = |client: &mut Client| {
+        client.send_query(&statement_of_class("look", 2000));
+        pod.events.recv_timeout(SERVED_WITHIN).is_ok()
+    };
+    // Each client sends until the sidecar no longer reads from it.
+    let mut slow_clients: Vec<(Client, usize)> = (0..SLOW_CLIENTS)
+        .map(|_| {
+            let mut client = Client::with_receive_buffer(address, RECEIVE_BUFFER);
+            let served = (0..).take_while(|_| is_served(&mut client)).count();
+            (client, served + 1)
+        })
+        .collect();
+    let is_disconnected = |(client, sent): &mut (Client, usize)| {
+        (0..*sent).any(|_| client.read_answer() == Answer::ConnectionClosed)
+    };
+    assert!(slow_clients.iter_mut().any(is_disconnected));
+    let mut client = Client::new(address);
+    client.send_query(&long_insert());
+    assert!(matches!(client.read_answer(), Answer::Row(_)));
+}
+
 /// A statement for which there is no memory is read and rejected, and its connection stays usable. Guards against an answer that never
 /// comes, and against bytes that are counted for longer than they are held.
 #[test]
 fn statement_without_memory_is_read_and_rejected() {
-    const MAX_VALUE: usize = 64 * 1024;
     /// Half of a megabyte holds this many of the longest statements.
     const HELD: usize = 3;
     let mut script = vec![PodBehavior::NoAnswer; HELD];
     script.push(PodBehavior::Answer("red"));
     let pod = Pod::new(script);
     let address = start_sidecar(&SidecarConfigFile {
-        max_memory_mb: 1,
+        max_memory_mb: LITTLE_MEMORY_MB,
         ..SidecarConfigFile::new(vec![ListedPod::new("p1", pod.address)])
     });
-    let insert = || {
-        statement_of_class("look", 60_000).replace(
-            "SELECT blob FROM rows WHERE handle = '",
-            "INSERT INTO rows (handle, blob) VALUES ('",
-        )
-    };
-    let long_insert = || {
-        let value = "ab".repeat(MAX_VALUE);
-        insert().replace(" /*", &format!(", '\\x{value}') RETURNING blob /*"))
-    };
     let mut holders: Vec<Client> = (0..HELD).map(|_| Client::new(address)).collect();
     for holder in &mut holders {
         holder.send_query(&long_insert());
