--- a/crates/net/src/sockets/connection.rs
+++ b/crates/net/src/sockets/connection.rs
@@ -167,8 +167,12 @@
         self.input.len() + self.output.copied_bytes()
     }
 
-    /// Frees the space of the input that the owner has taken, so that a connection holds no more than its input.
+    /// Frees the space of the input that the owner has taken, so that a connection holds no more than its input. Little
+    /// space is kept for the next input.
     pub(super) fn release_taken_input(&mut self) {
+        if self.input_space <= MAX_INPUT_WHEN_SHORT {
+            return;
+        }
         if self.input.is_empty() {
             self.input = BytesMut::new();
         } else if self.input.len() < self.input_space {
