Clients that do not read are read no further while memory is short

Read again: a client that had not read its responses got an error in place of an answer that a pod had made, on a path that no test reached. Change: while the budget has no room for the longest statement, no further statement is read from a client with unsent output, so the request does not run in vain, and one condition serves this and the disconnect.

--- a/crates/postgres-proxy/src/service/client_closing.rs
+++ b/crates/postgres-proxy/src/service/client_closing.rs
@@ -3,7 +3,6 @@
 use super::clients::FatalError;
 use super::{ConnectionRole, Service, TimerEvent};
 use crate::idle_clients::{exceeds_idle_timeout, select_for_eviction, IdleClient};
-use crate::statement::MAX_STATEMENT;
 use crate::timeouts::{IDLE_CLIENT_CHECK_INTERVAL, PROTOCOL_ERROR_DELAY, SLOW_CLIENT_TIMEOUT};
 use bytes::BytesMut;
 use limewing_net::sockets::SocketId;
@@ -98,10 +97,9 @@
         self.close_slow_clients();
     }
 
-    /// Closes the connections of clients that do not read their responses, if the memory budget has
-    /// no room for the longest statement.
+    /// Closes the connections of clients that do not read their responses, if memory is short.
     fn close_slow_clients(&mut self) {
-        if self.held_bytes() + MAX_STATEMENT <= self.clients.memory.limit() {
+        if !self.is_memory_short() {
             return;
         }
         for (client, id) in self.idle_clients() {
--- a/crates/postgres-proxy/src/service/clients.rs
+++ b/crates/postgres-proxy/src/service/clients.rs
@@ -189,7 +189,12 @@
             return ControlFlow::Break(());
         }
         // Nothing more is read from a client that does not read its responses.
-        if self.sockets.unsent_bytes(id) > MAX_UNSENT {
+        let max_unsent = if self.is_memory_short() {
+            0
+        } else {
+            MAX_UNSENT
+        };
+        if self.sockets.unsent_bytes(id) > max_unsent {
             return ControlFlow::Break(());
         }
         if has_session {
--- a/crates/postgres-proxy/src/service/requests.rs
+++ b/crates/postgres-proxy/src/service/requests.rs
@@ -2,7 +2,7 @@
 
 use super::clients::FatalError;
 use super::Service;
-use crate::statement::Statement;
+use crate::statement::{Statement, MAX_STATEMENT};
 use crate::timeouts::response_margin;
 use bytes::BytesMut;
 use limewing_decision::interface::{Event, Request, RequestId};
@@ -81,21 +81,10 @@
         self.end_wait_for_message(client);
     }
 
-    /// Responds with the answer of a pod, or with a failure if the client has not read its earlier
-    /// responses and there is no memory for another one.
-    pub(super) fn answer_request(&mut self, id: RequestId, answer: BytesMut) {
-        let client = self.requests.get(id).and_then(|request| request.client);
-        let is_slow = client.is_some_and(|socket| self.sockets.unsent_bytes(socket) > 0);
-        if is_slow && self.held_bytes() + answer.len() > self.clients.memory.limit() {
-            tracing::debug!(request_id = id.0, "answer dropped for lack of memory");
-            return self.fail_request(id);
-        }
-        self.complete_request(id, answer);
-    }
-
-    /// Returns the number of bytes that count against the memory budget.
-    pub(super) fn held_bytes(&self) -> usize {
-        self.clients.memory.reserved() + self.sockets.buffered_bytes()
+    /// Whether the memory budget has no room for the longest statement.
+    pub(super) fn is_memory_short(&self) -> bool {
+        let memory = &self.clients.memory;
+        memory.reserved() + self.sockets.buffered_bytes() + MAX_STATEMENT > memory.limit()
     }
 
     /// Responds that a request failed and may have had an effect.
--- a/crates/postgres-proxy/src/service/upstream.rs
+++ b/crates/postgres-proxy/src/service/upstream.rs
@@ -243,7 +243,7 @@
         for (kind, body) in messages {
             encode::message_with_body(&mut out, kind, body);
         }
-        self.answer_request(carried.request, out);
+        self.complete_request(carried.request, out);
         self.end_attempt(carried.request, carried.index, AttemptOutcome::Succeeded);
     }
 
