--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -18,7 +18,7 @@
   rm -rf "$folder"
 }
 trap finish EXIT
-trap 'exit 2' INT TERM
+trap 'exit 2' HUP INT TERM
 # The program and its sidecar get a process group of their own.
 set -m
 ROOT="$root" RUN="$run" TMPDIR="$folder" RECORD="$root/review/$number/record.txt" "$program" &
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -53,9 +53,12 @@
     TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free loopback port")
 }
 
-/// Returns a loopback address that is free now.
+/// Returns an address for the sidecar that is free now. It is on a loopback address of its own, so
+/// that no outgoing connection of the stand-ins takes the port while the sidecar is not there.
 pub fn free_address() -> SocketAddr {
-    listen().local_addr().expect("the listener's address")
+    TcpListener::bind(SocketAddr::from(([127, 0, 0, 2], 0)))
+        .and_then(|listener| listener.local_addr())
+        .expect("a free loopback port")
 }
 
 /// The wall-clock time in milliseconds, as in `born_ms`.
--- a/review/standins-2/src/pod.rs
+++ b/review/standins-2/src/pod.rs
@@ -273,7 +273,7 @@
         row.extend_from_slice(value.as_bytes());
         message(&mut out, b'D', &row);
         message(&mut out, b'C', b"SELECT 1\0");
-        message(&mut out, b'S', b"load\0inflight=1,queue=0,qps=10\0");
+        message(&mut out, b'S', b"load\0active=1,waiting=0,rps=10\0");
         message(&mut out, b'Z', b"I");
         out
     }
