--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::pg;
 use crate::world::{cannot_run, World};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -61,6 +61,15 @@
         Ok(())
     }
 
+    /// Opens a connection; the startup message is written, its answer not awaited.
+    fn connect_ahead(&self) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect_timeout(&self.to, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(7)))?;
+        stream.write_all(&pg::startup())?;
+        Ok(stream)
+    }
+
     fn connect(&self) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect_timeout(&self.to, Duration::from_secs(1))?;
         stream.set_read_timeout(Some(Duration::from_secs(7)))?;
@@ -93,9 +102,11 @@
     fn ask_again_and_again(&self, each_ms: u64, class: &str, tenant: &str, deadline_ms: u64) {
         let mut stream = None;
         let mut due = Instant::now();
+        let mut is_new = false;
         while !self.stopped.load(Ordering::SeqCst) {
             if stream.is_none() {
-                stream = self.connect().ok();
+                stream = self.connect_ahead().ok();
+                is_new = true;
             }
             let Some(open) = &mut stream else {
                 std::thread::sleep(Duration::from_millis(20));
@@ -120,14 +131,14 @@
                 stream = None;
                 result.map(|()| "left".to_owned())
             } else {
-                ask(open, &text, &id)
+                ask(open, &text, &id, std::mem::take(&mut is_new))
             };
             let outcome = match result {
                 Ok(outcome) => outcome,
                 Err(_) => {
                     // The close crossed the request: it is sent once more on a new connection.
                     stream = self.connect().ok();
-                    match stream.as_mut().map(|open| ask(open, &text, &id)) {
+                    match stream.as_mut().map(|open| ask(open, &text, &id, false)) {
                         Some(Ok(outcome)) => outcome,
                         Some(Err(error)) => {
                             stream = None;
@@ -163,8 +174,12 @@
     }
 }
 
-fn ask(stream: &mut TcpStream, text: &str, id: &str) -> io::Result<String> {
+/// Asks and waits for the answer, on a new connection behind that to the startup message.
+fn ask(stream: &mut TcpStream, text: &str, id: &str, is_new: bool) -> io::Result<String> {
     stream.write_all(&pg::query(text))?;
+    if is_new {
+        while pg::read(stream)?.0 != b'Z' {}
+    }
     let mut outcome = String::from("nothing");
     loop {
         let (kind, body) = pg::read(stream)?;
@@ -194,3 +209,23 @@
         }
     }
 }
+
+/// Opens connections on which nothing is said. What comes is read, to its end; the connections stay
+/// open on this side. Returns how many could be opened.
+pub fn stay_silent(world: &World, to: SocketAddr, count: usize) -> usize {
+    let mut opened = 0;
+    for _ in 0..count {
+        let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_millis(500)) else {
+            break;
+        };
+        opened += 1;
+        let world = world.clone();
+        std::thread::spawn(move || {
+            let mut buffer = [0; 512];
+            while let Ok(1..) = stream.read(&mut buffer) {}
+            world.log("a silent client has read the end");
+            std::thread::sleep(Duration::from_secs(60));
+        });
+    }
+    opened
+}
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -42,6 +42,7 @@
         "lease-after-move" => lease_after_move(&run),
         "chaos" => chaos(&run),
         "rude" => rude(&run),
+        "silent-crowd" => silent_crowd(&run),
         "told-time" => told_time(&run),
         _ => world::cannot_run("no such case"),
     };
@@ -608,3 +609,72 @@
     );
     broken == 0
 }
+
+/// Two hundred clients connect and say nothing; usual clients open connections after them.
+fn silent_crowd(run: &Run) -> bool {
+    let world = &run.world;
+    let all = pods(world, "pod", 8, 41, 60);
+    let discovery = Discovery::new(
+        world,
+        all.iter().map(|pod| pod.entry("in_service")).collect(),
+    );
+    let (discovery_at, _) = discovery.serve("a");
+    let (rollouts, rollouts_at) =
+        Rollouts::start(world, (41, 2, "Healthy", 1.0), Box::new(|_, _| {}));
+    let listen = free_address();
+    let config = config(
+        &ORDERS,
+        listen,
+        discovery_at,
+        rollouts_at,
+        &rollouts.state_json(),
+        &discovery.known(),
+    )
+    .replace("\"sockets\":512", "\"sockets\":256");
+    let mut sidecar = Sidecar::start(&run.root, listen, &config);
+    let clients = Clients::new(world, listen);
+    clients.wait_until_ready();
+    start_all_classes(&clients, 200);
+    world.sleep_until(world.now() + 2_000.0);
+    if run.trouble {
+        let connected = client::stay_silent(world, listen, 200);
+        world.log(&format!(
+            "{connected} clients are connected and say nothing"
+        ));
+    }
+    // 20 usual clients more, as those that there are are busy: under a third of the descriptors.
+    let more = Clients::new(world, listen);
+    more.start(10, 500, "card-charge", "tsakiri-bros", 1000);
+    more.start(10, 500, "price-check", "kalogirou-oil", 1200);
+    world.sleep_until(world.now() + 8_000.0);
+    more.stop();
+    clients.stop();
+    world.sleep_until(world.now() + 6_000.0);
+    if sidecar.has_exited() {
+        world.log("the sidecar has exited");
+        return false;
+    }
+    let mut lost = 0;
+    let mut slowest: f64 = 0.0;
+    for request in clients
+        .requests
+        .lock()
+        .unwrap()
+        .iter()
+        .chain(more.requests.lock().unwrap().iter())
+    {
+        let took = request.answered_at - request.sent_at;
+        slowest = slowest.max(took);
+        if took > request.deadline_ms + 500.0 + 50.0 || request.outcome.starts_with("conn") {
+            lost += 1;
+            world.log(&format!(
+                "lost id={} d={}: {} after {took:.0} ms",
+                request.id, request.deadline_ms, request.outcome
+            ));
+        }
+    }
+    let seen = format!("{lost} requests lost; the slowest answer took {slowest:.0} ms");
+    world.log(&seen);
+    println!("{seen}");
+    lost == 0
+}
