--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -95,6 +95,40 @@
         }
     }
 
+    /// Asks once on a new connection; then closes it, or keeps it until a time.
+    pub fn ask_once(&self, class: &str, tenant: &str, deadline_ms: u64, keeps: bool, until: f64) {
+        let number = self.counter.fetch_add(1, Ordering::SeqCst);
+        let id = format!("{:08x}{number:08x}", std::process::id());
+        let Ok(mut stream) = self.connect_ahead() else {
+            self.world.log(&format!("client id={id} got no connection"));
+            return;
+        };
+        let text = format!(
+            "SELECT blob FROM rows WHERE handle = 'h{number:015x}' /* id={id},c={class},t={tenant},d={deadline_ms} */"
+        );
+        let sent_at = self.world.now();
+        let outcome = ask(&mut stream, &text, &id, true)
+            .unwrap_or_else(|error| format!("connection ended: {}", error.kind()));
+        let answered_at = self.world.now();
+        self.world.log_at(
+            sent_at,
+            &format!("client asked id={id} c={class} d={deadline_ms} on a new connection"),
+        );
+        self.world
+            .log_at(answered_at, &format!("client id={id} got {outcome}"));
+        self.requests.lock().unwrap().push(Request {
+            sent_at,
+            deadline_ms: deadline_ms as f64,
+            answered_at,
+            outcome,
+            id,
+            class: class.to_owned(),
+        });
+        if keeps {
+            self.world.sleep_until(until);
+        }
+    }
+
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
     }
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -42,6 +42,7 @@
         "lease-after-move" => lease_after_move(&run),
         "chaos" => chaos(&run),
         "rude" => rude(&run),
+        "kept-connections" => kept_connections(&run),
         "silent-crowd" => silent_crowd(&run),
         "told-time" => told_time(&run),
         _ => world::cannot_run("no such case"),
@@ -610,6 +611,84 @@
     broken == 0
 }
 
+/// Some clients ask once and then keep their connection for good.
+fn kept_connections(run: &Run) -> bool {
+    const EACH_S: usize = 60;
+    const SECONDS: usize = 8;
+    let world = &run.world;
+    let all = pods(world, "pod", 8, 41, 60);
+    let discovery = Discovery::new(
+        world,
+        all.iter().map(|pod| pod.entry("in_service")).collect(),
+    );
+    let (discovery_at, _) = discovery.serve("a");
+    let (rollouts, rollouts_at) =
+        Rollouts::start(world, (41, 2, "Healthy", 1.0), Box::new(|_, _| {}));
+    let listen = free_address();
+    let config = config(
+        &ORDERS,
+        listen,
+        discovery_at,
+        rollouts_at,
+        &rollouts.state_json(),
+        &discovery.known(),
+    )
+    .replace("\"sockets\":512", "\"sockets\":256");
+    let mut sidecar = Sidecar::start(&run.root, listen, &config);
+    let clients = Clients::new(world, listen);
+    clients.wait_until_ready();
+    // 160 requests a second on 40 connections.
+    start_all_classes(&clients, 250);
+    start_all_classes(&clients, 250);
+    world.sleep_until(world.now() + 1_000.0);
+    let began = world.now();
+    let end = began + SECONDS as f64 * 1e3 + 6_000.0;
+    let mut threads = Vec::new();
+    for number in 0..EACH_S * SECONDS {
+        world.sleep_until(began + number as f64 * 1e3 / EACH_S as f64);
+        let (one, keeps) = (clients.clone(), run.trouble);
+        threads.push(std::thread::spawn(move || {
+            one.ask_once("card-charge", "tsakiri-bros", 1000, keeps, end);
+        }));
+    }
+    clients.stop();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    world.sleep_until(end);
+    if sidecar.has_exited() {
+        world.log("the sidecar has exited");
+        return false;
+    }
+    let requests = clients.requests.lock().unwrap().clone();
+    all_answered(world, &requests)
+}
+
+/// Whether each request got its answer at most half a second, and the slack, after its time.
+fn all_answered(world: &World, requests: &[client::Request]) -> bool {
+    let mut lost = 0;
+    let mut slowest: f64 = 0.0;
+    for request in requests {
+        let took = request.answered_at - request.sent_at;
+        slowest = slowest.max(took);
+        let is_cut = request.outcome.starts_with("connection");
+        if took > request.deadline_ms + 500.0 + 50.0 || is_cut {
+            lost += 1;
+            world.log(&format!(
+                "lost id={} d={}: {} after {took:.0} ms",
+                request.id, request.deadline_ms, request.outcome
+            ));
+        }
+    }
+    let seen = format!(
+        "{lost} of {} requests lost; the slowest answer took {slowest:.0} ms",
+        requests.len()
+    );
+    world.log(&seen);
+    println!("{seen}");
+    lost == 0
+}
+
 /// Two hundred clients connect and say nothing; usual clients open connections after them.
 fn silent_crowd(run: &Run) -> bool {
     let world = &run.world;
@@ -654,27 +733,7 @@
         world.log("the sidecar has exited");
         return false;
     }
-    let mut lost = 0;
-    let mut slowest: f64 = 0.0;
-    for request in clients
-        .requests
-        .lock()
-        .unwrap()
-        .iter()
-        .chain(more.requests.lock().unwrap().iter())
-    {
-        let took = request.answered_at - request.sent_at;
-        slowest = slowest.max(took);
-        if took > request.deadline_ms + 500.0 + 50.0 || request.outcome.starts_with("conn") {
-            lost += 1;
-            world.log(&format!(
-                "lost id={} d={}: {} after {took:.0} ms",
-                request.id, request.deadline_ms, request.outcome
-            ));
-        }
-    }
-    let seen = format!("{lost} requests lost; the slowest answer took {slowest:.0} ms");
-    world.log(&seen);
-    println!("{seen}");
-    lost == 0
+    let mut requests = clients.requests.lock().unwrap().clone();
+    requests.extend(more.requests.lock().unwrap().iter().cloned());
+    all_answered(world, &requests)
 }
