--- a/review/standins-2/src/bin/case7.rs
+++ b/review/standins-2/src/bin/case7.rs
@@ -1,4 +1,5 @@
-//! New configurations in quick succession while discovery is crowded: a pod that drains meanwhile.
+//! A new configuration while the former address of discovery tells changes late: a pod that comes
+//! back and drains meanwhile.
 
 use limewing_review_2::client::{select, Load, Outcome};
 use limewing_review_2::discovery::{Discovery, Entry};
@@ -6,24 +7,17 @@
 use limewing_review_2::record::Record;
 use limewing_review_2::rollouts::{Rollouts, State};
 use limewing_review_2::sidecar::{Config, Sidecar};
-use limewing_review_2::{exit_with, free_address, has_trouble, CaseError, Verdict};
+use limewing_review_2::{exit_with, free_address, has_trouble, unix_ms, CaseError, Verdict};
 use std::time::{Duration, Instant};
 
 const PODS: usize = 6;
 const RATE: f64 = 80.0;
 /// The time that a request takes at a pod, as in the small deployment (120 to 210 ms of work).
 const SERVICE_MS: u64 = 200;
-/// The time between two new configurations.
-const RELOAD_INTERVAL: Duration = Duration::from_millis(1900);
-/// The number of new configurations.
-const RELOADS: u32 = 5;
-/// When the pod drains, after the first new configuration: the address that the sidecar had a watch
-/// at has closed it by then.
-const DRAIN_AFTER: Duration = Duration::from_millis(1600);
-/// How long the pod's runs are watched after the first new configuration.
-const OBSERVED: Duration = Duration::from_secs(12);
-/// A change counts as told this long after discovery had it, at the latest.
-const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// How much later the former address tells changes.
+const LAG: Duration = Duration::from_millis(1000);
+/// How long the pod's runs are watched after it drains.
+const OBSERVED: Duration = Duration::from_secs(15);
 /// `stop_sending_within_s`, and the 50 ms by which each limit grows on sockets.
 const GRACE: Duration = Duration::from_millis(1050);
 
@@ -37,11 +31,14 @@
     let pods: Vec<Pod> = (0..PODS)
         .map(|number| Pod::start(&format!("s-{number:08x}"), 1, SERVICE_MS, record))
         .collect();
-    let entries = pods
+    // Pod 0 has crashed before, and comes back below.
+    let returning = pods[0].clone();
+    let entries = pods[1..]
         .iter()
         .map(|pod| (pod.host.clone(), Entry::new(pod.address, pod.build)));
     let discovery = Discovery::new(41, entries.collect(), record);
-    let mut place = discovery.open();
+    let former = discovery.open();
+    let place = discovery.open();
     let healthy = State {
         build: 1,
         stage: 2,
@@ -51,7 +48,7 @@
     let rollouts = Rollouts::start(healthy, record);
     let mut config = Config {
         listen: free_address(),
-        discovery: place.address,
+        discovery: former.address,
         rollouts: rollouts.address,
         news: rollouts.news(),
         known: discovery.whole(),
@@ -76,43 +73,40 @@
     );
     std::thread::sleep(Duration::from_secs(4));
 
-    let leaving = pods[0].clone();
+    // The new configuration.
     let start = Instant::now();
-    let reloads = if has_trouble() { RELOADS } else { 0 };
-    discovery.set_crowded(has_trouble());
-    let mut drained_at = None;
-    for number in 0.. {
-        let due = start + RELOAD_INTERVAL * number;
-        let drain_due = start + DRAIN_AFTER;
-        if drained_at.is_none() && drain_due < due {
-            sleep_until(drain_due);
-            leaving.drain();
-            let entry = Entry {
-                health: "terminating",
-                ..Entry::new(leaving.address, leaving.build)
-            };
-            discovery.set(&leaving.host, entry);
-            drained_at = Some(Instant::now());
-        }
-        if due > start + OBSERVED {
-            break;
-        }
-        sleep_until(due);
-        if number < reloads {
-            let former = std::mem::replace(&mut place, discovery.open());
-            config.discovery = place.address;
-            sidecar.reload(&config)?;
-            former.retire();
-        }
+    if has_trouble() {
+        former.set_lag(LAG);
+        config.discovery = place.address;
+        sidecar.reload(&config)?;
+        former.retire();
     }
-    sleep_until(start + OBSERVED);
+    // Two pods start, and one of them drains soon after, as its successor runs.
+    let successor = Pod::start("s-000000aa", 1, SERVICE_MS, record);
+    let born = |pod: &Pod| Entry {
+        born_ms: unix_ms() - 1000,
+        ..Entry::new(pod.address, pod.build)
+    };
+    sleep_until(start + Duration::from_millis(250));
+    discovery.set(&successor.host, born(&successor));
+    sleep_until(start + Duration::from_millis(350));
+    let entry = born(&returning);
+    discovery.set(&returning.host, entry.clone());
+    sleep_until(start + Duration::from_millis(700));
+    returning.drain();
+    let entry = Entry {
+        health: "terminating",
+        ..entry
+    };
+    discovery.set(&returning.host, entry);
+    let drained_at = Instant::now();
+    sleep_until(drained_at + OBSERVED);
     let requests = load.stop();
     if !sidecar.is_alive() {
         return Err("the sidecar has ended".into());
     }
     drop(sidecar);
 
-    let drained_at = drained_at.ok_or("the pod did not drain")?;
     let served = requests
         .iter()
         .filter(|request| matches!(request.outcome, Outcome::Served(_)))
@@ -121,8 +115,9 @@
     if served * 2 < requests.len() {
         return Err("less than half of the requests were served".into());
     }
-    let bound = drained_at + TOLD_AFTER + GRACE;
-    let after_drain: Vec<_> = leaving
+    // Told is when the new address has written the change, within 20 ms.
+    let bound = drained_at + GRACE + Duration::from_millis(20);
+    let after_drain: Vec<_> = returning
         .runs()
         .into_iter()
         .filter(|run| run.first_byte > drained_at)
@@ -134,7 +129,7 @@
     record.say(&format!(
         "requests sent to the draining pod: {}, of them later than {:.2} s after its change: {}",
         after_drain.len(),
-        (TOLD_AFTER + GRACE).as_secs_f64(),
+        GRACE.as_secs_f64(),
         late.len()
     ));
     if let Some(last) = after_drain.iter().map(|run| run.first_byte).max() {
--- a/review/standins-3/src/world.rs
+++ b/review/standins-3/src/world.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicI32, Ordering};
@@ -91,9 +91,13 @@
     (listener, address)
 }
 
-/// An address on which nobody listens now.
+/// An address on which nobody listens now. It is a loopback address of this run's own, so that no
+/// outgoing connection takes its port meanwhile.
 pub fn free_address() -> SocketAddr {
-    listen().1
+    let own = std::process::id();
+    let address = Ipv4Addr::new(127, 77, (own >> 8) as u8, (own & 0xff) as u8);
+    let listener = TcpListener::bind((address, 0)).unwrap_or_else(|e| cannot_run(&e.to_string()));
+    listener.local_addr().unwrap()
 }
 
 /// A running sidecar; it ends with this value.
