--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -34,5 +34,6 @@
 fi
 wait "$pid"
 code=$?
+kill -KILL -- "-$pid" 2>/dev/null
 pid=
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/standins-3/src/pod.rs
+++ b/review/standins-3/src/pod.rs
@@ -198,7 +198,10 @@
         if each > 0 && count % each == 0 {
             return failed("XX000");
         }
-        pg::row(format!("value of {id}").as_bytes(), "SELECT 1")
+        // The load report that the settings name.
+        let mut out = pg::message(b'S', b"load\0active=1,waiting=0,rps=10\0");
+        out.extend(pg::row(format!("value of {id}").as_bytes(), "SELECT 1"));
+        out
     }
 
     fn chance(&self) -> u64 {
