--- a/review/standins-2/src/bin/case10.rs
+++ b/review/standins-2/src/bin/case10.rs
@@ -88,6 +88,9 @@
         return Err("the sidecar has ended".into());
     }
     drop(sidecar);
+    if rollouts.is_voted_back() {
+        return Err("the sidecar has voted to send the build back".into());
+    }
 
     let new_hosts: Vec<&str> = new.iter().map(|pod| pod.host.as_str()).collect();
     // When the client had the first answer of the new build for a key.
--- a/review/standins-2/src/bin/case8.rs
+++ b/review/standins-2/src/bin/case8.rs
@@ -13,8 +13,8 @@
 const RATE: f64 = 80.0;
 /// The time that a request takes at a pod, as in the small deployment (120 to 210 ms of work).
 const SERVICE_MS: u64 = 200;
-/// A new watch of the slow discovery gets its first object this long after the head of the answer.
-const FIRST_OBJECT_AFTER: Duration = Duration::from_millis(3000);
+/// The slow discovery takes this long to write the first object of a new watch.
+const FIRST_OBJECT_TAKES: Duration = Duration::from_millis(3000);
 /// When the pod drains, after the open watches have fallen silent.
 const DRAIN_AFTER: Duration = Duration::from_millis(200);
 /// How long the pod's runs are watched after that.
@@ -77,7 +77,7 @@
     let start = Instant::now();
     if has_trouble() {
         discovery.silence_watches();
-        discovery.set_slow(FIRST_OBJECT_AFTER);
+        discovery.set_slow(FIRST_OBJECT_TAKES);
     }
     sleep_until(start + DRAIN_AFTER);
     leaving.drain();
--- a/review/standins-2/src/rollouts.rs
+++ b/review/standins-2/src/rollouts.rs
@@ -34,6 +34,8 @@
 pub struct Rollouts {
     pub address: SocketAddr,
     told: Arc<Mutex<(State, Instant, u64)>>,
+    /// The votes that came, as they came.
+    votes: Arc<Mutex<Vec<String>>>,
     record: Record,
 }
 
@@ -43,6 +45,7 @@
         let rollouts = Self {
             address: listener.local_addr().expect("the listener's address"),
             told: Arc::new(Mutex::new((state, Instant::now(), 0))),
+            votes: Arc::default(),
             record: record.clone(),
         };
         let service = rollouts.clone();
@@ -69,6 +72,12 @@
         told.0.json(told.1)
     }
 
+    /// Whether a vote came that would have sent the build back.
+    pub fn is_voted_back(&self) -> bool {
+        let votes = self.votes.lock().expect("no holder panics");
+        votes.iter().any(|vote| vote.contains("abort"))
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let head = read_head(&mut stream)?;
         if head.starts_with("POST") {
@@ -85,6 +94,7 @@
             stream.read_exact(&mut body).ok()?;
             let body = String::from_utf8_lossy(&body).into_owned();
             self.record.line(&format!("rollouts get a vote {body}"));
+            self.votes.lock().expect("no holder panics").push(body);
             let news = self.news();
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{news}",
