--- a/crates/cli/tests/command/platform.rs
+++ b/crates/cli/tests/command/platform.rs
@@ -375,10 +375,11 @@
     });
     all[2].suspend();
     pause(400);
-    all[2].signal(Signal::CONT);
+    // Recorded before the signal: an answer may leave the process before a later event is recorded.
     world.record_event(Event::SidecarResumed {
         sidecar: sidecar(2),
     });
+    all[2].signal(Signal::CONT);
     pause(300);
 
     let now = SystemTime::now()
