--- a/crates/decision/src/admission.rs
+++ b/crates/decision/src/admission.rs
@@ -130,9 +130,11 @@
             .check(record, state.endpoint.build, &self.endpoints, context)
     }
 
-    /// Returns whether the first byte of an attempt may be sent now. The pod may have started
-    /// draining since the attempt was scheduled. While no endpoint list is received, the permission
-    /// expires after the drain grace period.
+    /// Returns whether the first or the last byte of an attempt may be sent now. What the decision
+    /// relied on may have changed since the attempt was scheduled: the pod may have started
+    /// draining, the stage may have closed, a newer build may have served the routing key, and time
+    /// has passed. While no endpoint list is received, the permission expires after the drain grace
+    /// period.
     pub(crate) fn may_send_first_byte(
         &self,
         request: RequestId,
@@ -140,21 +142,34 @@
         now: Duration,
         context: &Context,
     ) -> bool {
-        let open_attempt = self
+        let open_request = self
             .requests
             .get(&request)
-            .filter(|record| !record.closed)
-            .and_then(|record| record.open_attempt(attempt));
-        let Some(attempt) = open_attempt else {
+            .filter(|record| record.needs_response(now));
+        let Some(record) = open_request else {
             return false;
         };
-        let expires_at = attempt.sent_at + context.config.drain_grace.max(TICK_INTERVAL);
+        let Some(scheduled) = record.open_attempt(attempt) else {
+            return false;
+        };
+        let expires_at = scheduled.sent_at + context.config.drain_grace.max(TICK_INTERVAL);
         if !context.endpoint_lease.is_current() && now > expires_at {
             return false;
         }
-        self.endpoints
-            .get(attempt.pod)
-            .is_some_and(|state| accepts_attempt(state, attempt))
+        let accepting_pod = self
+            .endpoints
+            .get(scheduled.pod)
+            .filter(|state| accepts_attempt(state, scheduled));
+        let Some(state) = accepting_pod else {
+            return false;
+        };
+        let others = record.attempts_except(attempt);
+        let idempotency = context.config.class(record.class).idempotency;
+        is_safe_to_run(idempotency, others, &state.endpoint, now)
+            && self
+                .exposure
+                .check_scheduled(record, scheduled.build, &self.endpoints, &context.config)
+                .is_ok()
     }
 
     fn start_attempt(&mut self, request: RequestId, pod: PodId, context: &mut Context) {
@@ -326,8 +341,7 @@
 /// Rule 1: nothing is sent for a request that is closed, past its deadline or out of attempts.
 fn check_open(request: &RequestRecord, context: &Context) -> Result<(), Refusal> {
     let attempts_left = request.attempts.len() < context.config.max_attempts;
-    let in_time = context.now < request.deadline;
-    if !request.closed && !request.streaming && in_time && attempts_left {
+    if request.needs_response(context.now) && attempts_left {
         Ok(())
     } else {
         Err(Refusal::RequestClosed)
@@ -350,24 +364,31 @@
     if !context.config.hedging && in_flight() {
         return Err(Refusal::MayHaveRun);
     }
-    let mut may_have_run = request
-        .attempts
-        .iter()
-        .filter(|attempt| attempt.may_have_run());
-    let safe = match context.config.class(request.class).idempotency {
+    let idempotency = context.config.class(request.class).idempotency;
+    if is_safe_to_run(idempotency, request.attempts.iter(), to, context.now) {
+        Ok(())
+    } else {
+        Err(Refusal::MayHaveRun)
+    }
+}
+
+/// Rule 2: returns whether an attempt may run at a pod without repeating the effect of the others
+/// of its request.
+fn is_safe_to_run<'a>(
+    idempotency: Idempotency,
+    others: impl Iterator<Item = &'a AttemptRecord>,
+    to: &Endpoint,
+    now: Duration,
+) -> bool {
+    let mut may_have_run = others.filter(|attempt| attempt.may_have_run());
+    match idempotency {
         Idempotency::Idempotent => true,
         Idempotency::NonIdempotent => may_have_run.next().is_none(),
         Idempotency::Keyed {
             deduplicated_by,
             window,
         } => may_have_run.all(|attempt| {
-            attempt.is_deduplicated_by(to, deduplicated_by)
-                && context.now < attempt.sent_at + window
+            attempt.is_deduplicated_by(to, deduplicated_by) && now < attempt.sent_at + window
         }),
-    };
-    if safe {
-        Ok(())
-    } else {
-        Err(Refusal::MayHaveRun)
     }
 }
--- a/crates/decision/src/engine.rs
+++ b/crates/decision/src/engine.rs
@@ -65,7 +65,8 @@
 
     /// Returns whether the first byte of an attempt may be sent now. The host calls this right
     /// before it writes that byte, on any connection and however long after the attempt was
-    /// scheduled. If the result is `false`, the attempt ends as never sent.
+    /// scheduled, and again before the last byte if it writes that later. If the result is `false`,
+    /// the attempt ends as never sent.
     pub fn may_send_first_byte(
         &self,
         now: Duration,
--- a/crates/decision/src/exposure.rs
+++ b/crates/decision/src/exposure.rs
@@ -155,6 +155,27 @@
         context: &Context,
     ) -> Result<(), Refusal> {
         let config = &context.config;
+        self.check_scheduled(request, build, endpoints, config)?;
+        let Some(cap) = self.cap(build, endpoints, config) else {
+            return Ok(());
+        };
+        if self.is_within_cap(cap.share, request.class, build, context) {
+            Ok(())
+        } else {
+            Err(Refusal::ExposureCap)
+        }
+    }
+
+    /// Checks whether the rule still allows an attempt of a request at a build that counts towards
+    /// the cap already: the key stays with the newest build that served it, and the stage is open
+    /// to the class of the request.
+    pub(crate) fn check_scheduled(
+        &self,
+        request: &RequestRecord,
+        build: BuildId,
+        endpoints: &EndpointStates,
+        config: &DerivedConfig,
+    ) -> Result<(), Refusal> {
         if self.is_key_of_newer_build(request, build, config) {
             return Err(Refusal::StickyKey);
         }
@@ -163,7 +184,7 @@
         };
         let idempotent = config.class(request.class).idempotency == Idempotency::Idempotent;
         let stage_open = cap.share > 0.0 && (cap.stage >= config.guarded_stages || idempotent);
-        if stage_open && self.is_within_cap(cap.share, request.class, build, context) {
+        if stage_open {
             Ok(())
         } else {
             Err(Refusal::ExposureCap)
--- a/crates/decision/src/request_state.rs
+++ b/crates/decision/src/request_state.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Returns whether the request still lacks its final response, and the client waits for it.
+    pub(crate) fn needs_response(&self, now: Duration) -> bool {
+        !self.closed && !self.streaming && now < self.deadline
+    }
+
     /// Records an attempt and returns its index.
     pub(crate) fn record_attempt(&mut self, to: &Endpoint, now: Duration) -> AttemptIndex {
         self.attempts.push(AttemptRecord {
@@ -53,6 +58,17 @@
             .filter(|record| record.outcome.is_none())
     }
 
+    /// Returns all attempts but the given one.
+    pub(crate) fn attempts_except(
+        &self,
+        attempt: AttemptIndex,
+    ) -> impl Iterator<Item = &AttemptRecord> {
+        (0u16..)
+            .zip(&self.attempts)
+            .filter(move |(index, _)| *index != attempt.0)
+            .map(|(_, record)| record)
+    }
+
     /// Returns the indices of all attempts without an outcome.
     pub(crate) fn open_attempts(&self) -> Vec<AttemptIndex> {
         (0u16..)
--- a/crates/emulators/src/platform/mod.rs
+++ b/crates/emulators/src/platform/mod.rs
@@ -155,6 +155,8 @@
     pub connect_timeout_s: f64,
     /// Whether an attempt that was sent may be cancelled.
     pub may_cancel: bool,
+    /// Whether a routing key stays with the newest build that served it.
+    pub sticky_keys: bool,
     /// The address at which it listens.
     pub listen: SocketAddr,
     /// The number of sidecars, and the index of this one.
@@ -176,6 +178,7 @@
             second_copies: false,
             connect_timeout_s: 1.0,
             may_cancel: true,
+            sticky_keys: false,
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             count_and_index: (1, 0),
         }
@@ -204,6 +207,11 @@
                 rollout_state_json(1, 0, "Healthy", 1.0)
             )
         });
+        let sticky_keys = if self.sticky_keys {
+            r#""keys_stay":true,"#
+        } else {
+            ""
+        };
         let class = |name: &str, repeat: &str| {
             format!(
                 r#"{{"name":"{name}","repeat":"{repeat}","group":"all","window_s":3,"target_s":{client_timeout_s},"deadline_s":{client_timeout_s},"worth":1}}"#
@@ -223,7 +231,7 @@
               "rules":{{"cold_from":0.5,"cold_s":1,"fall_multiple":2,"fall_s":1,"stop_sending_within_s":0.5}},
               "limits":{{"cancel":{may_cancel},"max_attempts":4,"max_retry_after_s":0.5,"retry_after":true,"second_copies":{second_copies},
                 "connect_timeout_s":{connect_timeout_s},"idle_close_s":15}},
-              "domain":{{"api_timeout_s":1,"counted_by":"all","gate_mode":"timer","most_shares":[0.5],"span_s":2,"stage_share":[0.5],
+              "domain":{{"api_timeout_s":1,"counted_by":"all","gate_mode":"timer",{sticky_keys}"most_shares":[0.5],"span_s":2,"stage_share":[0.5],
                 "uncounted":1,"vote_ttl_s":4,"votes_to_revert":1}}}}}}"#
         )
     }
--- a/crates/http-proxy/tests/sockets/draining.rs
+++ b/crates/http-proxy/tests/sockets/draining.rs
@@ -4,21 +4,20 @@
 use crate::support::{
     settings, spawn, state_file, Client, Pod, PodAction, GET_QUOTE, OK_RESPONSE, POST_CHARGE,
 };
+use crate::unaccepting_pod::{accept_within_timeout, UnacceptingPod, TIMEOUT};
 use limewing_decision::interface::{Action, AttemptIndex, Event, RequestId};
 use limewing_decision::DecisionEngine;
 use limewing_http_proxy::service::{Decisions, Service};
 use limewing_proxy_core::send_permit::SendAuthority;
 use limewing_settings::{Seconds, SidecarSettings};
 use rstest::rstest;
-use rustix::net::listen;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-const TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of served requests that add one attempt to the retry budget.
 const REQUESTS_FOR_ONE_RETRY: usize = 40;
 
@@ -186,52 +185,6 @@
     }
 }
 
-/// A pod whose backlog is full, so that no connection is established until it accepts one.
-struct UnacceptingPod {
-    listener: TcpListener,
-    address: SocketAddr,
-}
-
-impl UnacceptingPod {
-    fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        // A backlog of 0 holds one connection that is not accepted.
-        listen(&listener, 0).unwrap();
-        TcpStream::connect(address).unwrap();
-        let rejected = TcpStream::connect_timeout(&address, Duration::from_millis(300));
-        assert!(rejected.is_err(), "the backlog is not full");
-        Self { listener, address }
-    }
-
-    /// Accepts the sidecar's connection. It is established when the kernel retransmits the SYN, one or more seconds after the
-    /// first one.
-    fn accept_sidecar(&self) -> TcpStream {
-        drop(accept_within_timeout(&self.listener));
-        accept_within_timeout(&self.listener)
-    }
-}
-
-/// Accepts the next connection; panics after a timeout instead of waiting forever.
-fn accept_within_timeout(listener: &TcpListener) -> TcpStream {
-    let deadline = Instant::now() + 2 * TIMEOUT;
-    listener.set_nonblocking(true).unwrap();
-    loop {
-        match listener.accept() {
-            Ok((connection, _)) => {
-                connection.set_nonblocking(false).unwrap();
-                connection.set_read_timeout(Some(TIMEOUT)).unwrap();
-                return connection;
-            }
-            Err(_) => assert!(
-                Instant::now() < deadline,
-                "no connection within the timeout"
-            ),
-        }
-        std::thread::sleep(Duration::from_millis(1));
-    }
-}
-
 /// Reads until the sidecar closes the connection.
 fn read_until_closed(connection: &mut TcpStream) -> String {
     let mut text = String::new();
--- a/crates/http-proxy/tests/sockets/main.rs
+++ b/crates/http-proxy/tests/sockets/main.rs
@@ -8,6 +8,8 @@
 mod request_bodies;
 mod resource_limits;
 mod retries;
+mod sticky_keys;
 mod streamed_responses;
 mod support;
+mod unaccepting_pod;
 mod wrong_answer_reports;
--- a/crates/postgres-proxy/tests/sockets/main.rs
+++ b/crates/postgres-proxy/tests/sockets/main.rs
@@ -5,3 +5,4 @@
 mod large_fleet;
 mod pods;
 mod services;
+mod sticky_keys;
