--- a/crates/http-proxy/src/service/clients/mod.rs
+++ b/crates/http-proxy/src/service/clients/mod.rs
@@ -23,12 +23,18 @@
 use limewing_net::message_reader::RequestReader;
 use limewing_net::sockets::SocketId;
 use limewing_net::timer_wheel::TimerKey;
+use limewing_proxy_core::memory_budget::{MemoryBudget, MemoryReservation};
 use limewing_proxy_core::shutdown::ClientListener;
 pub(super) use responses::{streamed_framing, StreamEnd};
 use wrong_answers::ResponseOrigins;
 
 /// Output that may be queued for a peer before the sidecar stops reading from the other side of the request, in bytes.
-pub(super) const MAX_UNSENT_BYTES: usize = 64 * 1024;
+const MAX_UNSENT_BYTES: usize = 64 * 1024;
+/// The same while memory is short, in bytes.
+const MAX_UNSENT_BYTES_WHEN_SHORT: usize = 4 * 1024;
+/// Maximum length of a request or a response that is buffered without counting it against the memory budget, in bytes, so
+/// that small ones pass when large ones use up the budget.
+pub(super) const MAX_UNCOUNTED_MESSAGE: usize = 4 * 1024;
 /// The final chunk of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 const HEAD_METHOD: &str = "HEAD";
@@ -39,16 +45,19 @@
     pub(super) listener: ClientListener,
     /// Number of connected clients.
     pub(super) connected: usize,
+    /// Limits the memory for requests, responses and bytes buffered on connections.
+    pub(super) memory: MemoryBudget,
     /// The pods that recent responses came from.
     response_origins: ResponseOrigins,
 }
 
 impl Clients {
     /// Starts without connected clients.
-    pub(super) fn new(listener: ClientListener) -> Self {
+    pub(super) fn new(listener: ClientListener, memory: MemoryBudget) -> Self {
         Self {
             listener,
             connected: 0,
+            memory,
             response_origins: ResponseOrigins::default(),
         }
     }
@@ -57,6 +66,8 @@
 /// A client's connection.
 pub(super) struct Client {
     reader: RequestReader,
+    /// The memory for the request that it is sending.
+    reservation: MemoryReservation,
     /// The request in flight. Requests pipelined behind it wait.
     request: Option<RequestId>,
     /// Reads the remainder of a streamed request body.
@@ -68,9 +79,10 @@
 }
 
 impl Client {
-    fn new(max_buffered_request: usize) -> Self {
+    fn new(max_buffered_request: usize, reservation: MemoryReservation) -> Self {
         Self {
             reader: RequestReader::new(max_buffered_request),
+            reservation,
             request: None,
             unread_body: None,
             close_after_response: false,
@@ -109,6 +121,8 @@
     pub(super) idempotency_hash: Option<u64>,
     /// The attempt whose response is streamed to the client.
     pub(super) streamed_attempt: Option<AttemptIndex>,
+    /// The memory for head and body.
+    _reservation: MemoryReservation,
 }
 
 impl ClientRequest {
@@ -125,11 +139,28 @@
             return self.reject_client(id);
         }
         self.clients.connected += 1;
-        let client = Client::new(self.settings.max_buffered_request);
+        let reservation = self.clients.memory.reservation();
+        let client = Client::new(self.settings.max_buffered_request, reservation);
         self.connections
             .insert(id, ConnectionRole::Client(Box::new(client)));
     }
 
+    /// Whether the memory budget has no room for the largest request that is buffered.
+    fn is_memory_short(&self) -> bool {
+        let memory = &self.clients.memory;
+        let held = memory.reserved() + self.sockets.buffered_bytes();
+        held.saturating_add(self.settings.max_buffered_request) > memory.limit()
+    }
+
+    /// Returns how many bytes may be queued for a peer before the sidecar stops reading from the other side of the request.
+    pub(super) fn max_unsent_bytes(&self) -> usize {
+        if self.is_memory_short() {
+            MAX_UNSENT_BYTES_WHEN_SHORT
+        } else {
+            MAX_UNSENT_BYTES
+        }
+    }
+
     fn client_mut(&mut self, id: SocketId) -> Option<&mut Client> {
         match self.connections.get_mut(&id) {
             Some(ConnectionRole::Client(client)) => Some(client),
--- a/crates/http-proxy/src/service/clients/own_responses.rs
+++ b/crates/http-proxy/src/service/clients/own_responses.rs
@@ -77,6 +77,25 @@
         self.sockets.close_when_sent(id);
     }
 
+    /// Rejects a request for which there is no memory, and closes the connection: the rest of the request is not kept.
+    pub(super) fn reject_for_lack_of_memory(&mut self, id: SocketId) {
+        let memory = &self.clients.memory;
+        tracing::debug!(
+            reserved = memory.reserved(),
+            buffered = self.sockets.buffered_bytes(),
+            limit = memory.limit(),
+            open_requests = self.requests.len(),
+            "request rejected for lack of memory"
+        );
+        let status = self.proxy_status(Effect::None);
+        let fields = [
+            (RETRY_AFTER, DEFAULT_RETRY_AFTER_SECONDS),
+            (PROXY_STATUS, &status),
+        ];
+        self.write_local_response(id, http_status::SERVICE_UNAVAILABLE, &fields, b"", false);
+        self.close_client(id);
+    }
+
     /// Rejects a request that arrived during shutdown.
     pub(super) fn reject_during_shutdown(&mut self, id: SocketId) {
         let status = self.proxy_status(Effect::None);
--- a/crates/http-proxy/src/service/clients/request_bodies.rs
+++ b/crates/http-proxy/src/service/clients/request_bodies.rs
@@ -1,6 +1,6 @@
 //! Streams request bodies that are too large to buffer to pods.
 
-use super::{ClientRequest, LAST_CHUNK, MAX_UNSENT_BYTES};
+use super::{ClientRequest, LAST_CHUNK};
 use crate::service::{ConnectionRole, Service};
 use bytes::BytesMut;
 use limewing_decision::interface::RequestId;
@@ -18,6 +18,7 @@
     /// Streams the received part of a client's body, as fast as the pod accepts it.
     pub(in crate::service) fn stream_request_body(&mut self, id: SocketId) {
         let ended = self.sockets.has_ended(id);
+        let max_unsent = self.max_unsent_bytes();
         let Some(ConnectionRole::Client(client)) = self.connections.get_mut(&id) else {
             return;
         };
@@ -32,7 +33,7 @@
             return;
         };
         let mut out = BytesMut::new();
-        while self.sockets.unsent_bytes(target.connection) + out.len() <= MAX_UNSENT_BYTES {
+        while self.sockets.unsent_bytes(target.connection) + out.len() <= max_unsent {
             let Some(input) = self.sockets.input(id) else {
                 return;
             };
--- a/crates/http-proxy/src/service/clients/requests.rs
+++ b/crates/http-proxy/src/service/clients/requests.rs
@@ -1,12 +1,13 @@
 //! Reads client requests and passes them to the decision engine.
 
-use super::{ClientRequest, MAX_UNSENT_BYTES};
+use super::{ClientRequest, MAX_UNCOUNTED_MESSAGE};
 use crate::request_classifier::RequestTraits;
 use crate::service::{ConnectionRole, Service, TimerEvent};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use limewing_decision::interface::{Event, Request};
 use limewing_net::http::{HttpError, RequestHead};
 use limewing_net::sockets::SocketId;
+use limewing_proxy_core::memory_budget::MemoryReservation;
 
 /// The interim response that tells a client to send its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -16,6 +17,7 @@
     pub(in crate::service) fn read_client(&mut self, id: SocketId) {
         loop {
             let ended = self.sockets.has_ended(id);
+            let max_unsent = self.max_unsent_bytes();
             let Some(ConnectionRole::Client(client)) = self.connections.get_mut(&id) else {
                 return;
             };
@@ -23,7 +25,7 @@
                 return self.read_during_request(id);
             }
             // A client that does not read its responses is not read either, and is disconnected after a timeout.
-            if self.sockets.unsent_bytes(id) > MAX_UNSENT_BYTES {
+            if self.sockets.unsent_bytes(id) > max_unsent {
                 return self.start_stall_timer(id);
             }
             let Some(input) = self.sockets.input(id) else {
@@ -32,7 +34,7 @@
             let taken = client.reader.take(input, ended);
             let has_partial_input = client.reader.is_mid_message() || !input.is_empty();
             match taken {
-                Ok(Some((head, body))) => self.handle_request(id, head, body.freeze()),
+                Ok(Some((head, body))) => self.handle_request(id, head, body),
                 Ok(None) if ended => return self.client_disconnected(id),
                 Ok(None) => return self.wait_for_request(id, has_partial_input),
                 Err(HttpError::UnexpectedEnd) => return self.client_disconnected(id),
@@ -56,6 +58,13 @@
     }
 
     fn wait_for_request(&mut self, id: SocketId, has_partial_input: bool) {
+        let Some(client) = self.client_mut(id) else {
+            return;
+        };
+        let held = client.reader.memory_size();
+        if !self.reserve_for_request(id, held) {
+            return self.reject_for_lack_of_memory(id);
+        }
         let Some(ConnectionRole::Client(client)) = self.connections.get_mut(&id) else {
             return;
         };
@@ -83,17 +92,35 @@
         if !reader.ended() {
             client.unread_body = Some(reader);
         }
-        self.handle_request(id, head, body.freeze());
+        self.handle_request(id, head, body);
+    }
+
+    /// Counts the bytes of the request that a client is sending against the memory budget. Returns whether they fit.
+    fn reserve_for_request(&mut self, id: SocketId, bytes: usize) -> bool {
+        let buffered = self.sockets.buffered_bytes();
+        let Some(client) = self.client_mut(id) else {
+            return false;
+        };
+        if bytes <= MAX_UNCOUNTED_MESSAGE {
+            client.reservation.resize(0);
+            return true;
+        }
+        client.reservation.resize_or_release(bytes, buffered)
     }
 
-    fn handle_request(&mut self, id: SocketId, head: RequestHead, body: Bytes) {
+    fn handle_request(&mut self, id: SocketId, head: RequestHead, body: BytesMut) {
         self.stop_request_timer(id);
+        if !self.reserve_for_request(id, head.memory_size() + body.capacity()) {
+            return self.reject_for_lack_of_memory(id);
+        }
+        let body = body.freeze();
         let keep_alive = head.keep_alive && !self.shutdown.has_begun();
         let Some(client) = self.client_mut(id) else {
             return;
         };
         // With part of the body unread, the next request cannot be delimited, so the connection closes.
         client.close_after_response = !keep_alive || client.has_unread_body();
+        let reservation = client.reservation.take();
         if self.serve_own_page(id, &head, &body) {
             return;
         }
@@ -101,7 +128,7 @@
             return self.reject_during_shutdown(id);
         }
         match self.classifier.classify(&head, self.now) {
-            Ok(traits) => self.start_request(id, head, body, traits),
+            Ok(traits) => self.start_request(id, head, body, traits, reservation),
             Err(error) => {
                 let text = format!("{error}\n");
                 self.respond(id, error.status(), &[], text.as_bytes());
@@ -115,6 +142,7 @@
         head: RequestHead,
         body: Bytes,
         traits: RequestTraits,
+        reservation: MemoryReservation,
     ) {
         let refusal = self.peers.refusal(
             self.now,
@@ -137,6 +165,7 @@
             routing_key: traits.routing_key,
             idempotency_hash: traits.idempotency_hash,
             streamed_attempt: None,
+            _reservation: reservation,
         };
         let id = self.requests.insert(client_id, traits.deadline, request);
         self.events.push(Event::RequestArrived(Request {
--- a/crates/http-proxy/src/service/clients/responses.rs
+++ b/crates/http-proxy/src/service/clients/responses.rs
@@ -1,9 +1,9 @@
 //! Writes pod responses to clients, buffered or streamed.
 
-use super::{ClientRequest, LAST_CHUNK, MAX_UNSENT_BYTES};
+use super::{ClientRequest, LAST_CHUNK, MAX_UNCOUNTED_MESSAGE};
 use crate::service::attempt_token::{AttemptId, ATTEMPT_FIELD};
 use crate::service::Service;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use limewing_decision::interface::RequestId;
 use limewing_net::body::{write_chunk, Framing};
 use limewing_net::http::{self, ResponseHead};
@@ -55,7 +55,7 @@
         &mut self,
         attempt: AttemptId,
         head: &ResponseHead,
-        body: &[u8],
+        body: Bytes,
     ) {
         let request = self.requests.get_mut(attempt.request);
         let Some(request) = request.filter(|request| accepts_response(request)) else {
@@ -66,13 +66,17 @@
         let is_head = request.protocol_state.is_head();
         self.record_response_origin(attempt);
         let Some(client) = client else { return };
-        let framing = buffered_framing(head, body, is_head);
+        let framing = buffered_framing(head, &body, is_head);
         let mut out = self.response_head(client, attempt, head, framing);
-        if !is_head {
-            out.extend_from_slice(body);
+        let body = if is_head { Bytes::new() } else { body };
+        // A small body is written together with the head: system calls are the most expensive part of a request.
+        if body.len() <= MAX_UNCOUNTED_MESSAGE {
+            out.extend_from_slice(&body);
+            self.sockets.send(client, &out);
+        } else {
+            self.sockets.send(client, &out);
+            self.sockets.send_shared(client, body);
         }
-        // Head and body are written together: system calls are the most expensive part of a request.
-        self.sockets.send(client, &out);
         self.finish_response(client);
     }
 
@@ -105,7 +109,7 @@
         } else {
             self.sockets.send(client, piece);
         }
-        if self.sockets.unsent_bytes(client) > MAX_UNSENT_BYTES {
+        if self.sockets.unsent_bytes(client) > self.max_unsent_bytes() {
             self.start_stall_timer(client);
         }
     }
@@ -139,7 +143,7 @@
     /// Whether the output queued for a request's client exceeds the limit.
     pub(in crate::service) fn is_client_backlogged(&mut self, request: RequestId) -> bool {
         match self.client_of(request) {
-            Some(client) => self.sockets.unsent_bytes(client) > MAX_UNSENT_BYTES,
+            Some(client) => self.sockets.unsent_bytes(client) > self.max_unsent_bytes(),
             None => false,
         }
     }
--- a/crates/http-proxy/src/service/upstream/attempts.rs
+++ b/crates/http-proxy/src/service/upstream/attempts.rs
@@ -127,6 +127,7 @@
 
     fn begin_exchange(&mut self, socket: SocketId, attempt: AttemptId) {
         let written_before = self.sockets.bytes_written(socket);
+        let reservation = self.clients.memory.reservation();
         let sent = self
             .requests
             .active_attempt_mut(attempt.request, attempt.index);
@@ -136,7 +137,7 @@
         let Some(ConnectionRole::Upstream(connection)) = self.connections.get_mut(&socket) else {
             return;
         };
-        connection.exchange = Some(Exchange::new(attempt, written_before));
+        connection.exchange = Some(Exchange::new(attempt, written_before, reservation));
         // Nothing is written before the connection is established.
         if connection.connect_timer.is_none() {
             self.write_request(socket);
--- a/crates/http-proxy/src/service/upstream/exchange.rs
+++ b/crates/http-proxy/src/service/upstream/exchange.rs
@@ -2,10 +2,12 @@
 
 use crate::http_status;
 use crate::service::attempt_token::AttemptId;
+use crate::service::clients::MAX_UNCOUNTED_MESSAGE;
 use bytes::{Bytes, BytesMut};
 use limewing_decision::interface::AttemptOutcome;
 use limewing_net::body::BodyReader;
 use limewing_net::http::{self, HeadLimits, HttpError, ResponseHead};
+use limewing_proxy_core::memory_budget::MemoryReservation;
 
 /// Header field by which a pod declares that it has not started a request.
 const NOT_STARTED_FIELD: &str = "limewing-not-begun";
@@ -20,6 +22,8 @@
     pub(super) response: Option<Response>,
     /// The part of the response body that is buffered, not streamed.
     pub(super) buffered: BytesMut,
+    /// The memory for `buffered`.
+    pub(super) reservation: MemoryReservation,
     /// Whether the response is streamed to the client.
     pub(super) is_streamed: bool,
 }
@@ -53,6 +57,8 @@
     pub(super) no_response_started: bool,
     /// Maximum size of the buffered body, in bytes.
     pub(super) max_buffered: usize,
+    /// Bytes buffered on connections, which count against the memory budget.
+    pub(super) buffered_on_connections: usize,
 }
 
 /// Result of reading part of a response body.
@@ -86,12 +92,17 @@
 
 impl Exchange {
     /// Creates the exchange of an attempt. `written_before` is the number of bytes written to the connection before it.
-    pub(super) fn new(attempt: AttemptId, written_before: u64) -> Self {
+    pub(super) fn new(
+        attempt: AttemptId,
+        written_before: u64,
+        reservation: MemoryReservation,
+    ) -> Self {
         Self {
             attempt,
             written_before,
             response: None,
             buffered: BytesMut::new(),
+            reservation,
             is_streamed: false,
         }
     }
@@ -133,8 +144,13 @@
                 continue;
             }
             self.buffered.extend_from_slice(&piece);
+            let held = self.buffered.capacity();
+            let has_memory = held <= MAX_UNCOUNTED_MESSAGE
+                || self
+                    .reservation
+                    .resize_or_release(held, rules.buffered_on_connections);
             // Too large to buffer: switch to streaming if that is allowed.
-            if self.buffered.len() > rules.max_buffered {
+            if self.buffered.len() > rules.max_buffered || !has_memory {
                 if !may_start {
                     read.is_too_large = true;
                     return Ok(read);
@@ -146,6 +162,7 @@
             self.is_streamed = true;
             let buffered = std::mem::take(&mut self.buffered).freeze();
             read.pieces.insert(0, buffered);
+            self.reservation.resize(0);
         }
         Ok(read)
     }
--- a/crates/http-proxy/src/service/upstream/request_writer.rs
+++ b/crates/http-proxy/src/service/upstream/request_writer.rs
@@ -2,11 +2,11 @@
 
 use super::Exchange;
 use crate::service::attempt_token::{AttemptId, ATTEMPT_FIELD};
-use crate::service::clients::ClientRequest;
+use crate::service::clients::{ClientRequest, MAX_UNCOUNTED_MESSAGE};
 use crate::service::{ConnectionRole, Service};
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use limewing_decision::interface::AttemptOutcome;
-use limewing_net::body::{write_chunk, Framing};
+use limewing_net::body::{write_chunk, write_chunk_size, Framing, CHUNK_END};
 use limewing_net::http;
 use limewing_net::sockets::SocketId;
 use limewing_proxy_core::in_flight::InFlightRequest;
@@ -15,6 +15,26 @@
 /// Initial capacity for a request head, in bytes.
 const HEAD_CAPACITY_BYTES: usize = 512;
 
+/// The bytes of a request, or of the part of it that was received from the client, in the order in which they are sent.
+struct EncodedRequest {
+    /// The head, with a small body.
+    head: BytesMut,
+    /// A larger body, shared with the request.
+    body: Bytes,
+    /// The bytes that follow the body.
+    end: &'static [u8],
+}
+
+impl EncodedRequest {
+    fn copied(head: BytesMut) -> Self {
+        Self {
+            head,
+            body: Bytes::new(),
+            end: b"",
+        }
+    }
+}
+
 impl Service {
     /// Returns the exchange on a connection to a pod, if there is one.
     pub(super) fn exchange(&self, socket: SocketId) -> Option<&Exchange> {
@@ -44,10 +64,12 @@
         let Some(request) = self.requests.get(attempt.request) else {
             return;
         };
-        let out = self.encode_request(request, attempt);
+        let encoded = self.encode_request(request, attempt);
         let is_body_complete = request.protocol_state.is_body_complete;
         let client = request.client;
-        self.sockets.send(socket, &out);
+        self.sockets.send(socket, &encoded.head);
+        self.sockets.send_shared(socket, encoded.body);
+        self.sockets.send(socket, encoded.end);
         if is_body_complete {
             return;
         }
@@ -60,7 +82,7 @@
         &self,
         request: &InFlightRequest<ClientRequest>,
         attempt: AttemptId,
-    ) -> BytesMut {
+    ) -> EncodedRequest {
         let state = &request.protocol_state;
         let token = self.upstream.tokens.encode(attempt);
         let added_fields = [
@@ -88,7 +110,9 @@
         } else {
             state.head.framing
         };
-        let mut out = BytesMut::with_capacity(HEAD_CAPACITY_BYTES + state.body.len());
+        let is_copied = state.body.len() <= MAX_UNCOUNTED_MESSAGE;
+        let copied_length = if is_copied { state.body.len() } else { 0 };
+        let mut out = BytesMut::with_capacity(HEAD_CAPACITY_BYTES + copied_length);
         http::write_request(
             &mut out,
             &state.head.method,
@@ -96,12 +120,23 @@
             fields,
             framing,
         );
-        if framing == Framing::Chunked {
-            write_chunk(&mut out, &state.body);
-        } else {
-            out.extend_from_slice(&state.body);
+        let is_chunked = framing == Framing::Chunked;
+        if is_copied {
+            if is_chunked {
+                write_chunk(&mut out, &state.body);
+            } else {
+                out.extend_from_slice(&state.body);
+            }
+            return EncodedRequest::copied(out);
+        }
+        if is_chunked {
+            write_chunk_size(&mut out, state.body.len());
+        }
+        EncodedRequest {
+            head: out,
+            body: state.body.clone(),
+            end: if is_chunked { CHUNK_END } else { b"" },
         }
-        out
     }
 
     /// Continues to stream a request body when the pod accepts more of it.
--- a/crates/http-proxy/src/service/upstream/responses.rs
+++ b/crates/http-proxy/src/service/upstream/responses.rs
@@ -35,6 +35,7 @@
 
     fn read_response(&mut self, socket: SocketId) -> ResponseProgress {
         let ended = self.sockets.has_ended(socket);
+        let buffered_on_connections = self.sockets.buffered_bytes();
         let Some(ConnectionRole::Upstream(connection)) = self.connections.get_mut(&socket) else {
             return ResponseProgress::Incomplete;
         };
@@ -57,6 +58,7 @@
             class_is_streamed: self.settings.is_streamed(state.class),
             no_response_started: !request.completed && state.streamed_attempt.is_none(),
             max_buffered: self.settings.max_buffered_response,
+            buffered_on_connections,
         };
         let Ok(read) = exchange.read_body(input, rules) else {
             return ResponseProgress::Invalid;
@@ -141,7 +143,8 @@
         }
         let outcome = response.outcome();
         if outcome == AttemptOutcome::Succeeded {
-            self.deliver_response(exchange.attempt, &response.head, &exchange.buffered);
+            let body = exchange.reservation.attach_to(exchange.buffered.freeze());
+            self.deliver_response(exchange.attempt, &response.head, body);
         }
         self.end_attempt(exchange.attempt, outcome);
     }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -11,6 +11,8 @@
 /// The maximum number of lines in a trailer section.
 const MAX_TRAILER_LINES: u32 = 32;
 const LINE_END: &[u8] = b"\r\n";
+/// The line end after the content of a chunk.
+pub const CHUNK_END: &[u8] = LINE_END;
 
 /// The part of a body that is expected next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,7 +198,12 @@
 
 /// Writes one chunk. An empty chunk ends the body.
 pub fn write_chunk(out: &mut BytesMut, content: &[u8]) {
-    out.extend_from_slice(format!("{:x}\r\n", content.len()).as_bytes());
+    write_chunk_size(out, content.len());
     out.extend_from_slice(content);
-    out.extend_from_slice(LINE_END);
+    out.extend_from_slice(CHUNK_END);
+}
+
+/// Writes the line that precedes the content of a chunk; [`CHUNK_END`] follows the content.
+pub fn write_chunk_size(out: &mut BytesMut, length: usize) {
+    out.extend_from_slice(format!("{length:x}\r\n").as_bytes());
 }
--- a/crates/net/src/http/fields.rs
+++ b/crates/net/src/http/fields.rs
@@ -1,7 +1,7 @@
 //! Header fields of a message head.
 
 use crate::error::HttpError;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Hop-by-hop fields (RFC 9110, 7.6.1), and `content-length`, which each sender sets itself.
 const HOP_BY_HOP: [&str; 10] = [
@@ -49,7 +49,9 @@
         input: &mut BytesMut,
         length: usize,
     ) -> Result<Self, HttpError> {
-        let raw = input.split_to(length).freeze();
+        // A copy, because a part of the input would keep all of its space allocated.
+        let raw = Bytes::copy_from_slice(&input[..length]);
+        input.advance(length);
         let is_bare = |position: usize| position == 0 || raw[position - 1] != b'\r';
         if memchr::memchr_iter(b'\n', &raw).any(is_bare) {
             return Err(HttpError::BareLineFeed);
@@ -57,6 +59,12 @@
         Ok(Self { raw, spans })
     }
 
+    /// The memory that the fields hold, in bytes.
+    #[must_use]
+    pub fn memory_size(&self) -> usize {
+        self.raw.len() + self.spans.capacity() * size_of::<FieldSpan>()
+    }
+
     fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         self.spans
             .iter()
--- a/crates/net/src/http/parse.rs
+++ b/crates/net/src/http/parse.rs
@@ -50,6 +50,14 @@
     pub expects_continue: bool,
 }
 
+impl RequestHead {
+    /// The memory that the head holds besides itself, in bytes.
+    #[must_use]
+    pub fn memory_size(&self) -> usize {
+        self.method.len() + self.target.len() + self.fields.memory_size()
+    }
+}
+
 /// The head of a final response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
--- a/crates/net/src/message_reader.rs
+++ b/crates/net/src/message_reader.rs
@@ -133,6 +133,14 @@
 }
 
 impl RequestReader {
+    /// The memory that the incomplete message holds, in bytes.
+    #[must_use]
+    pub fn memory_size(&self) -> usize {
+        self.incomplete.as_ref().map_or(0, |message| {
+            message.head.memory_size() + message.body.capacity()
+        })
+    }
+
     /// Whether the client waits for `100 Continue` before it sends the body (RFC 9110, 10.1.1). Returns true
     /// at most once per request.
     pub fn wants_continue(&mut self) -> bool {
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -45,6 +45,9 @@
     /// Time within which a request must be received completely, from its first byte.
     #[serde(default = "default_request_timeout", rename = "request_within")]
     pub request_timeout: Seconds,
+    /// Memory that the process may use, in bytes; if absent, as much as the system allows.
+    #[serde(default, rename = "memory")]
+    pub max_memory: Option<usize>,
     /// Maximum number of open client connections.
     #[serde(default = "default_max_clients", rename = "clients")]
     pub max_clients: usize,
@@ -54,6 +57,11 @@
     pub(crate) fn validate(&self, validator: &mut Validator) {
         validator.require(self.max_attempts >= 1, "/limits/max_forwards", "1 or more");
         validator.require(self.max_clients >= 1, "/limits/clients", "1 or more");
+        validator.require(
+            self.max_memory != Some(0),
+            "/limits/memory",
+            "more than 0 bytes",
+        );
         validator.require(
             self.connect_timeout.value() > 0.0,
             "/limits/connect_timeout",
