--- a/crates/http-proxy/src/service/clients/mod.rs
+++ b/crates/http-proxy/src/service/clients/mod.rs
@@ -264,3 +264,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http-proxy/src/service/clients/requests.rs
+++ b/crates/http-proxy/src/service/clients/requests.rs
@@ -9,13 +9,17 @@
 use limewing_net::sockets::SocketId;
 use limewing_proxy_core::memory_budget::MemoryReservation;
 
+/// Maximum number of requests of one client that are handled in a turn of the event loop, so that a client that sends many
+/// does not delay others.
+pub(super) const MAX_REQUESTS_PER_TURN: usize = 8;
 /// The interim response that tells a client to send its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 impl Service {
-    /// Reads and handles the input received from a client.
+    /// Reads and handles the input received from a client, up to its next request that needs a decision or the limit for one
+    /// turn.
     pub(in crate::service) fn read_client(&mut self, id: SocketId) {
-        loop {
+        for _ in 0..MAX_REQUESTS_PER_TURN {
             let ended = self.sockets.has_ended(id);
             let max_unsent = self.max_unsent_bytes();
             let Some(ConnectionRole::Client(client)) = self.connections.get_mut(&id) else {
@@ -42,6 +46,7 @@
                 Err(error) => return self.reject_malformed_request(id, error),
             }
         }
+        self.sockets.report_again(id);
     }
 
     /// Streams the remainder of the request body. Pipelined requests wait; a client that closed its side counts as
--- a/crates/net/src/sockets/mod.rs
+++ b/crates/net/src/sockets/mod.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Reports a connection as readable in the next round, so that its owner can leave input for then and serve others first.
+    pub fn report_again(&mut self, id: SocketId) {
+        self.events.push_back(SocketEvent::Readable(id));
+    }
+
     /// Reads the available input and reports it.
     fn read(&mut self, id: SocketId) {
         let Some(connection) = self.table.connection(id) else {
--- a/crates/postgres-proxy/src/service/clients.rs
+++ b/crates/postgres-proxy/src/service/clients.rs
@@ -19,6 +19,9 @@
 
 /// Maximum length of a client message other than a Query, in bytes.
 const MAX_OTHER_MESSAGE: usize = 4 * 1024;
+/// Maximum number of messages of one client that are handled in a turn of the event loop, so that a client that sends many
+/// does not delay others.
+const MAX_MESSAGES_PER_TURN: usize = 8;
 /// Maximum number of statements that may be queued behind the one being served. A client that sends
 /// more is not waiting for its responses, and would fill its buffers here.
 const MAX_PIPELINED_STATEMENTS: usize = 8;
@@ -169,9 +172,14 @@
         }
     }
 
-    /// Processes the input of a client, up to its next request.
+    /// Processes the input of a client, up to its next request or the limit for one turn.
     pub(super) fn read_from_client(&mut self, id: SocketId) {
-        while self.read_client_message(id).is_continue() {}
+        for _ in 0..MAX_MESSAGES_PER_TURN {
+            if self.read_client_message(id).is_break() {
+                return;
+            }
+        }
+        self.sockets.report_again(id);
     }
 
     /// Processes one message, if one is allowed now and complete.
@@ -363,3 +371,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
