--- a/crates/decision/src/admission.rs
+++ b/crates/decision/src/admission.rs
@@ -52,6 +52,7 @@
             Message::StreamStarted(request) => self.on_stream_started(request),
             Message::RequestAbandoned(request) => self.reject_or_fail(request, context),
             Message::RequestClosed(request) => self.on_request_closed(request, context),
+            Message::RequestUnknown(request) => self.on_request_unknown(request, context),
             Message::KeyServed(key, build) => self.exposure.record_key(key, build),
             Message::StageUpdated(update) => self.exposure.on_stage_updated(update),
             Message::Tick => self.exposure.on_tick(&self.endpoints, context),
@@ -306,6 +307,32 @@
         }
     }
 
+    /// Ends the attempts of a request that the host no longer has. They were never sent: the host
+    /// reports the outcome of all others.
+    fn on_request_unknown(&mut self, request: RequestId, context: &mut Context) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let unsent: Vec<(AttemptIndex, PodId)> = (0..)
+            .map(AttemptIndex)
+            .zip(&record.attempts)
+            .filter(|(_, attempt)| attempt.outcome.is_none())
+            .map(|(index, attempt)| (index, attempt.pod))
+            .collect();
+        self.close(request, context);
+        for (attempt, pod) in unsent {
+            let result = AttemptResult {
+                request,
+                attempt,
+                pod,
+                outcome: AttemptOutcome::NeverSent,
+                duration: Duration::ZERO,
+                request_closed: true,
+            };
+            self.on_attempt_finished(result, context);
+        }
+    }
+
     fn close(&mut self, request: RequestId, context: &mut Context) {
         if let Some(record) = self.requests.get_mut(&request) {
             record.closed = true;
--- a/crates/decision/src/admission/tests.rs
+++ b/crates/decision/src/admission/tests.rs
@@ -164,3 +164,25 @@
         assert_eq!(remaining.len(), left);
     }
 }
+
+/// A client disconnects in the turn in which an attempt of its request is started: the host no longer has the request, and does not report
+/// an outcome. Guards against a record, and attempts counted at a pod, that stay for good.
+#[test]
+fn a_request_that_the_host_no_longer_has_leaves_no_record() {
+    let mut context = context(1.0);
+    let mut admission = admission(2, Phase::Released, 1.0);
+    admission.start_attempt(RequestId(0), PodId(0), &mut context);
+    admission.receive(Message::RequestClosed(RequestId(0)), &mut context);
+    assert_eq!(admission.requests.len(), 1);
+    while context.mailboxes.pop().is_some() {}
+    admission.receive(Message::RequestUnknown(RequestId(0)), &mut context);
+    assert!(admission.requests.is_empty());
+    let delivered = std::iter::from_fn(|| context.mailboxes.pop());
+    let outcome_at_pod = delivered
+        .filter(|(to, _)| *to == Component::OutlierDetector(PodId(0)))
+        .find_map(|(_, message)| match message {
+            Message::AttemptEnded(ended) => Some(ended.result.outcome),
+            _ => None,
+        });
+    assert_eq!(outcome_at_pod, Some(AttemptOutcome::NeverSent));
+}
--- a/crates/decision/src/context.rs
+++ b/crates/decision/src/context.rs
@@ -137,6 +137,9 @@
             Event::ClientDisconnected(request) => {
                 self.send(AdmissionControl, Message::RequestClosed(request));
             }
+            Event::RequestUnknown(request) => {
+                self.send(AdmissionControl, Message::RequestUnknown(request));
+            }
             Event::Stage {
                 update,
                 vote_answer,
--- a/crates/decision/src/engine.rs
+++ b/crates/decision/src/engine.rs
@@ -28,7 +28,7 @@
 fn in_processing_order(mut events: Vec<Event>) -> Vec<Event> {
     events.sort_by_key(|event| match event {
         Event::Endpoints(_) | Event::Stage { .. } | Event::Fleet(_) | Event::KeyServed(..) => 0,
-        Event::AttemptFinished(_) => 1,
+        Event::AttemptFinished(_) | Event::RequestUnknown(_) => 1,
         Event::RequestArrived(_)
         | Event::StreamStarted { .. }
         | Event::ClientDisconnected(_)
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -67,6 +67,9 @@
     },
     /// The client of a request disconnected.
     ClientDisconnected(RequestId),
+    /// An attempt was started for a request that the host no longer has: its client disconnected, or
+    /// it got its response, before the host executed the action. None of its attempts is active.
+    RequestUnknown(RequestId),
     /// The rollout state changed or a vote was answered.
     Stage {
         /// The new state of the rollout, if it changed.
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -52,6 +52,8 @@
     /// From the load balancer: no further attempt is worthwhile.
     RequestAbandoned(RequestId),
     RequestClosed(RequestId),
+    /// The host no longer has this request.
+    RequestUnknown(RequestId),
     /// A routing key was served by a build.
     KeyServed(RoutingKey, BuildId),
     StageUpdated(StageUpdate),
--- a/crates/http-proxy/src/service/clients/requests.rs
+++ b/crates/http-proxy/src/service/clients/requests.rs
@@ -149,6 +149,9 @@
         traits: RequestTraits,
         reservation: MemoryReservation,
     ) {
+        if self.sockets.has_peer_closed(client_id) {
+            return self.client_disconnected(client_id);
+        }
         let refusal = self.peers.refusal(
             self.now,
             traits.idempotency_hash,
--- a/crates/http-proxy/src/service/clients/tests.rs
+++ b/crates/http-proxy/src/service/clients/tests.rs
@@ -2,11 +2,13 @@
 
 use super::requests::MAX_REQUESTS_PER_TURN;
 use crate::service::{ConnectionRole, Service};
+use limewing_decision::interface::{Event, PodId, RequestId};
 use limewing_net::sockets::{SocketId, MAX_INPUT};
 use limewing_settings::{read_text, SidecarSettings};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 const SETTINGS: &str = include_str!("../../../../../deploy/sidecar.example.json");
 
@@ -61,3 +63,32 @@
         service.turn().unwrap();
     }
 }
+
+/// A client sends a request and closes its connection before the request is read. Guards against a request that is sent on although nobody
+/// waits for its response, and against records of it that stay for good (operators' pictures b and c).
+#[test]
+fn a_request_of_a_client_that_has_closed_is_not_accepted() {
+    let mut service = start_service();
+    let (mut client, _) = connect(&mut service);
+    client
+        .write_all(b"GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    drop(client);
+    while service.clients.connected > 0 {
+        service.turn().unwrap();
+    }
+    assert_eq!(service.requests.total_accepted(), 0);
+}
+
+/// The client of a request is gone when the decision to start an attempt is executed: the engine is told. Guards against an attempt that
+/// it counts at its pod for good.
+#[test]
+fn an_attempt_without_a_request_is_reported() {
+    let mut service = start_service();
+    service.events.clear();
+    service.start_attempt(RequestId(7), PodId(0), Duration::ZERO);
+    assert!(matches!(
+        service.events[..],
+        [Event::RequestUnknown(RequestId(7))]
+    ));
+}
--- a/crates/http-proxy/src/service/upstream/attempts.rs
+++ b/crates/http-proxy/src/service/upstream/attempts.rs
@@ -30,6 +30,7 @@
         timeout: Duration,
     ) {
         let Some(in_flight) = self.requests.get(request) else {
+            self.events.push(Event::RequestUnknown(request));
             return;
         };
         let due_at = if timeout.is_zero() {
--- a/crates/postgres-proxy/src/service/attempts.rs
+++ b/crates/postgres-proxy/src/service/attempts.rs
@@ -21,6 +21,7 @@
     pub(super) fn start_attempt(&mut self, id: RequestId, pod: PodId, timeout: Duration) {
         let now = self.now;
         let Some(request) = self.requests.get_mut(id) else {
+            self.events.push(Event::RequestUnknown(id));
             return;
         };
         let index = AttemptIndex(request.attempts.len() as u16);
--- a/crates/postgres-proxy/src/service/clients/tests.rs
+++ b/crates/postgres-proxy/src/service/clients/tests.rs
@@ -4,6 +4,7 @@
 use crate::config;
 use crate::service::{ConnectionRole, Service};
 use bytes::BytesMut;
+use limewing_decision::interface::{Event, PodId, RequestId};
 use limewing_emulators::platform::SidecarConfigFile;
 use limewing_net::sockets::{SocketId, MAX_INPUT};
 use limewing_postgres_protocol::encode;
@@ -11,6 +12,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// An SSLRequest, which may precede the startup message.
 const SSL_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
@@ -77,3 +79,33 @@
         service.turn().unwrap();
     }
 }
+
+/// A client sends a request and closes its connection before the request is read. Guards against a request that is sent on although nobody
+/// waits for its response, and against records of it that stay for good (operators' pictures b and c).
+#[test]
+fn a_request_of_a_client_that_has_closed_is_not_accepted() {
+    let mut service = start_service();
+    let (mut client, _) = connect(&mut service);
+    let request = "SELECT blob FROM rows WHERE handle = '7f3a' /* id=a1,c=look,t=acme,d=5000 */";
+    client
+        .write_all(&[&startup_message()[..], &query(request)].concat())
+        .unwrap();
+    drop(client);
+    while service.clients.connected > 0 {
+        service.turn().unwrap();
+    }
+    assert_eq!(service.requests.total_accepted(), 0);
+}
+
+/// The client of a request is gone when the decision to start an attempt is executed: the engine is told. Guards against an attempt that
+/// it counts at its pod for good.
+#[test]
+fn an_attempt_without_a_request_is_reported() {
+    let mut service = start_service();
+    service.events.clear();
+    service.start_attempt(RequestId(7), PodId(0), Duration::ZERO);
+    assert!(matches!(
+        service.events[..],
+        [Event::RequestUnknown(RequestId(7))]
+    ));
+}
--- a/crates/postgres-proxy/src/service/requests.rs
+++ b/crates/postgres-proxy/src/service/requests.rs
@@ -19,13 +19,17 @@
 const FAILED_SQLSTATE: &str = "58000";
 
 impl Service {
-    /// Accepts a request from a statement of a client, for which `reservation` holds the memory.
+    /// Accepts a request from a statement of a client, for which `reservation` holds the memory. A
+    /// client that has closed its side does not wait for a response.
     pub(super) fn handle_request(
         &mut self,
         client: SocketId,
         text: &str,
         reservation: MemoryReservation,
     ) {
+        if self.sockets.has_peer_closed(client) {
+            return self.disconnect_client(client);
+        }
         let mut statement = match self.clients.parser.parse(text) {
             Ok(statement) => statement,
             Err(error) => {
