--- a/crates/simulator-protocol/tests/golden.rs
+++ b/crates/simulator-protocol/tests/golden.rs
@@ -234,7 +234,7 @@
             });
             format!("stage {update} answer {answer:?}")
         }
-        Event::Endpoints(_) | Event::Fleet(_) | Event::KeyServed(..) => {
+        Event::Endpoints(_) | Event::Fleet(_) | Event::KeyServed(..) | Event::RequestUnknown(_) => {
             "not an event of this protocol".into()
         }
     }
