--- a/crates/http-proxy/src/service/clients/request_bodies.rs
+++ b/crates/http-proxy/src/service/clients/request_bodies.rs
@@ -15,9 +15,12 @@
 }
 
 impl Service {
-    /// Streams the received part of a client's body, as fast as the pod accepts it.
+    /// Streams the received part of a client's body, as fast as the pod accepts it. A client that has closed its side counts
+    /// as disconnected, even if part of the body is unread.
     pub(in crate::service) fn stream_request_body(&mut self, id: SocketId) {
-        let ended = self.sockets.has_ended(id);
+        if self.sockets.has_peer_closed(id) {
+            return self.client_disconnected(id);
+        }
         let max_unsent = self.max_unsent_bytes();
         let Some(ConnectionRole::Client(client)) = self.connections.get_mut(&id) else {
             return;
@@ -27,9 +30,6 @@
         };
         // Until a pod has the request, and while its send queue is full, nothing more is read from the client.
         let Some(target) = body_target(&self.requests, request) else {
-            if ended {
-                self.client_disconnected(id);
-            }
             return;
         };
         let mut out = BytesMut::new();
@@ -56,11 +56,7 @@
         if !out.is_empty() {
             self.sockets.send(target.connection, &out);
         }
-        if ended {
-            self.client_disconnected(id);
-        } else {
-            self.sockets.resume_reading(id);
-        }
+        self.sockets.resume_reading(id);
     }
 }
 
--- a/crates/http-proxy/tests/sockets/request_bodies.rs
+++ b/crates/http-proxy/tests/sockets/request_bodies.rs
@@ -1,9 +1,12 @@
 //! Request bodies that exceed the buffers.
 
-use crate::support::{sidecar, Client, Pod, PodAction};
+use crate::support::{settings, sidecar, spawn, state_file, Client, Pod, PodAction};
+use crate::unaccepting_pod::UnacceptingPod;
+use limewing_http_proxy::service::Service;
+use limewing_settings::Seconds;
 use rstest::rstest;
 use std::io::Read;
-use std::net::TcpListener;
+use std::net::{Shutdown, TcpListener};
 
 /// The body is far larger than all buffers, and is sent with a Content-Length or chunked.
 #[rstest]
@@ -68,3 +71,26 @@
     let _ = connection.read_to_end(&mut rest);
     assert!(first.starts_with(b"PUT") && rest.len() < 5_000);
 }
+
+/// A client sends a body that is larger than the sidecar reads ahead, while the pod accepts no connection yet, and leaves. Guards against a
+/// request that is sent on afterwards: the end of the connection is behind unread bytes (operators' picture c).
+#[test]
+fn a_large_request_is_not_sent_after_its_client_has_left() {
+    const BODY_BYTES: usize = 150_000;
+    let pod = UnacceptingPod::new();
+    let mut settings = settings();
+    settings.state_file = Some(state_file(&[pod.address]));
+    settings.limits.connect_timeout = Seconds::try_from(30.0).unwrap();
+    // An unused connection is closed after this timeout, which shows the test that nothing was written to it.
+    settings.limits.idle_timeout = Seconds::try_from(0.2).unwrap();
+    let mut client = Client::new(spawn(Service::start(&settings).unwrap()));
+    let body = "x".repeat(BODY_BYTES);
+    client.send(&format!(
+        "PUT /quotes/1 HTTP/1.1\r\nHost: a\r\nContent-Length: {BODY_BYTES}\r\n\r\n{body}"
+    ));
+    client.0.shutdown(Shutdown::Both).unwrap();
+    drop(client);
+    let mut received = Vec::new();
+    pod.accept_sidecar().read_to_end(&mut received).unwrap();
+    assert!(received.is_empty(), "{} bytes", received.len());
+}
--- a/crates/postgres-proxy/tests/sockets/clients.rs
+++ b/crates/postgres-proxy/tests/sockets/clients.rs
@@ -198,7 +198,12 @@
 
 /// Returns a statement that inserts the longest value.
 fn long_insert() -> String {
-    let value = "ab".repeat(MAX_VALUE);
+    insert_of_value(MAX_VALUE)
+}
+
+/// Returns a statement that inserts a value of this length.
+fn insert_of_value(length: usize) -> String {
+    let value = "ab".repeat(length);
     statement_of_class("look", 60_000)
         .replace(
             "SELECT blob FROM rows WHERE handle = '",
@@ -270,3 +275,35 @@
     client.send_query(&long_insert());
     assert_eq!(client.read_answer(), Answer::Row("red".into()));
 }
+
+/// A client leaves while its request waits for a pod and much of what it sent is unread. Guards against statements that are sent on afterwards: the
+/// end of the connection is behind unread bytes.
+#[test]
+fn a_statement_is_not_sent_after_its_client_has_left() {
+    /// In hexadecimal digits, more than the sidecar reads ahead, and less than the system's buffer holds besides.
+    const UNREAD_VALUE: usize = 25 * 1024;
+    let pod = Pod::new(vec![
+        PodBehavior::StartSessionAfterSignal,
+        PodBehavior::Answer("red"),
+    ]);
+    let address = start_sidecar(&SidecarConfigFile {
+        connect_timeout_s: 30.0,
+        ..SidecarConfigFile::new(vec![ListedPod::new("p1", pod.address)])
+    });
+    let mut client = Client::new(address);
+    client.send_query(&statement_of_class("look", 20_000));
+    assert_eq!(pod.next_event(), "came");
+    client.send_query(&insert_of_value(UNREAD_VALUE));
+    drop(client);
+    // Once the next client is served, the sidecar has seen the close.
+    let mut next = Client::new(address);
+    next.send_query("");
+    assert_eq!(next.read_answer(), Answer::Empty);
+    pod.resume.send(()).unwrap();
+    assert_eq!(pod.next_event(), "welcomed");
+    let marker = statement_of_class("look", 20_000);
+    next.send_query(&marker);
+    assert_eq!(next.read_answer(), Answer::Row("red".into()));
+    let statement = pod.next_event();
+    assert_eq!(statement.split(",d=").next(), marker.split(",d=").next());
+}
