--- a/crates/decision/src/admission.rs
+++ b/crates/decision/src/admission.rs
@@ -13,6 +13,7 @@
 use crate::endpoint_state::EndpointStates;
 use crate::engine::TICK_INTERVAL;
 use crate::exposure::ExposureControl;
+use crate::idempotency::{check_idempotency, is_safe_to_run};
 use crate::interface::{
     Action, AttemptIndex, AttemptOutcome, AttemptResult, DeduplicationScope, Endpoint, Idempotency,
     PodId, Request, RequestId, TenantId,
@@ -374,48 +375,3 @@
         Err(Refusal::RequestClosed)
     }
 }
-
-/// Rule 2: an attempt that could repeat the effect of an earlier one is refused. This is possible
-/// only if the earlier attempt may have run.
-fn check_idempotency(
-    request: &RequestRecord,
-    to: &Endpoint,
-    context: &Context,
-) -> Result<(), Refusal> {
-    let in_flight = || {
-        request
-            .attempts
-            .iter()
-            .any(|attempt| attempt.outcome.is_none())
-    };
-    if !context.config.hedging && in_flight() {
-        return Err(Refusal::MayHaveRun);
-    }
-    let idempotency = context.config.class(request.class).idempotency;
-    if is_safe_to_run(idempotency, request.attempts.iter(), to, context.now) {
-        Ok(())
-    } else {
-        Err(Refusal::MayHaveRun)
-    }
-}
-
-/// Rule 2: returns whether an attempt may run at a pod without repeating the effect of the others
-/// of its request.
-fn is_safe_to_run<'a>(
-    idempotency: Idempotency,
-    others: impl Iterator<Item = &'a AttemptRecord>,
-    to: &Endpoint,
-    now: Duration,
-) -> bool {
-    let mut may_have_run = others.filter(|attempt| attempt.may_have_run());
-    match idempotency {
-        Idempotency::Idempotent => true,
-        Idempotency::NonIdempotent => may_have_run.next().is_none(),
-        Idempotency::Keyed {
-            deduplicated_by,
-            window,
-        } => may_have_run.all(|attempt| {
-            attempt.is_deduplicated_by(to, deduplicated_by) && now < attempt.sent_at + window
-        }),
-    }
-}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -33,6 +33,7 @@
 mod exposure;
 mod hashing;
 mod hedging;
+mod idempotency;
 pub mod interface;
 mod mailbox;
 mod message;
