--- a/crates/decision/src/exposure.rs
+++ b/crates/decision/src/exposure.rs
@@ -17,6 +17,10 @@
 /// the window before the attempts made for them.
 const COUNTED_WINDOW_FRACTION: f64 = 0.9;
 
+/// The number of stored routing keys from which on no further key goes to a build on trial. Bounds
+/// memory, because clients choose the keys.
+pub(crate) const MAX_STORED_KEYS: usize = 100_000;
+
 /// The limit on requests for a build on trial.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ExposureCap {
@@ -86,13 +90,32 @@
             .record(context.now);
     }
 
+    /// Records that a build served a key. Keys of builds older than the announced one are not
+    /// subject to the rule. At the limit, new keys of a released build count as all keys, because
+    /// every request may go to that build.
     pub(crate) fn record_key(&mut self, key: RoutingKey, build: BuildId) {
+        if self.stage.is_some_and(|update| build < update.build) {
+            return;
+        }
+        let is_released = self
+            .stage
+            .is_some_and(|update| update.build == build && update.phase == Phase::Released);
+        if is_released && !self.has_room_for_key(key) {
+            self.key_builds.retain(|_, newest| *newest > build);
+            self.min_key_build = self.min_key_build.max(Some(build));
+            return;
+        }
         self.key_builds
             .entry(key)
             .and_modify(|newest| *newest = build.max(*newest))
             .or_insert(build);
     }
 
+    /// Returns whether the rollout service announced this build as the newest one.
+    pub(crate) fn is_announced(&self, build: BuildId) -> bool {
+        self.stage.is_some_and(|update| update.build == build)
+    }
+
     /// Applies a stage update. Only the keys of the newest build are subject to the rule, so keys
     /// of older builds are dropped.
     pub(crate) fn on_stage_updated(&mut self, update: StageUpdate) {
@@ -159,6 +182,13 @@
         let Some(cap) = self.cap(build, endpoints, config) else {
             return Ok(());
         };
+        let has_room = !config.sticky_keys
+            || request
+                .routing_key
+                .is_none_or(|key| self.has_room_for_key(key));
+        if !has_room {
+            return Err(Refusal::ExposureCap);
+        }
         if self.is_within_cap(cap.share, request.class, build, context) {
             Ok(())
         } else {
@@ -166,6 +196,11 @@
         }
     }
 
+    /// Returns whether a build may serve a key that is not stored yet, or the key is stored.
+    fn has_room_for_key(&self, key: RoutingKey) -> bool {
+        self.key_builds.len() < MAX_STORED_KEYS || self.key_builds.contains_key(&key)
+    }
+
     /// Checks whether the rule still allows an attempt of a request at a build that counts towards
     /// the cap already: the key stays with the newest build that served it, and the stage is open
     /// to the class of the request.
