Routing keys: those answered before the first stage are stored again

Cause: stored a key only if its build was on trial or announced when it was answered. Without a stage, a build that is the only one listed is neither; if an older pod came back and a trial was announced, a key that the newer build had answered could go back. Found by reading.

Change: every answered key reaches the table, which drops those of builds older than the announced one.

--- a/crates/decision/src/admission.rs
+++ b/crates/decision/src/admission.rs
@@ -223,16 +223,15 @@
         if outcome == AttemptOutcome::Succeeded {
             self.slow_start.record_success(context.now);
         }
-        let on_trial = self
-            .exposure
-            .cap(build, &self.endpoints, &context.config)
-            .is_some();
         if let Some(key) = record.routing_key {
-            let is_bound = on_trial || self.exposure.is_announced(build);
-            if context.config.sticky_keys && is_bound && may_have_answered(outcome) {
+            if context.config.sticky_keys && may_have_answered(outcome) {
                 context.send(Component::AdmissionControl, Message::KeyServed(key, build));
             }
         }
+        let on_trial = self
+            .exposure
+            .cap(build, &self.endpoints, &context.config)
+            .is_some();
         let request = result.request;
         let ended = AttemptEnded {
             tenant_outlier: self.is_tenant_outlier(tenant, outcome, on_trial),
--- a/crates/decision/src/admission/tests.rs
+++ b/crates/decision/src/admission/tests.rs
@@ -186,3 +186,31 @@
         });
     assert_eq!(outcome_at_pod, Some(AttemptOutcome::NeverSent));
 }
+
+/// Until a stage is announced, any build may turn out to be the newest one, also if no pod of an older build is listed at the time. Guards
+/// against a key that goes back because it was answered before the first announcement.
+#[test]
+fn keys_are_stored_before_a_stage_is_announced() {
+    let mut context = context(1.0);
+    let mut admission = AdmissionControl::default();
+    let only_build = endpoint(3, 2);
+    admission.endpoints.update(only_build, Duration::ZERO, 0.0);
+    let request = Request {
+        routing_key: Some(RoutingKey(5)),
+        ..request(0)
+    };
+    let record = RequestRecord::new(&request);
+    admission.requests.insert(request.id, record);
+    admission.start_attempt(RequestId(0), PodId(3), &mut context);
+    let result = AttemptResult {
+        request: RequestId(0),
+        attempt: AttemptIndex(0),
+        pod: PodId(3),
+        outcome: AttemptOutcome::Succeeded,
+        duration: Duration::ZERO,
+        request_closed: true,
+    };
+    admission.on_attempt_finished(result, &mut context);
+    let mut delivered = std::iter::from_fn(|| context.mailboxes.pop());
+    assert!(delivered.any(|(_, message)| matches!(message, Message::KeyServed(RoutingKey(5), _))));
+}
--- a/crates/decision/src/exposure.rs
+++ b/crates/decision/src/exposure.rs
@@ -111,11 +111,6 @@
             .or_insert(build);
     }
 
-    /// Returns whether the rollout service announced this build as the newest one.
-    pub(crate) fn is_announced(&self, build: BuildId) -> bool {
-        self.stage.is_some_and(|update| update.build == build)
-    }
-
     /// Applies a stage update. Only the keys of the newest build are subject to the rule, so keys
     /// of older builds are dropped.
     pub(crate) fn on_stage_updated(&mut self, update: StageUpdate) {
--- a/crates/http-proxy/src/service/clients/tests.rs
+++ b/crates/http-proxy/src/service/clients/tests.rs
@@ -64,8 +64,8 @@
     }
 }
 
-/// A client sends a request and closes its connection before the request is read. Guards against a request that is sent on although nobody
-/// waits for its response, and against records of it that stay for good (operators' pictures b and c).
+/// A client sends a request and closes its connection before the request is read. Guards against a request that is sent on although its
+/// client does not wait for the response, and against records of it that stay for good (operators' pictures b and c).
 #[test]
 fn a_request_of_a_client_that_has_closed_is_not_accepted() {
     let mut service = start_service();
