--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod days;
 mod fleet;
+mod http_memory;
 mod known_red;
 mod leaving;
 mod memory;
