--- a/crates/decision/src/context.rs
+++ b/crates/decision/src/context.rs
@@ -4,6 +4,7 @@
 use crate::endpoint_lease::EndpointLease;
 use crate::hashing::{rendezvous_rank, unit_interval};
 use crate::interface::{Action, Event, FleetView, PodId, SidecarConfig, StageUpdate, VoteAnswer};
+use crate::latest_stage::LatestStage;
 use crate::mailbox::Mailboxes;
 use crate::message::{Component, Message};
 use crate::timer_queue::TimerQueue;
@@ -18,6 +19,7 @@
     /// How late the engine was called after its tick was due, because the host was stalled.
     pub(crate) lateness: Duration,
     pub(crate) endpoint_lease: EndpointLease,
+    latest_stage: LatestStage,
     pub(crate) config: DerivedConfig,
     pub(crate) mailboxes: Mailboxes<Component, Message>,
     pub(crate) timers: TimerQueue<(Component, Message)>,
@@ -48,6 +50,7 @@
             now,
             lateness: Duration::ZERO,
             endpoint_lease: EndpointLease::new(config.endpoint_lease),
+            latest_stage: LatestStage::default(),
             config: DerivedConfig::new(now, config),
             mailboxes: Mailboxes::default(),
             timers: TimerQueue::default(),
@@ -155,13 +158,13 @@
     }
 
     fn dispatch_stage(&mut self, update: Option<StageUpdate>, vote_answer: Option<VoteAnswer>) {
-        if let Some(update) = update {
+        if let Some(accepted) = update.and_then(|update| self.latest_stage.accept(update)) {
             let components = [
                 Component::AdmissionControl,
                 Component::LoadBalancer,
                 Component::CanaryAnalysis,
             ];
-            self.broadcast(components, &Message::StageUpdated(update));
+            self.broadcast(components, &Message::StageUpdated(accepted.update));
         }
         if let Some(answer) = vote_answer {
             self.send(Component::CanaryAnalysis, Message::VoteAnswered(answer));
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -15,7 +15,7 @@
 };
 pub use endpoint::{Endpoint, EndpointUpdate, PodState, WatchLoss, WatchLossCause};
 pub use request::{AttemptOutcome, AttemptResult, Request};
-pub use rollout::{Phase, StageUpdate, Verdict, VoteAnswer};
+pub use rollout::{Phase, StageOrder, StageUpdate, Verdict, VoteAnswer};
 
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($of:ty)),* $(,)?) => {$(
@@ -46,6 +46,8 @@
     AttemptIndex(u16),
     /// The index of a rollout stage, from 0.
     StageIndex(u8),
+    /// Identifies one connection that streams stage updates, as numbered by the host.
+    StageStreamId(u64),
     /// Identifies a machine type.
     MachineTypeId(u16),
 );
--- a/crates/decision/src/interface/rollout.rs
+++ b/crates/decision/src/interface/rollout.rs
@@ -1,6 +1,7 @@
 //! The rollout of a build and the votes on it.
 
-use super::{BuildId, StageIndex};
+use super::{BuildId, StageIndex, StageStreamId};
+use std::num::NonZeroU64;
 use std::time::Duration;
 
 /// The phase of a rollout.
@@ -29,6 +30,19 @@
     pub cap: f64,
     /// The age of this state, by the clock of the rollout service.
     pub age: Duration,
+    /// What is known about when the rollout service wrote the update.
+    pub order: StageOrder,
+}
+
+/// What is known about the order of a stage update among the others. The default is an update of
+/// unknown age, such as a reply to a vote, the configuration or a message of another sidecar.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StageOrder {
+    /// A number that increases with each change of the state; `None` if the rollout service does
+    /// not number its changes.
+    pub number: Option<NonZeroU64>,
+    /// The stream that delivered the update, if any. A stream delivers its updates in order.
+    pub stream: Option<StageStreamId>,
 }
 
 impl StageUpdate {
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | `engine`, `context`, `message`, `mailbox`, `timer_queue` | event loop and message delivery |
 //! | `endpoints`, `endpoint_lease` | endpoint list and how long it remains valid |
+//! | `latest_stage` | which stage update is the newest |
 //! | `admission`, `slow_start`, `exposure` | the five safety rules |
 //! | `balancer`, `placement`, `candidate`, `overload`, `hedging` | pod selection, load shedding, retries and hedged requests |
 //! | `outlier` | ejection of pods and detection of outlier tenants |
@@ -35,6 +36,7 @@
 mod hedging;
 mod idempotency;
 pub mod interface;
+mod latest_stage;
 mod mailbox;
 mod message;
 mod outlier;
@@ -50,3 +52,4 @@
 
 pub use endpoints::WATCH_RETRY_DELAY;
 pub use engine::DecisionEngine;
+pub use latest_stage::{AcceptedStage, LatestStage};
--- a/crates/decision/src/test_support.rs
+++ b/crates/decision/src/test_support.rs
@@ -8,7 +8,7 @@
     AttemptIndex, AttemptOutcome, AttemptResult, BuildId, CellId, ClassId, Control,
     DeduplicationScope, Endpoint, EndpointUpdate, Event, Idempotency, MachineTypeId, Phase, PodId,
     PodState, Request, RequestClass, RequestId, RolloutConfig, SafetyLimits, SidecarConfig,
-    StageIndex, StageUpdate, TenantId, WatchLoss, WatchLossCause, ZoneId,
+    StageIndex, StageOrder, StageUpdate, TenantId, WatchLoss, WatchLossCause, ZoneId,
 };
 use crate::message::AttemptEnded;
 use crate::request_state::OpenRequest;
@@ -140,6 +140,7 @@
         phase,
         cap,
         age: Duration::ZERO,
+        order: StageOrder::default(),
     }
 }
 
--- a/crates/emulators/src/platform/mod.rs
+++ b/crates/emulators/src/platform/mod.rs
@@ -149,6 +149,8 @@
     pub max_memory_mb: usize,
     /// The client timeout of all request classes, in seconds.
     pub client_timeout_s: f64,
+    /// The longest wait for the reply to a vote, in seconds.
+    pub vote_timeout_s: f64,
     /// Whether requests are hedged.
     pub second_copies: bool,
     /// The connect timeout for pods, in seconds.
@@ -175,6 +177,7 @@
             max_descriptors: 256,
             max_memory_mb: 64,
             client_timeout_s: 5.0,
+            vote_timeout_s: 1.0,
             second_copies: false,
             connect_timeout_s: 1.0,
             may_cancel: true,
@@ -192,6 +195,7 @@
             max_descriptors,
             max_memory_mb,
             client_timeout_s,
+            vote_timeout_s,
             second_copies,
             connect_timeout_s,
             may_cancel,
@@ -231,7 +235,7 @@
               "rules":{{"cold_from":0.5,"cold_s":1,"fall_multiple":2,"fall_s":1,"stop_sending_within_s":0.5}},
               "limits":{{"cancel":{may_cancel},"max_attempts":4,"max_retry_after_s":0.5,"retry_after":true,"second_copies":{second_copies},
                 "connect_timeout_s":{connect_timeout_s},"idle_close_s":15}},
-              "domain":{{"api_timeout_s":1,"counted_by":"all","gate_mode":"timer",{sticky_keys}"most_shares":[0.5],"span_s":2,"stage_share":[0.5],
+              "domain":{{"api_timeout_s":{vote_timeout_s},"counted_by":"all","gate_mode":"timer",{sticky_keys}"most_shares":[0.5],"span_s":2,"stage_share":[0.5],
                 "uncounted":1,"vote_ttl_s":4,"votes_to_revert":1}}}}}}"#
         )
     }
--- a/crates/emulators/src/platform/services.rs
+++ b/crates/emulators/src/platform/services.rs
@@ -134,10 +134,19 @@
     Reply(u16, String),
     /// Answers with these bytes and closes the connection.
     Raw(&'static [u8]),
+    /// Answers with this status and body when the test releases the replies.
+    Hold(u16, String),
     /// Never answers.
     NoReply,
 }
 
+/// A reply that waits for its release.
+struct HeldReply {
+    stream: TcpStream,
+    status: u16,
+    body: String,
+}
+
 /// The rollout service: stage updates and votes.
 pub struct RolloutService {
     /// The address at which it listens.
@@ -145,6 +154,7 @@
     /// One message for each stream that was opened.
     opened_streams: Receiver<()>,
     votes: Receiver<String>,
+    held: Arc<Mutex<Vec<HeldReply>>>,
     streams: Streams,
 }
 
@@ -160,10 +170,12 @@
         let (vote_sender, votes) = channel();
         let (stream_sender, opened_streams) = channel();
         let streams = Streams::default();
+        let held = Arc::default();
         let mut service = RolloutThread {
             first: first.to_owned(),
             script: script.into_iter().peekable(),
             unanswered: Vec::new(),
+            held: Arc::clone(&held),
             streams: streams.clone(),
             vote_sender,
             stream_sender,
@@ -177,10 +189,25 @@
             address,
             opened_streams,
             votes,
+            held,
             streams,
         }
     }
 
+    /// Sends the held replies, and waits until the sidecar has read them and closed the connections.
+    ///
+    /// # Panics
+    /// Panics if no reply is held, or if the sidecar did not wait for one.
+    pub fn release_replies(&self) {
+        let held = std::mem::take(&mut *lock(&self.held));
+        assert!(!held.is_empty(), "no reply is held");
+        for mut reply in held {
+            send_reply(&mut reply.stream, reply.status, &reply.body).expect("an open connection");
+            let end = reply.stream.read(&mut [0]);
+            assert_eq!(end.ok(), Some(0), "the sidecar did not read the reply");
+        }
+    }
+
     /// Waits until a stream is opened.
     ///
     /// # Panics
@@ -208,11 +235,18 @@
     }
 }
 
+fn send_reply(stream: &mut TcpStream, status: u16, body: &str) -> std::io::Result<()> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(format!("{head}{body}").as_bytes())
+}
+
 struct RolloutThread {
     first: String,
     script: Peekable<IntoIter<VoteReplyScript>>,
     /// The connections of votes that are never answered.
     unanswered: Vec<TcpStream>,
+    held: Arc<Mutex<Vec<HeldReply>>>,
     streams: Streams,
     vote_sender: Sender<String>,
     stream_sender: Sender<()>,
@@ -245,10 +279,13 @@
         // The sidecar may have closed the connection, so that write errors are ignored.
         match self.next_answer() {
             VoteReplyScript::Reply(status, body) => {
-                let length = body.len();
-                let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {length}\r\n\r\n");
-                let _ = stream.write_all(format!("{head}{body}").as_bytes());
+                let _ = send_reply(&mut stream, status, &body);
             }
+            VoteReplyScript::Hold(status, body) => lock(&self.held).push(HeldReply {
+                stream,
+                status,
+                body,
+            }),
             VoteReplyScript::Raw(bytes) => {
                 let _ = stream.write_all(bytes);
             }
--- a/crates/http-proxy/src/service/control/stage_watch.rs
+++ b/crates/http-proxy/src/service/control/stage_watch.rs
@@ -2,9 +2,10 @@
 
 use crate::http_status;
 use crate::service::{ConnectionRole, Service, TimerEvent};
-use crate::stage_updates::{StageEventReader, StageMessage, StageStreamError, StageUpdateFilter};
+use crate::stage_updates::{StageEventReader, StageMessage, StageStreamError};
 use limewing_coordination::Service as ControlService;
-use limewing_decision::interface::{Event, StageUpdate};
+use limewing_decision::interface::{Event, StageStreamId, StageUpdate};
+use limewing_decision::LatestStage;
 use limewing_net::body::{BodyReader, Framing};
 use limewing_net::http::{self, HeadLimits, HttpError};
 use limewing_net::sockets::SocketId;
@@ -17,6 +18,7 @@
 
 /// The connection of the stage stream.
 pub(in crate::service) struct StageStreamConnection {
+    id: StageStreamId,
     /// Reads the response body, once the head was read.
     body: Option<BodyReader>,
     events: StageEventReader,
@@ -26,7 +28,8 @@
 
 /// The state of the watch that is kept across connections.
 pub(in crate::service) struct StageWatch {
-    filter: StageUpdateFilter,
+    latest: LatestStage,
+    opened_streams: u64,
     backoff: Backoff,
 }
 
@@ -60,18 +63,30 @@
     /// Creates a watch. `seed` seeds the jitter of the reconnection backoff.
     pub(in crate::service) fn new(seed: u64) -> Self {
         Self {
-            filter: StageUpdateFilter::default(),
+            latest: LatestStage::default(),
+            opened_streams: 0,
             backoff: Backoff::new(seed),
         }
     }
 
-    /// Converts a message to a stage update. Returns `None` for a message older than one that was accepted before.
-    pub(in crate::service) fn accept(&mut self, message: StageMessage) -> Option<StageUpdate> {
-        let update = self.filter.accept(message);
-        if update.is_none() {
-            tracing::warn!(number = message.number, "outdated stage update dropped");
+    /// Converts a message to a stage update; `stream` is the stream that delivered it, if any. Returns `None` for a
+    /// message older than one that was accepted before.
+    pub(in crate::service) fn accept(
+        &mut self,
+        message: StageMessage,
+        stream: Option<StageStreamId>,
+    ) -> Option<StageUpdate> {
+        let update = message.to_update(stream);
+        let accepted = self.latest.accept(update);
+        if accepted.is_none() {
+            tracing::warn!(?update, "outdated stage update dropped");
         }
-        update
+        accepted.map(|accepted| accepted.update)
+    }
+
+    fn next_stream_id(&mut self) -> StageStreamId {
+        self.opened_streams += 1;
+        StageStreamId(self.opened_streams)
     }
 }
 
@@ -100,6 +115,7 @@
             .timers
             .schedule(silent_at, TimerEvent::StageStreamTimeout(socket));
         let connection = StageStreamConnection {
+            id: self.stages.next_stream_id(),
             body: None,
             events: StageEventReader::default(),
             timer,
@@ -130,7 +146,7 @@
         }
         loop {
             match self.read_stage_messages(socket) {
-                Ok(Some(messages)) => self.handle_stage_messages(&messages),
+                Ok(Some(messages)) => self.handle_stage_messages(socket, &messages),
                 Ok(None) => break,
                 Err(loss) => return self.stage_stream_lost(socket, &loss),
             }
@@ -202,14 +218,18 @@
         Ok(Some(connection.events.read(&piece)?))
     }
 
-    fn handle_stage_messages(&mut self, messages: &[StageMessage]) {
+    fn handle_stage_messages(&mut self, socket: SocketId, messages: &[StageMessage]) {
+        let stream = match self.connections.get(&socket) {
+            Some(ConnectionRole::StageStream(connection)) => Some(connection.id),
+            _ => None,
+        };
         if !messages.is_empty() {
             self.stages.backoff.reset();
             self.peers
                 .record_poll(self.now, ControlService::RolloutService, true);
         }
         for message in messages {
-            let Some(update) = self.stages.accept(*message) else {
+            let Some(update) = self.stages.accept(*message, stream) else {
                 continue;
             };
             self.peers.stage_announced(self.now, message);
--- a/crates/http-proxy/src/service/control/votes.rs
+++ b/crates/http-proxy/src/service/control/votes.rs
@@ -78,7 +78,7 @@
         tracing::debug!(?answer, "vote answered");
         let mut update = None;
         if let Some(message) = reply.state {
-            update = self.stages.accept(message);
+            update = self.stages.accept(message, None);
             if update.is_some() {
                 self.peers.stage_announced(self.now, &message);
             }
--- a/crates/http-proxy/src/service/peers/turn.rs
+++ b/crates/http-proxy/src/service/peers/turn.rs
@@ -72,7 +72,9 @@
         }
         let update = replication.turn(self.now, membership);
         self.events.extend(update.events);
-        let stage = update.stage.and_then(|message| self.stages.accept(message));
+        let stage = update
+            .stage
+            .and_then(|message| self.stages.accept(message, None));
         if let Some(stage) = stage {
             self.events.push(Event::Stage {
                 update: Some(stage),
--- a/crates/http-proxy/src/stage_updates.rs
+++ b/crates/http-proxy/src/stage_updates.rs
@@ -1,8 +1,11 @@
 //! Stage updates from the rollout service: a stream of server-sent events; `docs/protocol.md` describes the format.
 
 use bytes::BytesMut;
-use limewing_decision::interface::{BuildId, Phase, StageIndex, StageUpdate};
+use limewing_decision::interface::{
+    BuildId, Phase, StageIndex, StageOrder, StageStreamId, StageUpdate,
+};
 use serde::{Deserialize, Serialize};
+use std::num::NonZeroU64;
 use std::time::Duration;
 
 /// Maximum length of a line and of an event's data; no stage update is longer.
@@ -59,9 +62,10 @@
 }
 
 impl StageMessage {
-    /// Converts the message for the decision engine; a cap that is not a finite number becomes 0.
+    /// Converts the message for the decision engine; a cap that is not a finite number becomes 0. `stream` is the
+    /// stream that delivered it, or `None` if it arrived in another way.
     #[must_use]
-    pub fn to_update(self) -> StageUpdate {
+    pub fn to_update(self, stream: Option<StageStreamId>) -> StageUpdate {
         let cap = if self.cap.is_finite() {
             self.cap.clamp(0.0, 1.0)
         } else {
@@ -73,30 +77,14 @@
             phase: self.phase.into(),
             cap,
             age: Duration::from_millis(self.age_ms.clamp(0.0, MAX_AGE_MS) as u64),
+            order: StageOrder {
+                number: NonZeroU64::new(self.number),
+                stream,
+            },
         }
     }
 }
 
-/// Drops updates that are older than one already received.
-///
-/// The stage stream and the replies to votes use separate connections, so a late reply may carry a cap that has been
-/// lowered since. If the rollout service loses its numbering, its updates are dropped until the numbers catch up.
-#[derive(Debug, Default)]
-pub struct StageUpdateFilter {
-    latest_number: u64,
-}
-
-impl StageUpdateFilter {
-    /// Returns the update of a message, or `None` if the message is outdated.
-    pub fn accept(&mut self, message: StageMessage) -> Option<StageUpdate> {
-        if message.number != 0 && message.number < self.latest_number {
-            return None;
-        }
-        self.latest_number = self.latest_number.max(message.number);
-        Some(message.to_update())
-    }
-}
-
 /// The reason why a stage stream is abandoned; the client has to open a new one.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum StageStreamError {
--- a/crates/http-proxy/tests/sockets/canary.rs
+++ b/crates/http-proxy/tests/sockets/canary.rs
@@ -242,3 +242,44 @@
         .expect("a vote for the next stage");
     assert!(body.contains("\"stage\":1"), "{body}");
 }
+
+/// The rollout service does not number its changes, and answers a vote late: the reply was written before the lower cap was announced.
+/// Guards against a cap that a late reply raises again (as review case 6 does to the other proxy).
+#[test]
+fn a_late_reply_without_a_number_does_not_raise_the_cap() {
+    const ANNOUNCED: &str = r#"{"build":2,"stage":0,"phase":"on_trial","cap":1}"#;
+    const LOWERED: &str = r#"{"build":2,"stage":0,"phase":"on_trial","cap":0}"#;
+    let (baseline, canary) = (
+        Pod::new(vec![PodAction::Respond(OK_RESPONSE)]),
+        Pod::new(vec![PodAction::Respond(OK_RESPONSE)]),
+    );
+    let rollout_service = RolloutService::new(
+        ANNOUNCED,
+        vec![
+            VoteAction::CountWithStateOnSignal(ANNOUNCED),
+            VoteAction::Counted,
+        ],
+    );
+    let address = sidecar(
+        &[(baseline.address, 1), (canary.address, 2)],
+        &rollout_service,
+    );
+    rollout_service.wait_for_first_vote();
+    let mut client = Client::new(address);
+    let mut reaches_canary = || {
+        let before = canary.request_count();
+        for _ in 0..60 {
+            client.send("GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n");
+            client.read_response();
+        }
+        canary.request_count() > before
+    };
+    rollout_service.send(LOWERED);
+    while reaches_canary() {}
+    rollout_service.resume.send(()).unwrap();
+    // The vote is renewed, so that its reply was read.
+    rollout_service
+        .next_vote(Duration::from_secs(5))
+        .expect("a renewed vote");
+    assert!(!reaches_canary());
+}
--- a/crates/http-proxy/tests/sockets/support.rs
+++ b/crates/http-proxy/tests/sockets/support.rs
@@ -363,6 +363,8 @@
     StaySilent,
     /// Replies that the vote is counted, once the test signals it.
     CountOnSignal,
+    /// Replies that the vote is counted and that the rollout is in this state, once the test signals it.
+    CountWithStateOnSignal(&'static str),
 }
 
 pub(crate) struct RolloutService {
@@ -460,6 +462,15 @@
             let _ = resume.lock().unwrap().recv();
             send(&mut connection, "counted")
         }
+        VoteAction::CountWithStateOnSignal(state) => {
+            let _ = resume.lock().unwrap().recv();
+            let body = format!(r#"{{"answer":"counted","stage":{state}}}"#);
+            write!(
+                connection,
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        }
     };
     let _ = connection.read(&mut [0; 100]);
 }
--- a/crates/http-proxy/tests/stage_updates.rs
+++ b/crates/http-proxy/tests/stage_updates.rs
@@ -1,9 +1,8 @@
 //! Tests of parsing stage updates and vote replies of the rollout service.
 
 use limewing_decision::interface::VoteAnswer;
-use limewing_http_proxy::stage_updates::{
-    StageEventReader, StageMessage, StagePhase, StageUpdateFilter,
-};
+use limewing_decision::LatestStage;
+use limewing_http_proxy::stage_updates::{StageEventReader, StageMessage, StagePhase};
 use limewing_http_proxy::votes::parse_vote_response;
 use rstest::rstest;
 
@@ -49,10 +48,14 @@
 #[case::late_reply(&[1, 3, 2, 3], &[true, true, false, true])]
 #[case::not_numbered(&[0, 0], &[true, true])]
 fn outdated_messages_are_dropped(#[case] numbers: &[u64], #[case] expected: &[bool]) {
-    let mut filter = StageUpdateFilter::default();
+    let mut latest = LatestStage::default();
     let accepted: Vec<bool> = numbers
         .iter()
-        .map(|number| filter.accept(message(*number, 0.5)).is_some())
+        .map(|number| {
+            latest
+                .accept(message(*number, 0.5).to_update(None))
+                .is_some()
+        })
         .collect();
     assert_eq!(accepted, expected);
 }
--- a/crates/postgres-proxy/src/service/mod.rs
+++ b/crates/postgres-proxy/src/service/mod.rs
@@ -228,7 +228,7 @@
             shutdown,
         };
         if let Some(state) = config.rollout_state {
-            service.apply_rollout_state(state, None);
+            service.apply_stage_update(state.to_update(None), None);
         }
         service.load_endpoints(config.cached_endpoints);
         service.open_stage_stream();
--- a/crates/postgres-proxy/src/service/rollouts.rs
+++ b/crates/postgres-proxy/src/service/rollouts.rs
@@ -6,11 +6,12 @@
 use super::{ConnectionRole, Service, TimerEvent};
 use crate::line_codec::{LineReader, StreamError};
 use crate::rollout_messages::{parse_message, MessageError, RolloutMessage};
-use crate::stage_updates::{age_from_ms, LatestState, RolloutState};
+use crate::stage_updates::age_from_ms;
 use crate::timeouts::STAGE_STREAM_SILENCE_TIMEOUT;
 use crate::wrong_answers::{WrongAnswer, WrongAnswerLog};
 use bytes::Bytes;
-use limewing_decision::interface::{ClassId, Event, VoteAnswer};
+use limewing_decision::interface::{ClassId, Event, StageStreamId, StageUpdate, VoteAnswer};
+use limewing_decision::LatestStage;
 use limewing_net::sockets::SocketId;
 use limewing_net::timer_wheel::TimerKey;
 use limewing_proxy_core::backoff::Backoff;
@@ -22,7 +23,8 @@
 /// The known state of the newest build's rollout, and the stream that keeps it up to date.
 pub(super) struct RolloutTracker {
     streams: ServiceConnections,
-    latest: LatestState,
+    latest: LatestStage,
+    opened_streams: u64,
     wrong_answers: WrongAnswerLog<SocketId>,
     backoff: Backoff,
     /// The names of the request classes, indexed by number.
@@ -34,16 +36,23 @@
     pub(super) fn new(classes: Vec<String>, seed: u64) -> Self {
         Self {
             streams: ServiceConnections::default(),
-            latest: LatestState::default(),
+            latest: LatestStage::default(),
+            opened_streams: 0,
             wrong_answers: WrongAnswerLog::default(),
             backoff: Backoff::new(seed),
             classes,
         }
     }
+
+    fn next_stream_id(&mut self) -> StageStreamId {
+        self.opened_streams += 1;
+        StageStreamId(self.opened_streams)
+    }
 }
 
 /// The connection of a stream.
 pub(super) struct StageStream {
+    id: StageStreamId,
     reader: LineReader,
     /// Limits the wait for the next line.
     timer: TimerKey,
@@ -73,17 +82,17 @@
 }
 
 impl Service {
-    /// Applies the state of the newest build's rollout, received on the stream or in the reply to a
+    /// Applies the state of the newest build's rollout, received on a stream or in the reply to a
     /// vote.
-    pub(super) fn apply_rollout_state(
+    pub(super) fn apply_stage_update(
         &mut self,
-        state: RolloutState,
+        update: StageUpdate,
         vote_answer: Option<VoteAnswer>,
     ) {
-        let accepted = self.rollouts.latest.accept(state);
+        let accepted = self.rollouts.latest.accept(update);
         match &accepted {
             Some(accepted) => tracing::info!(update = ?accepted.update, "stage update"),
-            None => tracing::warn!(?state, "outdated stage update dropped"),
+            None => tracing::warn!(?update, "outdated stage update dropped"),
         }
         // Unwritten attempts that were permitted under the previous state are ended; the decision
         // engine starts them again.
@@ -118,6 +127,7 @@
             .timers
             .schedule(deadline, TimerEvent::StageStreamTimeout(socket));
         let stream = StageStream {
+            id: self.rollouts.next_stream_id(),
             reader: LineReader::new(MAX_LINE),
             timer,
         };
@@ -145,6 +155,7 @@
         };
         let received = stream.reader.read(input);
         let is_over = has_ended || stream.reader.has_ended();
+        let stream_id = stream.id;
         // Bytes within a line are no proof that the service is alive.
         if received.is_alive {
             let deadline = self.now + STAGE_STREAM_SILENCE_TIMEOUT;
@@ -155,7 +166,7 @@
                 .cancel(std::mem::replace(&mut stream.timer, timer));
         }
         let result = self
-            .apply_rollout_messages(socket, &received.items)
+            .apply_rollout_messages(socket, stream_id, &received.items)
             .and(received.error.map_or(Ok(()), |error| Err(error.into())));
         match result {
             Err(error) => self.handle_stage_stream_end(socket, &error),
@@ -167,13 +178,14 @@
     fn apply_rollout_messages(
         &mut self,
         socket: SocketId,
+        stream: StageStreamId,
         lines: &[Bytes],
     ) -> Result<(), StageStreamError> {
         for line in lines {
             match parse_message(line)? {
                 RolloutMessage::Stage(state) => {
                     self.rollouts.backoff.reset();
-                    self.apply_rollout_state(state, None);
+                    self.apply_stage_update(state.to_update(Some(stream)), None);
                 }
                 RolloutMessage::WrongAnswer(report) => self.apply_wrong_answer(socket, &report),
                 RolloutMessage::Ignored => {}
--- a/crates/postgres-proxy/src/service/votes.rs
+++ b/crates/postgres-proxy/src/service/votes.rs
@@ -51,7 +51,7 @@
         let VoteReply { answer, state } = reply;
         tracing::info!(?answer, "vote answered");
         match state {
-            Some(state) => self.apply_rollout_state(state, Some(answer)),
+            Some(state) => self.apply_stage_update(state.to_update(None), Some(answer)),
             None => self.report_vote_answer(answer),
         }
     }
--- a/crates/postgres-proxy/src/stage_updates.rs
+++ b/crates/postgres-proxy/src/stage_updates.rs
@@ -1,6 +1,8 @@
 //! The state of the newest build's rollout, as reported by the rollout service.
 
-use limewing_decision::interface::{BuildId, Phase, StageIndex, StageUpdate};
+use limewing_decision::interface::{
+    BuildId, Phase, StageIndex, StageOrder, StageStreamId, StageUpdate,
+};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -37,9 +39,10 @@
 }
 
 impl RolloutState {
-    /// Converts the state to an update for the decision engine.
+    /// Converts the state to an update for the decision engine. `stream` is the stream that delivered
+    /// it, or `None` if it arrived in another way.
     #[must_use]
-    pub fn to_update(self) -> StageUpdate {
+    pub fn to_update(self, stream: Option<StageStreamId>) -> StageUpdate {
         StageUpdate {
             build: BuildId(self.build),
             stage: StageIndex(self.stage),
@@ -55,59 +58,11 @@
                 0.0
             },
             age: age_from_ms(self.age_ms),
+            // The service does not number its changes.
+            order: StageOrder {
+                number: None,
+                stream,
+            },
         }
     }
-
-    /// Returns a measure of the progress of a rollout, which never decreases.
-    fn progress(self) -> (u16, u8, u8) {
-        let status = match self.status {
-            Status::Progressing => 0,
-            Status::Healthy => 1,
-            Status::Aborting => 2,
-            Status::Aborted => 3,
-        };
-        let stage = if self.status == Status::Progressing {
-            self.stage
-        } else {
-            0
-        };
-        (self.build, status, stage)
-    }
-}
-
-/// A state that is not older than the previous ones.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AcceptedState {
-    /// The update for the decision engine.
-    pub update: StageUpdate,
-    /// A build to which no unsent attempt may be sent any more, because it is being rolled back or
-    /// its cap was lowered. Such a change takes effect soon, while an attempt permitted before may
-    /// remain unsent for longer.
-    pub closed_build: Option<BuildId>,
-}
-
-/// Drops outdated states. The stream and the replies to votes arrive on separate connections, and a
-/// late reply may contain a cap that has been lowered since.
-#[derive(Debug, Default)]
-pub struct LatestState(Option<RolloutState>);
-
-impl LatestState {
-    /// Records a state; returns `None` if it is outdated.
-    pub fn accept(&mut self, state: RolloutState) -> Option<AcceptedState> {
-        let previous = self.0;
-        if previous.is_some_and(|previous| previous.progress() > state.progress()) {
-            return None;
-        }
-        self.0 = Some(state);
-        let update = state.to_update();
-        let is_cap_lowered = previous
-            .map(RolloutState::to_update)
-            .is_some_and(|previous| previous.build == update.build && update.cap < previous.cap);
-        let is_rolled_back = matches!(update.phase, Phase::RollingBack | Phase::RolledBack);
-        let is_closed = is_cap_lowered || is_rolled_back;
-        Some(AcceptedState {
-            update,
-            closed_build: is_closed.then_some(update.build),
-        })
-    }
 }
--- a/crates/postgres-proxy/tests/golden.rs
+++ b/crates/postgres-proxy/tests/golden.rs
@@ -20,7 +20,6 @@
     encode_vote, parse_message, parse_vote_reply, RolloutMessage,
 };
 use limewing_postgres_proxy::service::Service;
-use limewing_postgres_proxy::stage_updates::RolloutState;
 use limewing_postgres_proxy::statement::{StatementParser, Verb};
 use std::fmt::Write as _;
 use std::io::{Read, Write};
@@ -121,7 +120,7 @@
         match parse_message(line).unwrap() {
             RolloutMessage::Ignored => writeln!(decoded, "nothing"),
             RolloutMessage::Stage(state) => {
-                writeln!(decoded, "news {}", describe_stage(&state.to_update()))
+                writeln!(decoded, "news {}", describe_stage(&state.to_update(None)))
             }
             RolloutMessage::WrongAnswer(report) => writeln!(
                 decoded,
@@ -143,7 +142,7 @@
         .lines()
         .any(|golden| golden == line));
     let reply = parse_vote_reply(200, written.as_bytes());
-    let update = reply.state.map(RolloutState::to_update).unwrap();
+    let update = reply.state.unwrap().to_update(None);
     assert_eq!(
         describe_stage(&update),
         "revision 2 wave 0 progressing share 0.25 age 5"
@@ -269,7 +268,7 @@
     line("sockets", format!("{:?}", config.max_descriptors));
     line(
         "news",
-        describe_stage(&config.rollout_state.unwrap().to_update()),
+        describe_stage(&config.rollout_state.unwrap().to_update(None)),
     );
     let known = config.cached_endpoints.unwrap();
     line("known seq", known.version.to_string());
--- a/crates/postgres-proxy/tests/sockets/main.rs
+++ b/crates/postgres-proxy/tests/sockets/main.rs
@@ -5,4 +5,5 @@
 mod large_fleet;
 mod pods;
 mod services;
+mod stage_order;
 mod sticky_keys;
--- a/crates/postgres-proxy/tests/stage_updates.rs
+++ b/crates/postgres-proxy/tests/stage_updates.rs
@@ -1,8 +1,9 @@
 //! Tests which rollout states are accepted, and when one closes a build.
 
-use limewing_decision::interface::{Phase, StageIndex};
+use limewing_decision::interface::{Phase, StageIndex, StageStreamId};
+use limewing_decision::LatestStage;
 use limewing_emulators::platform::rollout_state_json;
-use limewing_postgres_proxy::stage_updates::{LatestState, RolloutState};
+use limewing_postgres_proxy::stage_updates::RolloutState;
 use rstest::rstest;
 
 fn rollout_state(build: u16, stage: u8, name: &str) -> RolloutState {
@@ -12,9 +13,9 @@
 /// States arrive on several connections; outdated ones are dropped.
 #[test]
 fn outdated_rollout_states_are_dropped() {
-    let mut latest = LatestState::default();
+    let mut latest = LatestStage::default();
     let mut accept = |build, stage, name| {
-        let accepted = latest.accept(rollout_state(build, stage, name));
+        let accepted = latest.accept(rollout_state(build, stage, name).to_update(None));
         accepted.map(|accepted| accepted.update)
     };
     assert_eq!(accept(4, 1, "Progressing").unwrap().stage, StageIndex(1));
@@ -40,10 +41,15 @@
     #[case] cap: f64,
     #[case] closes: Option<u16>,
 ) {
-    let parse_state =
-        |build, name, cap| serde_json::from_str(&rollout_state_json(build, 0, name, cap)).unwrap();
-    let mut latest = LatestState::default();
-    latest.accept(parse_state(1, "Progressing", 0.3)).unwrap();
-    let accepted = latest.accept(parse_state(build, name, cap)).unwrap();
+    let told_on_stream = |build, name, cap| {
+        let json = rollout_state_json(build, 0, name, cap);
+        let state: RolloutState = serde_json::from_str(&json).unwrap();
+        state.to_update(Some(StageStreamId(1)))
+    };
+    let mut latest = LatestStage::default();
+    latest
+        .accept(told_on_stream(1, "Progressing", 0.3))
+        .unwrap();
+    let accepted = latest.accept(told_on_stream(build, name, cap)).unwrap();
     assert_eq!(accepted.closed_build.map(|build| build.0), closes);
 }
--- a/crates/reference-model/src/simulation/rollout.rs
+++ b/crates/reference-model/src/simulation/rollout.rs
@@ -3,7 +3,8 @@
 use super::event::SimulationEvent;
 use super::{ms, Simulation};
 use limewing_decision::interface::{
-    BuildId, Control, Event, Phase, PodState, StageIndex, StageUpdate, Verdict, VoteAnswer,
+    BuildId, Control, Event, Phase, PodState, StageIndex, StageOrder, StageUpdate, Verdict,
+    VoteAnswer,
 };
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -60,6 +61,7 @@
                 phase: Phase::Released,
                 cap: 1.0,
                 age: Duration::ZERO,
+                order: StageOrder::default(),
             },
             state: 0,
             is_service_down: false,
--- a/crates/reference-model/tests/digest/simulation/mod.rs
+++ b/crates/reference-model/tests/digest/simulation/mod.rs
@@ -12,7 +12,7 @@
 use config::draw_config;
 use limewing_decision::interface::{
     Action, AttemptIndex, AttemptOutcome, BuildId, ClassId, Endpoint, EndpointUpdate, Event, Phase,
-    PodId, PodState, RequestId, RoutingKey, SidecarConfig, StageIndex, StageUpdate,
+    PodId, PodState, RequestId, RoutingKey, SidecarConfig, StageIndex, StageOrder, StageUpdate,
 };
 use limewing_decision::DecisionEngine;
 use limewing_reference_model::event_queue::EventQueue;
@@ -111,6 +111,7 @@
             phase: Phase::Released,
             cap: 1.0,
             age: Duration::ZERO,
+            order: StageOrder::default(),
         };
         let servers = (1..=POD_COUNT)
             .map(|number| Server::new(number, 1))
--- a/crates/reference-model/tests/digest/simulation/rollout.rs
+++ b/crates/reference-model/tests/digest/simulation/rollout.rs
@@ -2,7 +2,7 @@
 
 use super::{ScheduledEvent, Simulation, POD_COUNT};
 use limewing_decision::interface::{
-    BuildId, Event, FleetView, Phase, PodId, StageIndex, StageUpdate, VoteAnswer,
+    BuildId, Event, FleetView, Phase, PodId, StageIndex, StageOrder, StageUpdate, VoteAnswer,
 };
 use rand::RngExt;
 use std::time::Duration;
@@ -40,6 +40,7 @@
                     phase: Phase::OnTrial,
                     cap: 0.2,
                     age: Duration::ZERO,
+                    order: StageOrder::default(),
                 };
                 self.roll_out(build.0, shares[0]);
             }
--- a/crates/simulator-protocol/src/record.rs
+++ b/crates/simulator-protocol/src/record.rs
@@ -4,8 +4,8 @@
 use crate::error::{FrameError, FrameErrorKind};
 use limewing_decision::interface::{
     AttemptIndex, AttemptOutcome, AttemptResult, BuildId, CellId, ClassId, Endpoint, Event,
-    MachineTypeId, Phase, PodState, Request, RequestId, RoutingKey, StageIndex, StageUpdate,
-    TenantId, VoteAnswer, ZoneId,
+    MachineTypeId, Phase, PodState, Request, RequestId, RoutingKey, StageIndex, StageOrder,
+    StageStreamId, StageUpdate, TenantId, VoteAnswer, ZoneId,
 };
 
 /// Record codes; each record starts with its code.
@@ -254,6 +254,9 @@
     Ok(Event::Flagged { pod, class })
 }
 
+/// The simulator delivers all stage updates of an instance, replies to votes included, in order.
+const STAGE_STREAM: StageStreamId = StageStreamId(0);
+
 fn stage(cursor: &mut Cursor<'_>) -> Result<Event, FrameError> {
     let cap = f64::from(cursor.f32()?);
     let phase = match cursor.u8()? {
@@ -275,6 +278,10 @@
         phase,
         cap,
         age,
+        order: StageOrder {
+            number: None,
+            stream: Some(STAGE_STREAM),
+        },
     });
     Ok(Event::Stage {
         update,
--- a/crates/soak/src/simulation/rollout.rs
+++ b/crates/soak/src/simulation/rollout.rs
@@ -4,7 +4,7 @@
 use crate::config::{EXPOSURE_CAPS, STAGE_SHARES};
 use limewing_decision::interface::{
     BuildId, CellId, Endpoint, EndpointUpdate, Event, MachineTypeId, Phase, PodId, PodState,
-    StageIndex, StageUpdate, ZoneId,
+    StageIndex, StageOrder, StageUpdate, ZoneId,
 };
 use std::time::Duration;
 
@@ -45,6 +45,7 @@
                 phase,
                 cap,
                 age: Duration::ZERO,
+                order: StageOrder::default(),
             }),
             vote_answer: None,
         }
