After SIGHUP the former watch no longer renews the endpoint list (lease-after-move)

Seen by pods: with the new discovery crowded, a draining pod got 124 requests later than 5.05 s after SIGHUP.

Cause: an empty line of the former watch set the time of last contact to the present, and a listing of it ended the loss of the list. Change: EndpointUpdate::FormerDelta changes entries and renews nothing; only the current watch counts as contact. a_former_service_does_not_renew_the_lease did not compile before: the engine could not tell the two apart.

--- a/crates/decision/src/endpoint_lease.rs
+++ b/crates/decision/src/endpoint_lease.rs
@@ -60,6 +60,7 @@
     /// Processes an endpoint update or the loss of the watch.
     pub(crate) fn on_update(&mut self, update: &EndpointUpdate, now: Duration) {
         self.watch_failures = match update {
+            EndpointUpdate::FormerDelta(_) => self.watch_failures,
             EndpointUpdate::WatchLost(_) => self.watch_failures.saturating_add(1),
             _ => 0,
         };
@@ -68,6 +69,7 @@
         }
         self.state = match update {
             EndpointUpdate::Delta(_) | EndpointUpdate::Snapshot(_) => ListState::Current,
+            EndpointUpdate::FormerDelta(_) => self.state,
             EndpointUpdate::Cached(_) => ListState::Cached { loaded_at: now },
             EndpointUpdate::WatchLost(loss) => self.state_after_loss(loss, now),
         };
--- a/crates/decision/src/endpoint_lease/tests.rs
+++ b/crates/decision/src/endpoint_lease/tests.rs
@@ -33,7 +33,7 @@
     assert_eq!(served_since(&context), at(10.8));
 }
 
-/// If the discovery service is absent or its response is unreadable, each failed call renews the
+/// If the discovery service is absent, each failed call renews the
 /// lease on a list that was received.
 #[test]
 fn a_missing_service_renews_the_lease() {
@@ -130,3 +130,17 @@
     let lease = EndpointLease::new(Some(at(6.0)), grace);
     assert_eq!(lease.cached_duration(), expected);
 }
+
+/// After a new configuration, the service at the former address does not show that changes are received from the present one. Guards
+/// against a lease that it renews while the present service answers nothing (trial lease-after-move of the review).
+#[test]
+fn a_former_service_does_not_renew_the_lease() {
+    let mut context = leased_context(10.0);
+    context.dispatch_event(Event::Endpoints(EndpointUpdate::Snapshot(Vec::new())));
+    context.dispatch_event(watch_lost(CALL_REFUSED));
+    context.now = at(15.0);
+    context.dispatch_event(Event::Endpoints(EndpointUpdate::FormerDelta(Vec::new())));
+    assert_eq!(context.endpoint_lease.watch_failures(), 1);
+    context.now = at(16.1);
+    assert!(served_since(&context) > Duration::ZERO);
+}
--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -48,7 +48,9 @@
 
     fn on_update(&mut self, update: EndpointUpdate, context: &mut Context) {
         match update {
-            EndpointUpdate::Delta(endpoints) => self.publish_all(endpoints, context),
+            EndpointUpdate::Delta(endpoints) | EndpointUpdate::FormerDelta(endpoints) => {
+                self.publish_all(endpoints, context);
+            }
             EndpointUpdate::Snapshot(endpoints) | EndpointUpdate::Cached(endpoints) => {
                 let missing = self.known.missing_from(&endpoints);
                 self.publish_all(missing, context);
--- a/crates/decision/src/interface/endpoint.rs
+++ b/crates/decision/src/interface/endpoint.rs
@@ -40,6 +40,9 @@
 pub enum EndpointUpdate {
     /// The entries that changed.
     Delta(Vec<Endpoint>),
+    /// The entries that changed, from a source that is no longer the one that is watched. They do not
+    /// show that later changes are received.
+    FormerDelta(Vec<Endpoint>),
     /// The complete list.
     Snapshot(Vec<Endpoint>),
     /// The list cached before a restart, which may be outdated.
--- a/crates/http-proxy/src/service/membership/coordination.rs
+++ b/crates/http-proxy/src/service/membership/coordination.rs
@@ -95,7 +95,7 @@
                 self.pods_changed = true;
                 endpoints
             }
-            EndpointUpdate::Delta(endpoints) => endpoints,
+            EndpointUpdate::Delta(endpoints) | EndpointUpdate::FormerDelta(endpoints) => endpoints,
             EndpointUpdate::WatchLost(_) => return,
         };
         for endpoint in endpoints {
--- a/crates/http-proxy/src/service/replication.rs
+++ b/crates/http-proxy/src/service/replication.rs
@@ -274,6 +274,7 @@
 fn endpoints_of(update: &EndpointUpdate) -> Option<&[Endpoint]> {
     match update {
         EndpointUpdate::Delta(endpoints)
+        | EndpointUpdate::FormerDelta(endpoints)
         | EndpointUpdate::Snapshot(endpoints)
         | EndpointUpdate::Cached(endpoints) => Some(endpoints),
         EndpointUpdate::WatchLost(_) => None,
--- a/crates/postgres-proxy/src/endpoint_list.rs
+++ b/crates/postgres-proxy/src/endpoint_list.rs
@@ -141,6 +141,44 @@
         now: Duration,
         wall_clock: SystemTime,
     ) -> Result<ListChange, ListingError> {
+        let version = listing.version;
+        let (changes, errors) = self.apply_entries(listing, now, wall_clock)?;
+        self.version = version;
+        Ok(ListChange {
+            update: EndpointUpdate::Delta(changes.rows),
+            relocated: changes.relocated,
+            errors,
+        })
+    }
+
+    /// Applies a listing from the address before a new configuration. That service may be behind the
+    /// present one, so it never lowers the version.
+    ///
+    /// # Errors
+    /// As for [`apply`](Self::apply).
+    pub fn apply_former(
+        &mut self,
+        listing: EndpointListing,
+        now: Duration,
+        wall_clock: SystemTime,
+    ) -> Result<ListChange, ListingError> {
+        let version = listing.version;
+        let (changes, errors) = self.apply_entries(listing, now, wall_clock)?;
+        self.version = version;
+        Ok(ListChange {
+            update: EndpointUpdate::FormerDelta(changes.rows),
+            relocated: changes.relocated,
+            errors,
+        })
+    }
+
+    /// Applies the entries of a listing. Returns the changes, and the errors of unusable entries.
+    fn apply_entries(
+        &mut self,
+        listing: EndpointListing,
+        now: Duration,
+        wall_clock: SystemTime,
+    ) -> Result<(Changes, Vec<String>), ListingError> {
         if listing.entries.len() > MAX_ENTRIES {
             let entries = listing.entries.len();
             return Err(ListingError::TooManyEntries { entries });
@@ -167,12 +205,7 @@
             }
         }
         self.release_departed(now);
-        self.version = listing.version;
-        Ok(ListChange {
-            update: EndpointUpdate::Delta(changes.rows),
-            relocated: changes.relocated,
-            errors,
-        })
+        Ok((changes, errors))
     }
 
     fn remove_unlisted(
--- a/crates/postgres-proxy/src/service/discovery.rs
+++ b/crates/postgres-proxy/src/service/discovery.rs
@@ -25,8 +25,8 @@
 pub(super) struct DiscoveryState {
     pub(super) endpoints: EndpointList,
     watches: ServiceConnections,
-    /// When something was last received from discovery, on the monotonic clock of the sidecar.
-    /// Later updates may have been missed.
+    /// When a listing, or an empty line after one, was last received on the current watch, on the
+    /// monotonic clock of the sidecar. Later updates may have been missed.
     last_heard: Duration,
 }
 
@@ -40,6 +40,14 @@
     }
 }
 
+/// The service that a watch is connected to.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ListSource {
+    Current,
+    /// The service at the address before a new configuration.
+    Former,
+}
+
 /// The connection of a watch.
 pub(super) struct WatchConnection {
     reader: ObjectReader,
@@ -150,7 +158,6 @@
         // Bytes within an object are no proof that discovery is alive, because they carry no update
         // until it is complete.
         if received.is_alive {
-            self.discovery.last_heard = self.now;
             let deadline = self.now + WATCH_SILENCE_TIMEOUT;
             let timer = self
                 .timers
@@ -164,10 +171,19 @@
             let objects = received.items.len();
             tracing::debug!(waited_ms, objects, "endpoint watch answered");
         }
+        let is_empty_line = received.is_alive && received.items.is_empty();
         watch.has_object |= !received.items.is_empty();
+        let source = if self.discovery.watches.is_current(socket) {
+            ListSource::Current
+        } else {
+            ListSource::Former
+        };
+        if is_empty_line {
+            self.record_contact(source);
+        }
         // Complete objects before invalid bytes are applied.
         let result = self
-            .apply_listings(&received.items)
+            .apply_listings(&received.items, source)
             .and(received.error.map_or(Ok(()), |error| Err(error.into())));
         match result {
             Err(error) => self.handle_watch_end(socket, &error),
@@ -176,14 +192,21 @@
         }
     }
 
-    fn apply_listings(&mut self, objects: &[Bytes]) -> Result<(), WatchError> {
+    /// Records that the list was up to date until now, unless the source is a former one.
+    fn record_contact(&mut self, source: ListSource) {
+        if source == ListSource::Current {
+            self.discovery.last_heard = self.now;
+        }
+    }
+
+    fn apply_listings(&mut self, objects: &[Bytes], source: ListSource) -> Result<(), WatchError> {
         for object in objects {
-            self.apply_listing(object)?;
+            self.apply_listing(object, source)?;
         }
         Ok(())
     }
 
-    fn apply_listing(&mut self, object: &Bytes) -> Result<(), WatchError> {
+    fn apply_listing(&mut self, object: &Bytes, source: ListSource) -> Result<(), WatchError> {
         let listing: EndpointListing = serde_json::from_slice(object)?;
         let version = listing.version;
         let known_version = self.discovery.endpoints.version();
@@ -194,10 +217,12 @@
                 "endpoint list is older than the known one, only its restrictions are applied"
             );
         }
-        let change = self
-            .discovery
-            .endpoints
-            .apply(listing, self.now, SystemTime::now())?;
+        let endpoints = &mut self.discovery.endpoints;
+        let change = match source {
+            ListSource::Current => endpoints.apply(listing, self.now, SystemTime::now())?,
+            ListSource::Former => endpoints.apply_former(listing, self.now, SystemTime::now())?,
+        };
+        self.record_contact(source);
         for error in &change.errors {
             tracing::warn!(
                 version,
--- a/crates/postgres-proxy/src/service/service_connection.rs
+++ b/crates/postgres-proxy/src/service/service_connection.rs
@@ -25,6 +25,10 @@
         self.current.is_some()
     }
 
+    pub(super) fn is_current(&self, socket: SocketId) -> bool {
+        self.current == Some(socket)
+    }
+
     pub(super) fn set_current(&mut self, socket: SocketId) {
         self.current = Some(socket);
     }
--- a/crates/postgres-proxy/tests/golden.rs
+++ b/crates/postgres-proxy/tests/golden.rs
@@ -183,7 +183,9 @@
         EndpointUpdate::Delta(rows) => ("change", rows),
         EndpointUpdate::Snapshot(rows) => ("whole", rows),
         EndpointUpdate::Cached(rows) => ("known at the start", rows),
-        EndpointUpdate::WatchLost(_) => panic!("expected an endpoint list"),
+        EndpointUpdate::FormerDelta(_) | EndpointUpdate::WatchLost(_) => {
+            panic!("expected an endpoint list")
+        }
     };
     let mut text = format!("{kind}, seq {}\n", list.version());
     for row in rows {
--- a/crates/reference-model/src/history.rs
+++ b/crates/reference-model/src/history.rs
@@ -212,14 +212,19 @@
     pub(crate) fn record_list(&mut self, now: Duration, update: &EndpointUpdate) {
         let changed = match update {
             EndpointUpdate::WatchLost(_) => return self.record_watch_lost(now),
-            EndpointUpdate::Delta(changed) => changed.clone(),
+            EndpointUpdate::Delta(changed) | EndpointUpdate::FormerDelta(changed) => {
+                changed.clone()
+            }
             EndpointUpdate::Snapshot(all) | EndpointUpdate::Cached(all) => {
                 let mut changed = self.removed_by_snapshot(all);
                 changed.extend(all.iter().cloned());
                 changed
             }
         };
-        if !matches!(update, EndpointUpdate::Cached(_)) {
+        if matches!(
+            update,
+            EndpointUpdate::Delta(_) | EndpointUpdate::Snapshot(_)
+        ) {
             self.last_list_contact = now;
             self.without_list_since = None;
             self.list_call_failed = false;
