--- a/crates/postgres-proxy/src/endpoint_list.rs
+++ b/crates/postgres-proxy/src/endpoint_list.rs
@@ -164,7 +164,7 @@
     ) -> Result<ListChange, ListingError> {
         let version = listing.version;
         let (changes, errors) = self.apply_entries(listing, now, wall_clock)?;
-        self.version = version;
+        self.version = self.version.max(version);
         Ok(ListChange {
             update: EndpointUpdate::FormerDelta(changes.rows),
             relocated: changes.relocated,
--- a/crates/postgres-proxy/tests/endpoint_list.rs
+++ b/crates/postgres-proxy/tests/endpoint_list.rs
@@ -238,3 +238,28 @@
     let cached = list.load_cached(parsed, Duration::from_secs(3600), SystemTime::now());
     assert!(matches!(cached, EndpointUpdate::Cached(rows) if rows.len() == 1));
 }
+
+/// After a new configuration the former service tells changes late, several of them. Guards against a draining pod that counts as in
+/// service again (review case 7): the first late listing lowered the version, so that the second one passed for a newer one.
+#[test]
+fn late_listings_of_a_former_service_revert_nothing() {
+    let in_service = ListedPod::new("p1", local_address(1));
+    let draining = ListedPod {
+        state: "terminating",
+        ..in_service.clone()
+    };
+    let mut list = list_with(std::slice::from_ref(&in_service));
+    let told = apply_listing(&mut list, parse_listing(44, false, &[draining]));
+    assert_eq!(told, [(1, PodState::Draining)]);
+    for version in [42, 43] {
+        let late = parse_listing(version, false, std::slice::from_ref(&in_service));
+        let change = list
+            .apply_former(late, Duration::from_secs(3611), SystemTime::now())
+            .unwrap();
+        let EndpointUpdate::FormerDelta(rows) = change.update else {
+            panic!("expected an update of a former service")
+        };
+        assert!(rows.is_empty());
+        assert_eq!(list.version(), 44);
+    }
+}
