--- a/crates/decision/src/interface/endpoint.rs
+++ b/crates/decision/src/interface/endpoint.rs
@@ -66,7 +66,7 @@
     /// A watch ended or stopped responding, or a call failed for another reason.
     #[default]
     Ended,
-    /// The service does not exist or its response is unreadable.
+    /// The service does not exist.
     NoService,
     /// A call was not answered in time.
     TimedOut,
--- a/crates/postgres-proxy/src/service/discovery.rs
+++ b/crates/postgres-proxy/src/service/discovery.rs
@@ -102,12 +102,15 @@
             // Discovery may also reset a call that it cannot accept.
             Self::ConnectionLost if !watch.has_answer => WatchLossCause::Refused,
             Self::Silent if !watch.has_answer => WatchLossCause::TimedOut,
-            // Part of an object was received, but not the rest.
-            Self::Silent if !watch.has_object => WatchLossCause::NoService,
-            Self::Unreachable | Self::Stream(_) | Self::Json(_) | Self::Listing(_) => {
-                WatchLossCause::NoService
-            }
-            Self::ConnectionLost | Self::Ended | Self::Silent => WatchLossCause::Ended,
+            // A slow service: the response began, but its first object did not arrive in time.
+            Self::Silent if !watch.has_object => WatchLossCause::TimedOut,
+            Self::Unreachable => WatchLossCause::NoService,
+            Self::ConnectionLost
+            | Self::Ended
+            | Self::Silent
+            | Self::Stream(_)
+            | Self::Json(_)
+            | Self::Listing(_) => WatchLossCause::Ended,
         }
     }
 }
@@ -171,7 +174,7 @@
             let objects = received.items.len();
             tracing::debug!(waited_ms, objects, "endpoint watch answered");
         }
-        let is_empty_line = received.is_alive && received.items.is_empty();
+        let is_empty_line = received.is_alive && received.items.is_empty() && watch.has_object;
         watch.has_object |= !received.items.is_empty();
         let source = if self.discovery.watches.is_current(socket) {
             ListSource::Current
@@ -295,3 +298,6 @@
         self.events.push(Event::Endpoints(update));
     }
 }
+
+#[cfg(test)]
+mod tests;
